Add the design, the wire messages and the shared packages

Cause: the project needs one reference and one set of messages before its parts can be built. Change: design page, protobuf messages and services, document decoding, validation and change sets, closed list of error kinds, settings and the test command. Conclusion: parts can be built against these interfaces.

--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,148 @@
+// Package document decodes, validates and compares the declared configuration, and derives the
+// change sets that are published.
+package document
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"sort"
+
+	"go.yaml.in/yaml/v3"
+
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// MaxBytes is the size that an encoded document may have; 2,800 hosts take about 0.8 MiB.
+const MaxBytes = 8 << 20
+
+// Decode reads one YAML document. Unknown fields, a second document and oversized input are errors.
+func Decode(data []byte) (*structs.Document, error) {
+	if len(data) > MaxBytes {
+		return nil, fault.New(fault.DocumentInvalid, "%d bytes: want at most %d", len(data), MaxBytes)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	doc := &structs.Document{}
+	if err := decoder.Decode(doc); err != nil {
+		return nil, fault.Wrap(fault.DocumentInvalid, err, "document can't be decoded")
+	}
+	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return nil, fault.New(fault.DocumentInvalid, "want exactly one YAML document")
+	}
+	Normalize(doc)
+	return doc, nil
+}
+
+// Encode writes doc as YAML.
+func Encode(doc *structs.Document) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := yaml.NewEncoder(&out)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(doc); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "document can't be encoded")
+	}
+	return out.Bytes(), nil
+}
+
+// Normalize sorts the objects by name, so that equal documents have equal encodings.
+func Normalize(doc *structs.Document) {
+	sort.Slice(doc.Zones, func(i, j int) bool { return doc.Zones[i].Name < doc.Zones[j].Name })
+	sort.Slice(doc.Pools, func(i, j int) bool { return doc.Pools[i].Name < doc.Pools[j].Name })
+	sort.Slice(doc.Hosts, func(i, j int) bool { return doc.Hosts[i].Name < doc.Hosts[j].Name })
+	sort.Slice(doc.Teams, func(i, j int) bool { return doc.Teams[i].Name < doc.Teams[j].Name })
+	sort.Slice(doc.Keys, func(i, j int) bool { return doc.Keys[i].ID < doc.Keys[j].ID })
+	sort.Slice(doc.Waves, func(i, j int) bool { return doc.Waves[i].Name < doc.Waves[j].Name })
+}
+
+// Hash returns the SHA-256 of the canonical encoding of doc: the digest of the digests of its
+// objects in order of kind and name. It is computed from Objects, so that a fold that keeps the
+// objects' digests doesn't encode the whole document for each change.
+func Hash(doc *structs.Document) ([]byte, error) {
+	objects, err := Objects(doc)
+	if err != nil {
+		return nil, err
+	}
+	return HashObjects(objects), nil
+}
+
+// HashObjects returns the digest of sorted objects.
+func HashObjects(objects []Object) []byte {
+	digest := sha256.New()
+	for _, object := range objects {
+		digest.Write([]byte(object.Kind))
+		digest.Write([]byte{0})
+		digest.Write([]byte(object.Name))
+		digest.Write([]byte{0})
+		sum := sha256.Sum256(object.Body)
+		digest.Write(sum[:])
+	}
+	return digest.Sum(nil)
+}
+
+// Object is one named part of the document in its canonical JSON encoding.
+type Object struct {
+	Kind string
+	Name string
+	Body []byte
+}
+
+// Kinds of objects.
+const (
+	KindZone   = "zone"
+	KindPool   = "pool"
+	KindHost   = "host"
+	KindTeam   = "team"
+	KindKey    = "key"
+	KindWave   = "wave"
+	KindPolicy = "policy"
+)
+
+// policyName is the name of the only object of kind policy.
+const policyName = "policy"
+
+// Objects returns the parts of doc in order of kind and name.
+func Objects(doc *structs.Document) ([]Object, error) {
+	var objects []Object
+	add := func(kind, name string, value any) error {
+		body, err := json.Marshal(value)
+		if err != nil {
+			return fault.Wrap(fault.Internal, err, "%s %s can't be encoded", kind, name)
+		}
+		objects = append(objects, Object{Kind: kind, Name: name, Body: body})
+		return nil
+	}
+	var errs []error
+	for _, zone := range doc.Zones {
+		errs = append(errs, add(KindZone, zone.Name, zone))
+	}
+	for _, pool := range doc.Pools {
+		errs = append(errs, add(KindPool, pool.Name, pool))
+	}
+	for _, host := range doc.Hosts {
+		errs = append(errs, add(KindHost, host.Name, host))
+	}
+	for _, team := range doc.Teams {
+		errs = append(errs, add(KindTeam, team.Name, team))
+	}
+	for _, key := range doc.Keys {
+		errs = append(errs, add(KindKey, key.ID, key))
+	}
+	for _, wave := range doc.Waves {
+		errs = append(errs, add(KindWave, wave.Name, wave))
+	}
+	errs = append(errs, add(KindPolicy, policyName, doc.Policy))
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	sort.SliceStable(objects, func(i, j int) bool {
+		if objects[i].Kind != objects[j].Kind {
+			return objects[i].Kind < objects[j].Kind
+		}
+		return objects[i].Name < objects[j].Name
+	})
+	return objects, nil
+}
--- /dev/null
+++ b/internal/structs/structs_test.go
@@ -0,0 +1,16 @@
+package structs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against settings that name a duration without a unit.
+func TestDurationNeedsUnit(t *testing.T) {
+	var d Duration
+	assert.ErrorContains(t, d.UnmarshalText([]byte("4")), "with a unit")
+	assert.NilError(t, d.UnmarshalText([]byte("4s")))
+	assert.Equal(t, d.Duration(), 4*time.Second)
+}
--- /dev/null
+++ b/internal/structs/view.go
@@ -0,0 +1,46 @@
+package structs
+
+// View is the part of the fleet state that a gateway uses. A controller derives it from the fold.
+type View struct {
+	Offset int64 `json:"offset"`
+	// ConfigVersion is the version of the accepted document.
+	ConfigVersion uint64         `json:"configVersion"`
+	Teams         []Team         `json:"teams"`
+	Keys          []Key          `json:"keys"`
+	Pools         []Pool         `json:"pools"`
+	Endpoints     []Endpoint     `json:"endpoints"`
+	Gateways      []GatewayEntry `json:"gateways"`
+	// Unallotted is the number of units of each team that no holder and no job has.
+	Unallotted map[string]uint64 `json:"unallotted,omitempty"`
+	// SurrenderTargets bounds the total rights of teams whose limit is to be lowered.
+	SurrenderTargets map[string]uint64 `json:"surrenderTargets,omitempty"`
+}
+
+// Endpoint is the back end on one host.
+type Endpoint struct {
+	// Host is the name of the endpoint's host.
+	Host        string `json:"host"`
+	Address     string `json:"address"`
+	Pool        string `json:"pool"`
+	Zone        string `json:"zone"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Epoch is the host epoch, which rises when the host is proven back.
+	Epoch uint64 `json:"epoch"`
+	// Leaving is set while the host is granted, releasing or failed; it then gets no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// GatewayEntry is a joined gateway.
+type GatewayEntry struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	// Address is the host:port of its peer service.
+	Address   string `json:"address"`
+	Suspected bool   `json:"suspected,omitempty"`
+	// Rights is the number of units of each team that the gateway holds.
+	Rights map[string]uint64 `json:"rights,omitempty"`
+	// LastSeq is the highest proposal number that the fold has read from the incarnation.
+	LastSeq uint64 `json:"lastSeq"`
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks format, vet, linter and module file, then runs all tests with the race detector.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(gofmt -l $(git ls-files --cached --others --exclude-standard '*.go'))
+if [ -n "$unformatted" ]; then
+  echo "gofmt: not formatted:" && echo "$unformatted"
+  exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+go mod tidy -diff
+go test -race -timeout 20m ./...
