--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -25,6 +25,7 @@
 	v.checkHosts(doc)
 	v.checkPools(doc)
 	v.checkTeams(doc)
+	v.checkOpenTeams(doc)
 	v.checkKeys(doc)
 	v.checkWaves(doc)
 	v.checkPolicy(doc.Policy)
@@ -150,6 +151,14 @@
 	}
 }
 
+func (v *validator) checkOpenTeams(doc *structs.Document) {
+	for i, pool := range doc.Pools {
+		if pool.OpenTeam != "" && !v.teams[pool.OpenTeam] {
+			v.fail(fmt.Sprintf("pools[%d].openTeam", i), "team %q: want a declared team", pool.OpenTeam)
+		}
+	}
+}
+
 func (v *validator) checkKeys(doc *structs.Document) {
 	ids := map[string]bool{}
 	hashes := map[string]bool{}
--- a/internal/structs/document.go
+++ b/internal/structs/document.go
@@ -33,6 +33,8 @@
 	MaxUnavailablePerZone int `json:"maxUnavailablePerZone,omitempty" yaml:"maxUnavailablePerZone,omitempty"`
 	// IdempotencyKeys lets a request with an Idempotency-Key header count as idempotent.
 	IdempotencyKeys bool `json:"idempotencyKeys,omitempty" yaml:"idempotencyKeys,omitempty"`
+	// OpenTeam is the team that requests without a key count for; empty refuses such requests.
+	OpenTeam string `json:"openTeam,omitempty" yaml:"openTeam,omitempty"`
 	// MaxRunTime is the longest permitted run of one request in the pool.
 	MaxRunTime Duration `json:"maxRunTime,omitempty" yaml:"maxRunTime,omitempty"`
 }
