Add the command line

Cause: operators need to validate, compare and publish documents from version control. Change: commands validate, diff, apply, status, hosts, teams, wave, key and audit with fixed exit statuses; apply settles a lost answer by the verdicts of the fold and prepares lower limits. Conclusion: the command line is ready for a controller that serves Query, Status and Propose.

--- /dev/null
+++ b/internal/cli/document.go
@@ -0,0 +1,218 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// rolloutPoll is the time between two looks at the progress of a roll-out.
+const rolloutPoll = 200 * time.Millisecond
+
+func newValidate() *cobra.Command {
+	return &cobra.Command{
+		Use:   "validate FILE",
+		Short: "Check a document by itself",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			doc, err := readDocument(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			if err := document.Validate(doc); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "valid: %d pools, %d hosts, %d teams, %d keys, %d waves\n",
+				len(doc.Pools), len(doc.Hosts), len(doc.Teams), len(doc.Keys), len(doc.Waves))
+			return nil
+		},
+	}
+}
+
+func newDiff(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Show what a document would change; exits with 3 when there are changes",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			publication, err := plan(ctx, cmd, opts, args[0], "")
+			if err != nil {
+				return err
+			}
+			if err := writeChanges(cmd.OutOrStdout(), opts.format, publication); err != nil {
+				return err
+			}
+			if len(publication.ChangeSet.GetChanges()) > 0 {
+				return errDifferent
+			}
+			return nil
+		},
+	}
+}
+
+func newApply(opts *options) *cobra.Command {
+	var comment string
+	var wait bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Publish a document; the same document twice changes nothing",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			publication, err := plan(ctx, cmd, opts, args[0], comment)
+			if err != nil {
+				return err
+			}
+			if len(publication.ChangeSet.GetChanges()) == 0 {
+				fmt.Fprintf(cmd.OutOrStdout(), "unchanged: version %d\n", publication.Base.Version)
+				return nil
+			}
+			version, err := opts.client().Publish(ctx, publication)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d, %d changes\n", version, len(publication.ChangeSet.GetChanges()))
+			if !wait {
+				return nil
+			}
+			return waitInForce(ctx, cmd.OutOrStdout(), opts.client(), version)
+		},
+	}
+	cmd.Flags().StringVarP(&comment, "message", "m", "", "comment for the audit trail")
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until all named controllers and their gateways have the version")
+	return cmd
+}
+
+func plan(ctx context.Context, cmd *cobra.Command, opts *options, path, comment string) (*Publication, error) {
+	next, err := readDocument(cmd, path)
+	if err != nil {
+		return nil, err
+	}
+	return opts.client().Plan(ctx, rand.Text(), opts.author, comment, next)
+}
+
+// readDocument reads path, or standard input for "-".
+func readDocument(cmd *cobra.Command, path string) (*structs.Document, error) {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(io.LimitReader(cmd.InOrStdin(), document.MaxBytes+1))
+	} else {
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return document.Decode(data)
+}
+
+// changeRow is one change in the output of diff.
+type changeRow struct {
+	Action string `json:"action"`
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	// Before and After are the JSON encodings of the object.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+func writeChanges(out io.Writer, format string, publication *Publication) error {
+	rows, err := changeRows(publication)
+	if err != nil {
+		return err
+	}
+	text := table{header: []string{"ACTION", "KIND", "NAME", "BEFORE", "AFTER"}}
+	for _, row := range rows {
+		text.rows = append(text.rows, []string{row.Action, row.Kind, row.Name, row.Before, row.After})
+	}
+	return write(out, format, rows, text)
+}
+
+func changeRows(publication *Publication) ([]changeRow, error) {
+	before, err := bodies(&publication.Base.Document)
+	if err != nil {
+		return nil, err
+	}
+	rows := []changeRow{}
+	for _, change := range publication.ChangeSet.GetChanges() {
+		row := changeRow{Kind: change.GetKind(), Name: change.GetName(), After: string(change.GetBody())}
+		row.Before = before[objectKey{row.Kind, row.Name}]
+		row.Action = actionOf(row, change)
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func actionOf(row changeRow, change *v1.Change) string {
+	switch {
+	case change.GetDelete():
+		return "delete"
+	case row.Before == "":
+		return "add"
+	default:
+		return "replace"
+	}
+}
+
+// objectKey names one object of a document.
+type objectKey struct{ kind, name string }
+
+func bodies(doc *structs.Document) (map[objectKey]string, error) {
+	objects, err := document.Objects(doc)
+	if err != nil {
+		return nil, err
+	}
+	byKey := make(map[objectKey]string, len(objects))
+	for _, object := range objects {
+		byKey[objectKey{object.Kind, object.Name}] = string(object.Body)
+	}
+	return byKey, nil
+}
+
+// waitInForce waits until every named controller and each gateway that it serves has the version.
+func waitInForce(ctx context.Context, out io.Writer, client *Client, version uint64) error {
+	ticker := time.NewTicker(rolloutPoll)
+	defer ticker.Stop()
+	for {
+		behind := behindVersion(client.Statuses(ctx), version)
+		if len(behind) == 0 {
+			fmt.Fprintf(out, "in force: version %d\n", version)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fault.Wrap(fault.NotReady, errors.New(fmt.Sprint(behind)), "version %d isn't known to be in force", version)
+		case <-ticker.C:
+		}
+	}
+}
+
+// behindVersion names the processes that aren't known to have the version.
+func behindVersion(statuses []ControllerStatus, version uint64) []string {
+	var behind []string
+	for _, status := range statuses {
+		if status.Status.GetConfigVersion() < version {
+			behind = append(behind, status.Address)
+		}
+		for _, gateway := range status.Status.GetGateways() {
+			if gateway.GetConfigVersion() < version {
+				behind = append(behind, gateway.GetName())
+			}
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/internal/cli/operate.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/structs"
+)
+
+func newWave(opts *options) *cobra.Command {
+	wave := &cobra.Command{Use: "wave", Short: "Pause, resume or stop a maintenance wave"}
+	wave.AddCommand(
+		newWaveAction(opts, "pause", v1.WaveAction_WAVE_ACTION_PAUSE),
+		newWaveAction(opts, "resume", v1.WaveAction_WAVE_ACTION_RESUME),
+		newWaveAction(opts, "stop", v1.WaveAction_WAVE_ACTION_STOP),
+	)
+	return wave
+}
+
+func newWaveAction(opts *options, name string, action v1.WaveAction) *cobra.Command {
+	var reason string
+	cmd := &cobra.Command{
+		Use:   name + " WAVE",
+		Short: "Ask the wave to " + name,
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			control := &v1.WaveControl{Wave: args[0], Action: action, Author: opts.author, Reason: reason}
+			record := &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}
+			response, err := opts.client().Propose(ctx, opts.author, record)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "accepted: offset %d\n", response.GetOffset())
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&reason, "reason", "", "reason for the audit trail")
+	return cmd
+}
+
+func newKey(opts *options) *cobra.Command {
+	key := &cobra.Command{Use: "key", Short: "Make or withdraw a key"}
+	key.AddCommand(newKeyCreate(opts), newKeyWithdraw(opts))
+	return key
+}
+
+// createdKey is a new key with its secret, which is shown only once.
+type createdKey struct {
+	Key    structs.Key `json:"key"`
+	Secret string      `json:"secret"`
+}
+
+func newKeyCreate(opts *options) *cobra.Command {
+	var team string
+	cmd := &cobra.Command{
+		Use:   "create ID",
+		Short: "Make a secret and the document entry for it; the secret is shown once",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			secret := rand.Text()
+			digest := sha256.Sum256([]byte(secret))
+			created := createdKey{
+				Key:    structs.Key{ID: args[0], Team: team, Hash: hex.EncodeToString(digest[:])},
+				Secret: secret,
+			}
+			text := table{
+				header: []string{"ID", "TEAM", "HASH", "SECRET"},
+				rows:   [][]string{{created.Key.ID, team, created.Key.Hash, secret}},
+			}
+			return write(cmd.OutOrStdout(), opts.format, created, text)
+		},
+	}
+	cmd.Flags().StringVar(&team, "team", "", "team of the key")
+	return cmd
+}
+
+func newKeyWithdraw(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "withdraw ID",
+		Short: "Delete a key from the accepted document and wait until that is in force",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			client := opts.client()
+			version, err := withdraw(ctx, client, opts.author, args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d\n", version)
+			return waitInForce(ctx, cmd.OutOrStdout(), client, version)
+		},
+	}
+}
+
+// withdraw publishes the accepted document without the key.
+func withdraw(ctx context.Context, client *Client, author, id string) (uint64, error) {
+	base, err := client.document(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next := base.Document
+	next.Keys = nil
+	for _, key := range base.Document.Keys {
+		if key.ID != id {
+			next.Keys = append(next.Keys, key)
+		}
+	}
+	publication, err := client.Plan(ctx, rand.Text(), author, "withdraw key "+id, &next)
+	if err != nil {
+		return 0, err
+	}
+	if len(publication.ChangeSet.GetChanges()) == 0 {
+		return publication.Base.Version, nil
+	}
+	return client.Publish(ctx, publication)
+}
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// surrenderPoll is the time between two looks at the rights that holders still have.
+const surrenderPoll = 500 * time.Millisecond
+
+// Publication is a validated change against the accepted document.
+type Publication struct {
+	Base      *structs.DocumentStatus
+	Next      *structs.Document
+	ChangeSet *v1.ChangeSet
+}
+
+// Plan compares next with the accepted document. The result has no changes when they are equal.
+func (c *Client) Plan(ctx context.Context, id, author, comment string, next *structs.Document) (*Publication, error) {
+	if err := document.Validate(next); err != nil {
+		return nil, err
+	}
+	base, err := c.document(ctx)
+	if err != nil {
+		return nil, err
+	}
+	changeSet, err := document.NewChangeSet(id, author, comment, base.Version, &base.Document, next)
+	if err != nil {
+		return nil, err
+	}
+	return &Publication{Base: base, Next: next, ChangeSet: changeSet}, nil
+}
+
+// Publish proposes the change set and settles its outcome. Lower limits are prepared first: holders
+// are asked for their unused rights until the new limit is true.
+func (c *Client) Publish(ctx context.Context, publication *Publication) (uint64, error) {
+	author := publication.ChangeSet.GetAuthor()
+	lowered := loweredTeams(&publication.Base.Document, publication.Next)
+	for _, team := range lowered {
+		if err := c.surrender(ctx, author, team); err != nil {
+			return 0, errors.Join(err, c.cancelSurrender(ctx, publication, lowered))
+		}
+	}
+	record := &v1.Record{Payload: &v1.Record_ChangeSet{ChangeSet: publication.ChangeSet}}
+	response, err := c.Propose(ctx, author, record)
+	if err == nil {
+		return response.GetConfigVersion(), nil
+	}
+	return c.settle(ctx, publication, err)
+}
+
+// settle looks for the change in the accepted document when its outcome isn't known.
+func (c *Client) settle(ctx context.Context, publication *Publication, cause error) (uint64, error) {
+	kind := fault.KindOf(cause)
+	if kind != fault.AppendUnsettled && kind != fault.VersionConflict {
+		return 0, cause
+	}
+	var verdicts []structs.VerdictStatus
+	if _, err := c.Query(ctx, "verdicts", "", &verdicts); err != nil {
+		return 0, cause
+	}
+	for _, verdict := range verdicts {
+		if verdict.Accepted && verdict.Subject == publication.ChangeSet.GetId() {
+			return verdict.ConfigVersion, nil
+		}
+	}
+	return 0, cause
+}
+
+// cancelSurrender sets the targets back to the accepted limits, since a target bars new claims until
+// the next accepted limit. It runs after the time limit of ctx as well.
+func (c *Client) cancelSurrender(ctx context.Context, publication *Publication, lowered []structs.Team) error {
+	accepted := map[string]uint64{}
+	for _, team := range publication.Base.Document.Teams {
+		accepted[team.Name] = team.UpperLimit
+	}
+	var errs []error
+	for _, team := range lowered {
+		err := c.proposeSurrender(context.WithoutCancel(ctx), publication.ChangeSet.GetAuthor(), team.Name, accepted[team.Name])
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+func (c *Client) proposeSurrender(ctx context.Context, author, team string, target uint64) error {
+	payload := &v1.Surrender{Team: team, Target: target}
+	_, err := c.Propose(ctx, author, &v1.Record{Payload: &v1.Record_Surrender{Surrender: payload}})
+	return err
+}
+
+// surrender asks holders to return unused rights and waits until the lower limit is true.
+func (c *Client) surrender(ctx context.Context, author string, team structs.Team) error {
+	if err := c.proposeSurrender(ctx, author, team.Name, team.UpperLimit); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(surrenderPoll)
+	defer ticker.Stop()
+	for {
+		status, err := c.team(ctx, team.Name)
+		if err != nil {
+			return err
+		}
+		if status.Held+status.JobUnits <= team.UpperLimit {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.LimitBelowAllotted, "team %s: %d units are still held or running, the new limit is %d",
+				team.Name, status.Held+status.JobUnits, team.UpperLimit)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Client) team(ctx context.Context, name string) (structs.TeamStatus, error) {
+	var teams []structs.TeamStatus
+	if _, err := c.Query(ctx, "teams", name, &teams); err != nil {
+		return structs.TeamStatus{}, err
+	}
+	for _, team := range teams {
+		if team.Name == name {
+			return team, nil
+		}
+	}
+	return structs.TeamStatus{}, fault.New(fault.DocumentInvalid, "team %q isn't known", name)
+}
+
+// loweredTeams returns the teams of next whose limit is below that of base.
+func loweredTeams(base, next *structs.Document) []structs.Team {
+	limits := map[string]uint64{}
+	for _, team := range base.Teams {
+		limits[team.Name] = team.UpperLimit
+	}
+	var lowered []structs.Team
+	for _, team := range next.Teams {
+		if limit, known := limits[team.Name]; known && team.UpperLimit < limit {
+			lowered = append(lowered, team)
+		}
+	}
+	return lowered
+}
--- /dev/null
+++ b/internal/cli/state.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"turmericyoke/internal/structs"
+)
+
+func newStatus(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show each controller: offset, version, freshness and gateways",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			client := opts.client()
+			if len(opts.controllers) == 0 {
+				return unavailable(nil)
+			}
+			statuses := client.Statuses(ctx)
+			return write(cmd.OutOrStdout(), opts.format, statuses, statusTable(statuses))
+		},
+	}
+}
+
+func statusTable(statuses []ControllerStatus) table {
+	text := table{header: []string{"ADDRESS", "NAME", "ZONE", "READY", "OFFSET", "VERSION", "FRESHNESS", "GATEWAYS", "ERROR"}}
+	for _, status := range statuses {
+		s := status.Status
+		problem := status.Error
+		if s.GetFollowerError() != "" {
+			problem = s.GetFollowerError()
+		}
+		text.rows = append(text.rows, []string{
+			status.Address, s.GetName(), s.GetZone(), strconv.FormatBool(s.GetReady()),
+			strconv.FormatInt(s.GetOffset(), 10), strconv.FormatUint(s.GetConfigVersion(), 10),
+			span(s.GetFreshnessMs()), strconv.Itoa(len(s.GetGateways())), problem,
+		})
+	}
+	return text
+}
+
+func newHosts(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "hosts [NAME]",
+		Short: "Show where hosts are and why one isn't serving",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var hosts []structs.HostStatus
+			if err := query(cmd, opts, "hosts", args, &hosts); err != nil {
+				return err
+			}
+			text := table{header: []string{"HOST", "POOL", "ZONE", "RACK", "PHASE", "EPOCH", "REASON"}}
+			for _, host := range hosts {
+				text.rows = append(text.rows, []string{
+					host.Name, host.Pool, host.Zone, host.Rack, host.Phase,
+					strconv.FormatUint(host.Epoch, 10), hostReason(host),
+				})
+			}
+			return write(cmd.OutOrStdout(), opts.format, hosts, text)
+		},
+	}
+}
+
+// hostReason says why the host isn't serving.
+func hostReason(host structs.HostStatus) string {
+	switch {
+	case host.Wave != "":
+		return fmt.Sprintf("maintenance wave %s since offset %d", host.Wave, host.SinceOffset)
+	case host.MoveTo != "":
+		return fmt.Sprintf("moves to pool %s since offset %d", host.MoveTo, host.SinceOffset)
+	case host.Phase != "serving":
+		return fmt.Sprintf("since offset %d", host.SinceOffset)
+	default:
+		return ""
+	}
+}
+
+func newTeams(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "teams [NAME]",
+		Short: "Show shares, limits and what each team has",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var teams []structs.TeamStatus
+			if err := query(cmd, opts, "teams", args, &teams); err != nil {
+				return err
+			}
+			text := table{header: []string{"TEAM", "SHARE", "LIMIT", "RIGHTS HELD", "JOB UNITS", "UNALLOCATED"}}
+			for _, team := range teams {
+				text.rows = append(text.rows, []string{
+					team.Name, strconv.Itoa(team.Share), strconv.FormatUint(team.UpperLimit, 10),
+					strconv.FormatUint(team.Held, 10), strconv.FormatUint(team.JobUnits, 10),
+					strconv.FormatUint(team.Unallocated, 10),
+				})
+			}
+			return write(cmd.OutOrStdout(), opts.format, teams, text)
+		},
+	}
+}
+
+func newAudit(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "audit",
+		Short: "Show the settled proposals that the controller still keeps",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var verdicts []structs.VerdictStatus
+			if err := query(cmd, opts, "verdicts", nil, &verdicts); err != nil {
+				return err
+			}
+			text := table{header: []string{"OFFSET", "TIME", "PAYLOAD", "SUBJECT", "AUTHOR", "VERDICT", "DETAIL"}}
+			for _, verdict := range verdicts {
+				text.rows = append(text.rows, []string{
+					strconv.FormatInt(verdict.Offset, 10), millis(verdict.TimeUnixMS), verdict.Payload,
+					verdict.Subject, verdict.Author, verdictText(verdict), verdict.Detail,
+				})
+			}
+			return write(cmd.OutOrStdout(), opts.format, verdicts, text)
+		},
+	}
+}
+
+func verdictText(verdict structs.VerdictStatus) string {
+	if verdict.Accepted {
+		return "accepted"
+	}
+	return verdict.Kind
+}
+
+// query reads a section, for the optional name in args.
+func query(cmd *cobra.Command, opts *options, section string, args []string, out any) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+	defer cancel()
+	name := ""
+	if len(args) > 0 {
+		name = args[0]
+	}
+	_, err := opts.client().Query(ctx, section, name, out)
+	return err
+}
