Add mutual TLS between processes and operators' authentication

Cause: calls between processes and changes by operators must be authenticated. Conclusion: processes use transport for each server and client; plaintext must be asked for.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +12,7 @@
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
 )
 
 // callTimeout bounds one call of a controller; a proposal waits for the log and the fold.
@@ -25,10 +25,11 @@
 }
 
 // NewClient returns a client of the controllers at addresses (IP:port).
-func NewClient(httpClient *http.Client, addresses []string, options ...connect.ClientOption) *Client {
+func NewClient(link *transport.Transport, addresses []string, options ...connect.ClientOption) *Client {
 	client := &Client{addresses: addresses}
+	httpClient := link.Client()
 	for _, address := range addresses {
-		controller := turmericyokev1connect.NewControllerServiceClient(httpClient, "http://"+address, options...)
+		controller := turmericyokev1connect.NewControllerServiceClient(httpClient, link.URL(address), options...)
 		client.controllers = append(client.controllers, controller)
 	}
 	return client
@@ -115,8 +116,5 @@
 }
 
 func unavailable(errs []error) error {
-	if len(errs) == 0 {
-		return usageError{errors.New("no controller is named: use --controller IP:port")}
-	}
 	return fault.Wrap(fault.NotReady, errors.Join(errs...), "no controller answered")
 }
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -48,7 +48,11 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			publication, err := plan(ctx, cmd, opts, args[0], "")
+			client, err := opts.client()
+			if err != nil {
+				return err
+			}
+			publication, err := plan(ctx, cmd, client, opts.author, args[0], "")
 			if err != nil {
 				return err
 			}
@@ -73,7 +77,11 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			publication, err := plan(ctx, cmd, opts, args[0], comment)
+			client, err := opts.client()
+			if err != nil {
+				return err
+			}
+			publication, err := plan(ctx, cmd, client, opts.author, args[0], comment)
 			if err != nil {
 				return err
 			}
@@ -81,7 +89,7 @@
 				fmt.Fprintf(cmd.OutOrStdout(), "unchanged: version %d\n", publication.Base.Version)
 				return nil
 			}
-			version, err := opts.client().Publish(ctx, publication)
+			version, err := client.Publish(ctx, publication)
 			if err != nil {
 				return err
 			}
@@ -89,7 +97,7 @@
 			if !wait {
 				return nil
 			}
-			return waitInForce(ctx, cmd.OutOrStdout(), opts.client(), version)
+			return waitInForce(ctx, cmd.OutOrStdout(), client, version)
 		},
 	}
 	cmd.Flags().StringVarP(&comment, "message", "m", "", "comment for the audit trail")
@@ -97,12 +105,12 @@
 	return cmd
 }
 
-func plan(ctx context.Context, cmd *cobra.Command, opts *options, path, comment string) (*Publication, error) {
+func plan(ctx context.Context, cmd *cobra.Command, client *Client, author, path, comment string) (*Publication, error) {
 	next, err := readDocument(cmd, path)
 	if err != nil {
 		return nil, err
 	}
-	return opts.client().Plan(ctx, rand.Text(), opts.author, comment, next)
+	return client.Plan(ctx, rand.Text(), author, comment, next)
 }
 
 // readDocument reads path, or standard input for "-".
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -32,9 +32,13 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
+			client, err := opts.client()
+			if err != nil {
+				return err
+			}
 			control := &v1.WaveControl{Wave: args[0], Action: action, Author: opts.author, Reason: reason}
 			record := &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}
-			response, err := opts.client().Propose(ctx, opts.author, record)
+			response, err := client.Propose(ctx, opts.author, record)
 			if err != nil {
 				return err
 			}
@@ -90,7 +94,10 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			client := opts.client()
+			client, err := opts.client()
+			if err != nil {
+				return err
+			}
 			version, err := withdraw(ctx, client, opts.author, args[0])
 			if err != nil {
 				return err
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -2,12 +2,15 @@
 package cli
 
 import (
-	"net/http"
+	"errors"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"turmericyoke/internal/auth"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
 )
 
 // options are the flags that all commands share.
@@ -16,10 +19,25 @@
 	format      string
 	author      string
 	timeout     time.Duration
+	tls         transport.TLS
 }
 
-func (o *options) client() *Client {
-	return NewClient(http.DefaultClient, o.controllers)
+// tokenVariable is the environment variable with the operator's token. A flag would show the token
+// in the list of processes.
+const tokenVariable = "TURMERICYOKE_TOKEN"
+
+func (o *options) client() (*Client, error) {
+	if len(o.controllers) == 0 {
+		return nil, usageError{errors.New("no controller is named: use --controller IP:port")}
+	}
+	if errs := o.tls.Check("--cert, --key, --ca"); len(errs) > 0 {
+		return nil, usageError{errors.Join(errs...)}
+	}
+	link, err := transport.New(o.tls)
+	if err != nil {
+		return nil, err
+	}
+	return NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
 }
 
 // defaultTimeout bounds one command, the wait for returned rights and for the roll-out included.
@@ -39,6 +57,10 @@
 	flags.StringSliceVar(&opts.controllers, "controller", nil, "IP:port of a controller; may be repeated")
 	flags.StringVarP(&opts.format, "output", "o", formatTable, "table, json or yaml")
 	flags.StringVar(&opts.author, "author", "", "operator's name for the audit trail")
+	flags.StringVar(&opts.tls.CertFile, "cert", "", "file with the operator's certificate")
+	flags.StringVar(&opts.tls.KeyFile, "key", "", "file with the key of the certificate")
+	flags.StringVar(&opts.tls.CAFile, "ca", "", "file with the authorities of the controllers' certificates")
+	flags.BoolVar(&opts.tls.Plaintext, "plaintext", false, "call controllers without TLS, for loopback only")
 	flags.DurationVar(&opts.timeout, "timeout", defaultTimeout, "time limit of the command")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -18,9 +18,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			client := opts.client()
-			if len(opts.controllers) == 0 {
-				return unavailable(nil)
+			client, err := opts.client()
+			if err != nil {
+				return err
 			}
 			statuses := client.Statuses(ctx)
 			return write(cmd.OutOrStdout(), opts.format, statuses, statusTable(statuses))
@@ -141,6 +141,10 @@
 	if len(args) > 0 {
 		name = args[0]
 	}
-	_, err := opts.client().Query(ctx, section, name, out)
+	client, err := opts.client()
+	if err != nil {
+		return err
+	}
+	_, err = client.Query(ctx, section, name, out)
 	return err
 }
--- /dev/null
+++ b/internal/transport/http.go
@@ -0,0 +1,106 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// headerTimeout bounds the time in which a client sends its headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections that carry nothing.
+	idleTimeout = 2 * time.Minute
+	// dialTimeout is short, since all processes of a region are milliseconds apart.
+	dialTimeout = 2 * time.Second
+	// maxHeaderBytes bounds the headers of a call between processes.
+	maxHeaderBytes = 16 << 10
+	// MaxMessageBytes bounds one message between processes; a snapshot of 2,800 hosts is the largest.
+	MaxMessageBytes = 16 << 20
+	// maxIdlePerHost bounds idle connections to one process.
+	maxIdlePerHost = 4
+)
+
+// Transport makes the servers and clients of one process.
+type Transport struct {
+	// keeper is nil when TLS is off.
+	keeper *Keeper
+}
+
+// New returns the transport for the settings.
+func New(files TLS) (*Transport, error) {
+	if files.Plaintext {
+		return &Transport{}, nil
+	}
+	keeper, err := NewKeeper(files)
+	if err != nil {
+		return nil, err
+	}
+	return &Transport{keeper: keeper}, nil
+}
+
+// URL returns the base URL of the process at address.
+func (t *Transport) URL(address string) string {
+	if t.keeper == nil {
+		return "http://" + address
+	}
+	return "https://" + address
+}
+
+// Server returns a server for other processes, without a listener.
+func (t *Transport) Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Listen returns a listener for other processes on address.
+func (t *Transport) Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil || t.keeper == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, t.keeper.ServerConfig()), nil
+}
+
+// ListenPublic returns a listener for callers on address; they need no certificate.
+func (t *Transport) ListenPublic(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil || t.keeper == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, t.keeper.PublicConfig()), nil
+}
+
+// Client returns a client for calls of other processes. Each call brings its own deadline.
+func (t *Transport) Client() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		ForceAttemptHTTP2:   true,
+	}
+	if t.keeper != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return t.dialTLS(ctx, dialer, network, address)
+		}
+	}
+	return &http.Client{Transport: transport}
+}
+
+// dialTLS reads the certificates for each connection, so that new files take effect.
+func (t *Transport) dialTLS(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
+	config := t.keeper.ClientConfig()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	config.ServerName = host
+	return (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext(ctx, network, address)
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,128 @@
+package transport
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, name string) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return authority{certificate: certificate, key: key}
+}
+
+// issue writes a certificate for 127.0.0.1, its key and the authority, and returns their paths.
+func (a authority) issue(t *testing.T, dir string, serial int64) TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	files := TLS{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), CAFile: filepath.Join(dir, "ca.pem")}
+	writePEM(t, files.CertFile, "CERTIFICATE", der)
+	writePEM(t, files.KeyFile, "EC PRIVATE KEY", keyDER)
+	writePEM(t, files.CAFile, "CERTIFICATE", a.certificate.Raw)
+	return files
+}
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// serve counts the requests that reach the handler in served.
+func serve(t *testing.T, files TLS, served *atomic.Int64) (*Transport, string) {
+	t.Helper()
+	server, err := New(files)
+	assert.NilError(t, err)
+	listener, err := server.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	httpServer := server.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	go httpServer.Serve(listener)
+	t.Cleanup(func() { httpServer.Close() })
+	return server, listener.Addr().String()
+}
+
+func get(t *testing.T, files TLS, address string) (*http.Response, error) {
+	t.Helper()
+	transport, err := New(files)
+	assert.NilError(t, err)
+	response, err := transport.Client().Get(transport.URL(address))
+	if err == nil {
+		response.Body.Close()
+	}
+	return response, err
+}
+
+// Guards against a process that accepts peers with a certificate of another authority.
+func TestPeersNeedACertificateOfTheAuthority(t *testing.T) {
+	own, other := newAuthority(t, "own"), newAuthority(t, "other")
+	files := own.issue(t, t.TempDir(), 2)
+	var served atomic.Int64
+	_, address := serve(t, files, &served)
+
+	_, err := get(t, files, address)
+	assert.NilError(t, err)
+
+	stranger := other.issue(t, t.TempDir(), 3)
+	stranger.CAFile = files.CAFile
+	_, err = get(t, stranger, address)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, served.Load(), int64(1))
+}
+
+// Guards against a process that needs a restart to take a renewed certificate.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	own := newAuthority(t, "own")
+	dir := t.TempDir()
+	files := own.issue(t, dir, 2)
+	server, address := serve(t, files, &atomic.Int64{})
+	start := time.Now()
+
+	own.issue(t, dir, 7)
+	assert.NilError(t, os.Chtimes(files.CertFile, start, start.Add(time.Minute)))
+	server.keeper.mu.Lock()
+	server.keeper.now = func() time.Time { return start.Add(2 * reloadInterval) }
+	server.keeper.mu.Unlock()
+
+	response, err := get(t, files, address)
+	assert.NilError(t, err)
+	assert.Equal(t, response.TLS.PeerCertificates[0].SerialNumber.Int64(), int64(7))
+}
