Share the client of controllers between operators' tools

Cause: the console publishes in the same way as the command line. Change: the client, publication and roll-out check move from the command line to adminclient. Conclusion: one implementation settles lost answers and lower limits for both tools.

--- a/internal/cli/client.go
+++ b/internal/adminclient/client.go
@@ -1,4 +1,5 @@
-package cli
+// Package adminclient is the client of controllers that the command line and the console share.
+package adminclient
 
 import (
 	"context"
@@ -108,8 +109,8 @@
 	return statuses
 }
 
-// document reads the accepted document.
-func (c *Client) document(ctx context.Context) (*structs.DocumentStatus, error) {
+// Document reads the accepted document.
+func (c *Client) Document(ctx context.Context) (*structs.DocumentStatus, error) {
 	status := &structs.DocumentStatus{}
 	_, err := c.Query(ctx, "document", "", status)
 	return status, err
--- a/internal/cli/publish.go
+++ b/internal/adminclient/publish.go
@@ -1,4 +1,4 @@
-package cli
+package adminclient
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	if err := document.Validate(next); err != nil {
 		return nil, err
 	}
-	base, err := c.document(ctx)
+	base, err := c.Document(ctx)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/adminclient/rows.go
@@ -0,0 +1,76 @@
+package adminclient
+
+import (
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/structs"
+)
+
+// ChangeRow is one change as operators see it.
+type ChangeRow struct {
+	// Action is add, replace or delete.
+	Action string `json:"action"`
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	// Before and After are the JSON encodings of the object.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// Rows returns the changes with the objects before and after them.
+func (p *Publication) Rows() ([]ChangeRow, error) {
+	before, err := bodies(&p.Base.Document)
+	if err != nil {
+		return nil, err
+	}
+	rows := []ChangeRow{}
+	for _, change := range p.ChangeSet.GetChanges() {
+		row := ChangeRow{Kind: change.GetKind(), Name: change.GetName(), After: string(change.GetBody())}
+		row.Before = before[objectKey{row.Kind, row.Name}]
+		row.Action = actionOf(row, change)
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func actionOf(row ChangeRow, change *v1.Change) string {
+	switch {
+	case change.GetDelete():
+		return "delete"
+	case row.Before == "":
+		return "add"
+	default:
+		return "replace"
+	}
+}
+
+// objectKey names one object of a document.
+type objectKey struct{ kind, name string }
+
+func bodies(doc *structs.Document) (map[objectKey]string, error) {
+	objects, err := document.Objects(doc)
+	if err != nil {
+		return nil, err
+	}
+	byKey := make(map[objectKey]string, len(objects))
+	for _, object := range objects {
+		byKey[objectKey{object.Kind, object.Name}] = string(object.Body)
+	}
+	return byKey, nil
+}
+
+// Behind names the processes that aren't known to have the version.
+func Behind(statuses []ControllerStatus, version uint64) []string {
+	var behind []string
+	for _, status := range statuses {
+		if status.Status.GetConfigVersion() < version {
+			behind = append(behind, status.Address)
+		}
+		for _, gateway := range status.Status.GetGateways() {
+			if gateway.GetConfigVersion() < version {
+				behind = append(behind, gateway.GetName())
+			}
+		}
+	}
+	return behind
+}
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/document"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/structs"
@@ -105,7 +105,7 @@
 	return cmd
 }
 
-func plan(ctx context.Context, cmd *cobra.Command, client *Client, author, path, comment string) (*Publication, error) {
+func plan(ctx context.Context, cmd *cobra.Command, client *adminclient.Client, author, path, comment string) (*adminclient.Publication, error) {
 	next, err := readDocument(cmd, path)
 	if err != nil {
 		return nil, err
@@ -128,18 +128,8 @@
 	return document.Decode(data)
 }
 
-// changeRow is one change in the output of diff.
-type changeRow struct {
-	Action string `json:"action"`
-	Kind   string `json:"kind"`
-	Name   string `json:"name"`
-	// Before and After are the JSON encodings of the object.
-	Before string `json:"before,omitempty"`
-	After  string `json:"after,omitempty"`
-}
-
-func writeChanges(out io.Writer, format string, publication *Publication) error {
-	rows, err := changeRows(publication)
+func writeChanges(out io.Writer, format string, publication *adminclient.Publication) error {
+	rows, err := publication.Rows()
 	if err != nil {
 		return err
 	}
@@ -150,53 +140,12 @@
 	return write(out, format, rows, text)
 }
 
-func changeRows(publication *Publication) ([]changeRow, error) {
-	before, err := bodies(&publication.Base.Document)
-	if err != nil {
-		return nil, err
-	}
-	rows := []changeRow{}
-	for _, change := range publication.ChangeSet.GetChanges() {
-		row := changeRow{Kind: change.GetKind(), Name: change.GetName(), After: string(change.GetBody())}
-		row.Before = before[objectKey{row.Kind, row.Name}]
-		row.Action = actionOf(row, change)
-		rows = append(rows, row)
-	}
-	return rows, nil
-}
-
-func actionOf(row changeRow, change *v1.Change) string {
-	switch {
-	case change.GetDelete():
-		return "delete"
-	case row.Before == "":
-		return "add"
-	default:
-		return "replace"
-	}
-}
-
-// objectKey names one object of a document.
-type objectKey struct{ kind, name string }
-
-func bodies(doc *structs.Document) (map[objectKey]string, error) {
-	objects, err := document.Objects(doc)
-	if err != nil {
-		return nil, err
-	}
-	byKey := make(map[objectKey]string, len(objects))
-	for _, object := range objects {
-		byKey[objectKey{object.Kind, object.Name}] = string(object.Body)
-	}
-	return byKey, nil
-}
-
 // waitInForce waits until every named controller and each gateway that it serves has the version.
-func waitInForce(ctx context.Context, out io.Writer, client *Client, version uint64) error {
+func waitInForce(ctx context.Context, out io.Writer, client *adminclient.Client, version uint64) error {
 	ticker := time.NewTicker(rolloutPoll)
 	defer ticker.Stop()
 	for {
-		behind := behindVersion(client.Statuses(ctx), version)
+		behind := adminclient.Behind(client.Statuses(ctx), version)
 		if len(behind) == 0 {
 			fmt.Fprintf(out, "in force: version %d\n", version)
 			return nil
@@ -208,19 +157,3 @@
 		}
 	}
 }
-
-// behindVersion names the processes that aren't known to have the version.
-func behindVersion(statuses []ControllerStatus, version uint64) []string {
-	var behind []string
-	for _, status := range statuses {
-		if status.Status.GetConfigVersion() < version {
-			behind = append(behind, status.Address)
-		}
-		for _, gateway := range status.Status.GetGateways() {
-			if gateway.GetConfigVersion() < version {
-				behind = append(behind, gateway.GetName())
-			}
-		}
-	}
-	return behind
-}
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/structs"
 )
 
@@ -109,8 +110,8 @@
 }
 
 // withdraw publishes the accepted document without the key.
-func withdraw(ctx context.Context, client *Client, author, id string) (uint64, error) {
-	base, err := client.document(ctx)
+func withdraw(ctx context.Context, client *adminclient.Client, author, id string) (uint64, error) {
+	base, err := client.Document(ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/structs"
 	"turmericyoke/internal/transport"
@@ -26,7 +27,7 @@
 // in the list of processes.
 const tokenVariable = "TURMERICYOKE_TOKEN"
 
-func (o *options) client() (*Client, error) {
+func (o *options) client() (*adminclient.Client, error) {
 	if len(o.controllers) == 0 {
 		return nil, usageError{errors.New("no controller is named: use --controller IP:port")}
 	}
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
+	return adminclient.NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
 }
 
 // defaultTimeout bounds one command, the wait for returned rights and for the roll-out included.
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/structs"
 )
 
@@ -28,7 +29,7 @@
 	}
 }
 
-func statusTable(statuses []ControllerStatus) table {
+func statusTable(statuses []adminclient.ControllerStatus) table {
 	text := table{header: []string{"ADDRESS", "NAME", "ZONE", "READY", "OFFSET", "VERSION", "FRESHNESS", "GATEWAYS", "ERROR"}}
 	for _, status := range statuses {
 		s := status.Status
