Add the console

Cause: operators drive the fleet from forms, and each change is one validated document. Change: server-rendered forms without scripts; drafts live in the form, sessions in a signed cookie, forms carry a token; a preview shows the difference and what others changed; lost answers are settled by the shared client. Conclusion: two operators who race both see what happened, and neither loses a draft.

--- /dev/null
+++ b/cmd/console/main.go
@@ -0,0 +1,99 @@
+// Command console serves the operators' forms.
+package main
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"turmericyoke/internal/adminclient"
+	"turmericyoke/internal/auth"
+	"turmericyoke/internal/console"
+	"turmericyoke/internal/settings"
+	"turmericyoke/internal/telemetry"
+	"turmericyoke/internal/transport"
+)
+
+// version is set by the linker in release builds.
+var version = "dev"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "console:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	var checkOnly bool
+	cmd := &cobra.Command{
+		Use: "console", Short: "Serve the operators' forms", Version: version,
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			config := &settings.Console{}
+			if err := settings.Load(path, config); err != nil {
+				return err
+			}
+			if checkOnly {
+				return nil
+			}
+			return run(cmd.Context(), config)
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "console.yaml", "settings file")
+	cmd.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
+	return cmd
+}
+
+// run serves until ctx ends, and then finishes open requests.
+func run(ctx context.Context, config *settings.Console) error {
+	log := telemetry.NewLogger(os.Stderr, config.Name, config.Zone)
+	link, err := transport.New(config.TLS)
+	if err != nil {
+		return err
+	}
+	server, err := newServer(config, link, log)
+	if err != nil {
+		return err
+	}
+	listener, err := link.ListenPublic(config.Listen)
+	if err != nil {
+		return err
+	}
+	httpServer := server.HTTP()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return httpServer.Serve(listener) })
+	group.Go(func() error {
+		<-groupCtx.Done()
+		return httpServer.Shutdown()
+	})
+	log.WithFields(logrus.Fields{"event": "started", "listen": config.Listen}).Info("console is ready")
+	return group.Wait()
+}
+
+func newServer(config *settings.Console, link *transport.Transport, log *logrus.Entry) (*console.Server, error) {
+	secret, err := hex.DecodeString(config.SessionSecret)
+	if err != nil {
+		return nil, err
+	}
+	client := adminclient.NewClient(link, config.Controllers, auth.WithToken(config.Token))
+	return console.New(console.Config{
+		Operators: config.Operators,
+		Secret:    secret,
+		Secure:    !config.TLS.Plaintext,
+		Client:    client,
+		Log:       log,
+		Now:       time.Now,
+	})
+}
--- a/internal/adminclient/rows.go
+++ b/internal/adminclient/rows.go
@@ -3,7 +3,6 @@
 import (
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/document"
-	"turmericyoke/internal/structs"
 )
 
 // ChangeRow is one change as operators see it.
@@ -19,14 +18,14 @@
 
 // Rows returns the changes with the objects before and after them.
 func (p *Publication) Rows() ([]ChangeRow, error) {
-	before, err := bodies(&p.Base.Document)
+	before, err := document.Bodies(&p.Base.Document)
 	if err != nil {
 		return nil, err
 	}
 	rows := []ChangeRow{}
 	for _, change := range p.ChangeSet.GetChanges() {
 		row := ChangeRow{Kind: change.GetKind(), Name: change.GetName(), After: string(change.GetBody())}
-		row.Before = before[objectKey{row.Kind, row.Name}]
+		row.Before = before[document.Ref{Kind: row.Kind, Name: row.Name}]
 		row.Action = actionOf(row, change)
 		rows = append(rows, row)
 	}
@@ -44,21 +43,6 @@
 	}
 }
 
-// objectKey names one object of a document.
-type objectKey struct{ kind, name string }
-
-func bodies(doc *structs.Document) (map[objectKey]string, error) {
-	objects, err := document.Objects(doc)
-	if err != nil {
-		return nil, err
-	}
-	byKey := make(map[objectKey]string, len(objects))
-	for _, object := range objects {
-		byKey[objectKey{object.Kind, object.Name}] = string(object.Body)
-	}
-	return byKey, nil
-}
-
 // Behind names the processes that aren't known to have the version.
 func Behind(statuses []ControllerStatus, version uint64) []string {
 	var behind []string
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -7,50 +7,26 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"strings"
 
 	"connectrpc.com/connect"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/internal/fault"
 	"turmericyoke/internal/settings"
 )
 
-// Operator is a person or program that may change the fleet.
-type Operator struct {
-	Name string `yaml:"name"`
-	// TokenHash is the SHA-256 of the operator's token in hexadecimal digits.
-	TokenHash string `yaml:"tokenHash"`
-}
-
-// Check returns one error for each broken rule.
-func Check(field string, operators []Operator) []error {
-	var errs []error
-	for i, operator := range operators {
-		path := fmt.Sprintf("%s[%d]", field, i)
-		if err := settings.CheckName(path+".name", operator.Name); err != nil {
-			errs = append(errs, err)
-		}
-		if raw, err := hex.DecodeString(operator.TokenHash); err != nil || len(raw) != sha256.Size {
-			errs = append(errs, fault.Invalid(fault.SettingsInvalid, path+".tokenHash", "want the SHA-256 of the token in %d hexadecimal digits", 2*sha256.Size))
-		}
-	}
-	return errs
-}
-
-// Identify returns the name of the operator with the token. It compares with all operators in
+// Identify returns the operator with the token. It compares with all operators in
 // constant time, so that the answer's delay tells nothing about a token.
-func Identify(operators []Operator, token string) (string, bool) {
+func Identify(operators []settings.Operator, token string) (settings.Operator, bool) {
 	digest := sha256.Sum256([]byte(token))
 	given := hex.EncodeToString(digest[:])
-	name, found := "", false
+	identified, found := settings.Operator{}, false
 	for _, operator := range operators {
 		if subtle.ConstantTimeCompare([]byte(given), []byte(strings.ToLower(operator.TokenHash))) == 1 {
-			name, found = operator.Name, true
+			identified, found = operator, true
 		}
 	}
-	return name, found
+	return identified, found
 }
 
 // bearerPrefix starts the Authorization header of operators.
@@ -60,9 +36,10 @@
 var errUnauthenticated = errors.New("want an operator's token in the Authorization header")
 
 // NewInterceptor returns an interceptor for controllers. A proposal without an envelope comes from
-// an operator: it needs a token, and the operator's name replaces the author that the call names.
+// an operator: it needs a token, and the operator's name replaces the author that the call names,
+// except for a delegate such as the console.
 // Proposals of gateways carry their envelope and are authenticated by their certificate.
-func NewInterceptor(operators []Operator) connect.Interceptor {
+func NewInterceptor(operators []settings.Operator) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			proposal, ok := request.Any().(*v1.ProposeRequest)
@@ -70,16 +47,24 @@
 				return next(ctx, request)
 			}
 			token, _ := strings.CutPrefix(request.Header().Get("Authorization"), bearerPrefix)
-			name, known := Identify(operators, token)
+			operator, known := Identify(operators, token)
 			if !known {
 				return nil, connect.NewError(connect.CodeUnauthenticated, errUnauthenticated)
 			}
-			setAuthor(proposal, name)
+			setAuthor(proposal, authorFor(operator, proposal.GetAuthor()))
 			return next(ctx, request)
 		}
 	})
 }
 
+// authorFor returns the author for the audit trail. Only a delegate may name somebody else.
+func authorFor(operator settings.Operator, claimed string) string {
+	if operator.Delegate && claimed != "" {
+		return claimed
+	}
+	return operator.Name
+}
+
 // setAuthor writes the authenticated name wherever the proposal has an author.
 func setAuthor(proposal *v1.ProposeRequest, name string) {
 	proposal.Author = name
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -12,6 +12,7 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/settings"
 )
 
 // recordingController keeps the author of the last proposal.
@@ -28,7 +29,7 @@
 // Guards against a change without a token, and against an operator who signs with another's name.
 func TestProposalNeedsOperator(t *testing.T) {
 	digest := sha256.Sum256([]byte("token-of-ops"))
-	operators := []Operator{{Name: "ops", TokenHash: hex.EncodeToString(digest[:])}}
+	operators := []settings.Operator{{Name: "ops", TokenHash: hex.EncodeToString(digest[:])}}
 	fake := &recordingController{}
 	_, handler := turmericyokev1connect.NewControllerServiceHandler(fake, connect.WithInterceptors(NewInterceptor(operators)))
 	server := httptest.NewServer(handler)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,74 +3,19 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
-	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/document"
-	"turmericyoke/internal/fault"
+	"turmericyoke/internal/standin/controllersvc"
 	"turmericyoke/internal/structs"
 )
 
-// fakeController accepts change sets against its document, with switches for faults.
-type fakeController struct {
-	turmericyokev1connect.UnimplementedControllerServiceHandler
-	status     structs.DocumentStatus
-	held       map[string]uint64
-	verdicts   []structs.VerdictStatus
-	surrenders []*v1.Surrender
-	// loseAnswer makes the next accepted proposal fail after it took effect.
-	loseAnswer bool
-}
-
-func (f *fakeController) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
-	var value any
-	switch request.GetSection() {
-	case "document":
-		value = f.status
-	case "verdicts":
-		value = f.verdicts
-	case "teams":
-		value = []structs.TeamStatus{{Name: request.GetName(), Held: f.held[request.GetName()]}}
-	}
-	data, err := json.Marshal(value)
-	return &v1.QueryResponse{Json: data, ConfigVersion: f.status.Version}, err
-}
-
-func (f *fakeController) Propose(_ context.Context, request *v1.ProposeRequest) (*v1.ProposeResponse, error) {
-	if surrender := request.GetRecord().GetSurrender(); surrender != nil {
-		f.surrenders = append(f.surrenders, surrender)
-		f.held[surrender.GetTeam()] = min(f.held[surrender.GetTeam()], surrender.GetTarget())
-		return &v1.ProposeResponse{Accepted: true}, nil
-	}
-	changeSet := request.GetRecord().GetChangeSet()
-	if changeSet.GetBaseVersion() != f.status.Version {
-		return &v1.ProposeResponse{Kind: string(fault.VersionConflict), Detail: "another operator was first"}, nil
-	}
-	next, err := document.Apply(&f.status.Document, changeSet.GetChanges())
-	if err != nil {
-		return nil, err
-	}
-	f.status = structs.DocumentStatus{Version: f.status.Version + 1, Document: *next}
-	f.verdicts = append(f.verdicts, structs.VerdictStatus{
-		Subject: changeSet.GetId(), Accepted: true, ConfigVersion: f.status.Version,
-	})
-	if f.loseAnswer {
-		f.loseAnswer = false
-		return nil, connect.NewError(connect.CodeUnknown, errors.New("connection lost"))
-	}
-	return &v1.ProposeResponse{Accepted: true, ConfigVersion: f.status.Version}, nil
-}
-
 func testDocument() structs.Document {
 	return structs.Document{
 		Zones: []structs.Zone{{Name: "north", Region: "gauteng"}},
@@ -85,10 +30,9 @@
 }
 
 // cliRun runs the command line against the fake and returns its output and exit status.
-func cliRun(t *testing.T, fake *fakeController, args ...string) (string, ExitCode) {
+func cliRun(t *testing.T, fake *controllersvc.Controller, args ...string) (string, ExitCode) {
 	t.Helper()
-	_, handler := turmericyokev1connect.NewControllerServiceHandler(fake)
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(fake.Handler())
 	defer server.Close()
 	root := NewRoot("test")
 	var out bytes.Buffer
@@ -111,39 +55,38 @@
 // apply of the same document that makes a new version.
 func TestApplySettlesLostAnswer(t *testing.T) {
 	doc := testDocument()
-	fake := &fakeController{held: map[string]uint64{}, loseAnswer: true}
-	fake.status = structs.DocumentStatus{Version: 4, Document: testDocument()}
+	fake := controllersvc.New(4, testDocument())
+	fake.LoseAnswer()
 	doc.Teams[0].Share = 5
 	path := writeDocument(t, doc)
 
 	_, code := cliRun(t, fake, "apply", path)
 	assert.Equal(t, code, ExitOK)
-	assert.Equal(t, fake.status.Version, uint64(5))
+	assert.Equal(t, fake.Document().Version, uint64(5))
 
 	output, code := cliRun(t, fake, "apply", path)
 	assert.Equal(t, output, "unchanged: version 5\n")
 	assert.Equal(t, code, ExitOK)
-	assert.Equal(t, fake.status.Version, uint64(5))
+	assert.Equal(t, fake.Document().Version, uint64(5))
 }
 
 // Guards against a lower limit that is published before holders have given their rights back.
 func TestApplySurrendersLoweredLimit(t *testing.T) {
 	doc := testDocument()
-	fake := &fakeController{held: map[string]uint64{"reconciliation": 40}}
-	fake.status = structs.DocumentStatus{Version: 1, Document: testDocument()}
+	fake := controllersvc.New(1, testDocument())
+	fake.Hold("reconciliation", 40)
 	doc.Teams[0].UpperLimit = 10
 
 	_, code := cliRun(t, fake, "apply", writeDocument(t, doc))
 	assert.Equal(t, code, ExitOK)
-	assert.Equal(t, len(fake.surrenders), 1)
-	assert.Equal(t, fake.surrenders[0].GetTarget(), uint64(10))
-	assert.Equal(t, fake.status.Document.Teams[0].UpperLimit, uint64(10))
+	assert.Equal(t, len(fake.Surrenders()), 1)
+	assert.Equal(t, fake.Surrenders()[0].GetTarget(), uint64(10))
+	assert.Equal(t, fake.Document().Document.Teams[0].UpperLimit, uint64(10))
 }
 
 // Guards against exit statuses that scripts rely on.
 func TestExitCodes(t *testing.T) {
-	fake := &fakeController{held: map[string]uint64{}}
-	fake.status = structs.DocumentStatus{Version: 1, Document: testDocument()}
+	fake := controllersvc.New(1, testDocument())
 	changed := testDocument()
 	changed.Teams[0].Share = 4
 	invalid := testDocument()
--- /dev/null
+++ b/internal/console/pages.go
@@ -0,0 +1,212 @@
+package console
+
+import (
+	"bytes"
+	"embed"
+	"html/template"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/adminclient"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+//go:embed templates/*.html
+var templateFiles embed.FS
+
+// pages holds the parsed templates.
+type pages struct{ templates *template.Template }
+
+func loadPages() (*pages, error) {
+	parsed, err := template.New("console").Funcs(template.FuncMap{
+		"when": func(unixMS int64) string { return time.UnixMilli(unixMS).UTC().Format(time.RFC3339) },
+	}).ParseFS(templateFiles, "templates/*.html")
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "templates can't be parsed")
+	}
+	return &pages{templates: parsed}, nil
+}
+
+// frame is what every page shows.
+type frame struct {
+	Title    string
+	Operator string
+	// Token guards the page's forms against cross-site requests.
+	Token string
+	Page  any
+}
+
+// render writes the page. A template that fails leaves no half page.
+func (s *Server) render(r *request, name, title string, page any) {
+	var out bytes.Buffer
+	data := frame{Title: title, Operator: r.operator, Page: page}
+	if r.cookie != "" {
+		data.Token = s.sessions.formToken(r.cookie)
+	}
+	if err := s.pages.templates.ExecuteTemplate(&out, name+".html", data); err != nil {
+		s.config.Log.WithField("event", "template_failed").Error(err)
+		r.Error("internal", fault.AnswerFor(fault.Internal).HTTPStatus)
+		return
+	}
+	r.SetContentType("text/html; charset=utf-8")
+	r.SetBody(out.Bytes())
+}
+
+// zoneRollout is how far a version is in force in one availability zone.
+type zoneRollout struct {
+	Zone string
+	// InForce and Total count the controllers and gateways that answer for the zone.
+	InForce, Total int
+	// Unknown counts controllers that didn't answer; the version is not known to be in force there.
+	Unknown int
+}
+
+// rollout counts by zone which processes have the version.
+func rollout(statuses []adminclient.ControllerStatus, version uint64) []zoneRollout {
+	zones := map[string]*zoneRollout{}
+	zone := func(name string) *zoneRollout {
+		if zones[name] == nil {
+			zones[name] = &zoneRollout{Zone: name}
+		}
+		return zones[name]
+	}
+	for _, status := range statuses {
+		if status.Status == nil {
+			zone("unreachable").Unknown++
+			continue
+		}
+		counted := zone(status.Status.GetZone())
+		counted.count(status.Status.GetConfigVersion(), version)
+		for _, gateway := range status.Status.GetGateways() {
+			counted.count(gateway.GetConfigVersion(), version)
+		}
+	}
+	list := make([]zoneRollout, 0, len(zones))
+	for _, counted := range zones {
+		list = append(list, *counted)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Zone < list[j].Zone })
+	return list
+}
+
+func (z *zoneRollout) count(has, want uint64) {
+	z.Total++
+	if has >= want {
+		z.InForce++
+	}
+}
+
+func formatVersion(version uint64) string { return strconv.FormatUint(version, 10) }
+
+// overviewPage is the first page.
+type overviewPage struct {
+	Version     uint64
+	Controllers []adminclient.ControllerStatus
+	Zones       []zoneRollout
+}
+
+func (s *Server) overview(r *request) error {
+	current, err := r.client.Document(r.ctx)
+	if err != nil {
+		return err
+	}
+	statuses := r.client.Statuses(r.ctx)
+	s.render(r, "overview", "Overview", overviewPage{
+		Version: current.Version, Controllers: statuses, Zones: rollout(statuses, current.Version),
+	})
+	return nil
+}
+
+func (s *Server) hosts(r *request) error {
+	var hosts []structs.HostStatus
+	if _, err := r.client.Query(r.ctx, "hosts", "", &hosts); err != nil {
+		return err
+	}
+	s.render(r, "hosts", "Hosts", hosts)
+	return nil
+}
+
+func (s *Server) teams(r *request) error {
+	var teams []structs.TeamStatus
+	if _, err := r.client.Query(r.ctx, "teams", "", &teams); err != nil {
+		return err
+	}
+	s.render(r, "teams", "Teams", teams)
+	return nil
+}
+
+func (s *Server) waves(r *request) error {
+	var waves []structs.WaveStatus
+	if _, err := r.client.Query(r.ctx, "waves", "", &waves); err != nil {
+		return err
+	}
+	s.render(r, "waves", "Maintenance waves", waves)
+	return nil
+}
+
+// waveActions are the actions that the page of waves offers.
+var waveActions = map[string]v1.WaveAction{
+	"pause":  v1.WaveAction_WAVE_ACTION_PAUSE,
+	"resume": v1.WaveAction_WAVE_ACTION_RESUME,
+	"stop":   v1.WaveAction_WAVE_ACTION_STOP,
+}
+
+func (s *Server) controlWave(r *request) error {
+	action, known := waveActions[r.form("action")]
+	if !known {
+		return fault.New(fault.RequestInvalid, "action %q: want pause, resume or stop", r.form("action"))
+	}
+	control := &v1.WaveControl{Wave: r.form("wave"), Action: action, Author: r.operator, Reason: r.form("reason")}
+	record := &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}
+	if _, err := r.client.Propose(r.ctx, r.operator, record); err != nil {
+		return err
+	}
+	r.Redirect("/waves", fasthttp.StatusSeeOther)
+	return nil
+}
+
+// documentPage lists the objects of one kind.
+type documentPage struct {
+	Specs   []formSpec
+	Spec    formSpec
+	Objects []document.Object
+	Version uint64
+}
+
+func (s *Server) document(r *request) error {
+	spec, known := specFor(string(r.QueryArgs().Peek("kind")))
+	if !known {
+		spec = formSpecs[0]
+	}
+	current, err := r.client.Document(r.ctx)
+	if err != nil {
+		return err
+	}
+	objects, err := document.Objects(&current.Document)
+	if err != nil {
+		return err
+	}
+	page := documentPage{Specs: formSpecs, Spec: spec, Version: current.Version}
+	for _, object := range objects {
+		if object.Kind == spec.Kind {
+			page.Objects = append(page.Objects, object)
+		}
+	}
+	s.render(r, "document", spec.Title, page)
+	return nil
+}
+
+func (s *Server) audit(r *request) error {
+	var verdicts []structs.VerdictStatus
+	if _, err := r.client.Query(r.ctx, "verdicts", "", &verdicts); err != nil {
+		return err
+	}
+	s.render(r, "audit", "Audit trail", verdicts)
+	return nil
+}
--- /dev/null
+++ b/internal/console/publish.go
@@ -0,0 +1,266 @@
+package console
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/adminclient"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// editPage is the form of one object.
+type editPage struct {
+	Kind, Name, Title string
+	New               bool
+	Fields            []fieldView
+	Draft             string
+	Problems          []string
+	// BaseVersion is the version of the document that the operator sees.
+	BaseVersion uint64
+}
+
+// edit shows the form of an object, or of a new one when the name is empty.
+func (s *Server) edit(r *request) error {
+	spec, known := specFor(r.form("kind"))
+	if !known {
+		return fault.New(fault.RequestInvalid, "unknown kind %q", r.form("kind"))
+	}
+	current, err := r.client.Document(r.ctx)
+	if err != nil {
+		return err
+	}
+	body, err := editedBody(r, current)
+	if err != nil {
+		return err
+	}
+	fields, err := viewFields(spec, body, &current.Document)
+	if err != nil {
+		return err
+	}
+	s.render(r, "edit", spec.Title, editPage{
+		Kind: spec.Kind, Name: r.form("name"), Title: spec.Title, New: r.form("name") == "",
+		Fields: fields, Draft: r.form("draft"), BaseVersion: current.Version,
+	})
+	return nil
+}
+
+// editedBody returns the object as the draft has it, else as the document has it.
+func editedBody(r *request, current *structs.DocumentStatus) ([]byte, error) {
+	d, err := decodeDraft(r.form("draft"))
+	if err != nil {
+		return nil, err
+	}
+	for _, change := range d.Changes {
+		if change.Kind == r.form("kind") && change.Name == r.form("name") {
+			return change.After, nil
+		}
+	}
+	bodies, err := document.Bodies(&current.Document)
+	if err != nil {
+		return nil, err
+	}
+	return []byte(bodies[document.Ref{Kind: r.form("kind"), Name: r.form("name")}]), nil
+}
+
+// previewPage shows what publishing a draft would do.
+type previewPage struct {
+	Draft     string
+	Rows      []adminclient.ChangeRow
+	Conflicts []conflict
+	Problems  []string
+	// Others are accepted changes that came after the operator's first look.
+	Others []structs.VerdictStatus
+	// Secret is the secret of a key that was made for this draft; it is shown once.
+	Secret      string
+	BaseVersion uint64
+	Version     uint64
+	CanPublish  bool
+}
+
+// preview adds the submitted object to the draft and shows the outcome.
+func (s *Server) preview(r *request) error {
+	current, err := r.client.Document(r.ctx)
+	if err != nil {
+		return err
+	}
+	d, err := decodeDraft(r.form("draft"))
+	if err != nil {
+		return err
+	}
+	if d.ID == "" {
+		d.ID = rand.Text()
+		d.BaseVersion = current.Version
+	}
+	change, secret, problems, err := submittedChange(r, current)
+	if err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return s.editAgain(r, current, problems)
+	}
+	d = d.with(change)
+	if comment := r.form("comment"); comment != "" {
+		d.Comment = comment
+	}
+	return s.showPreview(r, current, d, secret, nil)
+}
+
+// submittedChange reads the form. For a key without a hash it makes a secret.
+func submittedChange(r *request, current *structs.DocumentStatus) (draftChange, string, []error, error) {
+	spec, known := specFor(r.form("kind"))
+	if !known {
+		return draftChange{}, "", nil, fault.New(fault.RequestInvalid, "unknown kind %q", r.form("kind"))
+	}
+	name := r.form("name")
+	if name == "" {
+		name = r.form("field." + spec.nameField())
+	}
+	bodies, err := document.Bodies(&current.Document)
+	if err != nil {
+		return draftChange{}, "", nil, err
+	}
+	change := draftChange{Kind: spec.Kind, Name: name}
+	if before, exists := bodies[document.Ref{Kind: spec.Kind, Name: name}]; exists {
+		change.Before = json.RawMessage(before)
+	}
+	if r.form("delete") != "" {
+		return change, "", nil, nil
+	}
+	secret := ""
+	value := func(path string) string { return r.form("field." + path) }
+	if spec.Kind == document.KindKey && value("hash") == "" {
+		secret = rand.Text()
+	}
+	body, problems := readForm(spec, func(path string) string {
+		if path == "hash" && secret != "" {
+			return hashSecret(secret)
+		}
+		return value(path)
+	})
+	change.After = body
+	return change, secret, problems, nil
+}
+
+func hashSecret(secret string) string {
+	digest := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(digest[:])
+}
+
+// editAgain shows the form with what was typed and what is wrong with it.
+func (s *Server) editAgain(r *request, current *structs.DocumentStatus, problems []error) error {
+	spec, _ := specFor(r.form("kind"))
+	fields, err := viewFields(spec, nil, &current.Document)
+	if err != nil {
+		return err
+	}
+	for i := range fields {
+		fields[i].Value = r.form("field." + fields[i].Path)
+	}
+	r.SetStatusCode(fault.AnswerFor(fault.DocumentInvalid).HTTPStatus)
+	s.render(r, "edit", spec.Title, editPage{
+		Kind: spec.Kind, Name: r.form("name"), Title: spec.Title, New: r.form("name") == "",
+		Fields: fields, Draft: r.form("draft"), BaseVersion: current.Version,
+		Problems: errorLines(errors.Join(problems...)),
+	})
+	return nil
+}
+
+// showPreview shows the draft against the accepted document, with cause when publishing failed.
+func (s *Server) showPreview(r *request, current *structs.DocumentStatus, d draft, secret string, cause error) error {
+	page := previewPage{
+		Draft: d.encode(), Secret: secret, BaseVersion: d.BaseVersion, Version: current.Version,
+		Problems: errorLines(cause),
+	}
+	conflicts, err := d.conflicts(&current.Document)
+	if err != nil {
+		return err
+	}
+	page.Conflicts = conflicts
+	if current.Version != d.BaseVersion {
+		page.Others = s.changesSince(r, d.BaseVersion)
+	}
+	publication, err := s.plan(r, current, d)
+	if err != nil {
+		page.Problems = append(page.Problems, errorLines(err)...)
+		r.SetStatusCode(fault.AnswerFor(fault.DocumentInvalid).HTTPStatus)
+		s.render(r, "preview", "Check the change", page)
+		return nil
+	}
+	page.Rows, err = publication.Rows()
+	if err != nil {
+		return err
+	}
+	page.CanPublish = len(page.Rows) > 0
+	s.render(r, "preview", "Check the change", page)
+	return nil
+}
+
+// plan validates the draft against the accepted document.
+func (s *Server) plan(r *request, current *structs.DocumentStatus, d draft) (*adminclient.Publication, error) {
+	next, err := d.apply(&current.Document)
+	if err != nil {
+		return nil, err
+	}
+	return r.client.Plan(r.ctx, d.ID, r.operator, d.Comment, next)
+}
+
+// changesSince returns accepted changes above version, or none when the question fails.
+func (s *Server) changesSince(r *request, version uint64) []structs.VerdictStatus {
+	var verdicts []structs.VerdictStatus
+	if _, err := r.client.Query(r.ctx, "verdicts", "", &verdicts); err != nil {
+		return nil
+	}
+	var since []structs.VerdictStatus
+	for _, verdict := range verdicts {
+		if verdict.Accepted && verdict.Payload == "change_set" && verdict.ConfigVersion > version {
+			since = append(since, verdict)
+		}
+	}
+	return since
+}
+
+// publishedPage shows an accepted change and how far it is in force.
+type publishedPage struct {
+	Version uint64
+	Zones   []zoneRollout
+}
+
+// publish proposes the draft. When someone else was first, the operator sees what changed and keeps
+// the draft.
+func (s *Server) publish(r *request) error {
+	d, err := decodeDraft(r.form("draft"))
+	if err != nil {
+		return err
+	}
+	current, err := r.client.Document(r.ctx)
+	if err != nil {
+		return err
+	}
+	seen := r.form("version")
+	if seen != formatVersion(current.Version) {
+		conflictErr := fault.New(fault.VersionConflict, "the document changed from version %s to %d meanwhile: check your change again", seen, current.Version)
+		r.SetStatusCode(fault.AnswerFor(fault.VersionConflict).HTTPStatus)
+		return s.showPreview(r, current, d, "", conflictErr)
+	}
+	publication, err := s.plan(r, current, d)
+	if err != nil {
+		return s.showPreview(r, current, d, "", err)
+	}
+	version, err := r.client.Publish(r.ctx, publication)
+	if err != nil {
+		r.SetStatusCode(fault.AnswerFor(fault.KindOf(err)).HTTPStatus)
+		return s.showPreview(r, current, d, "", err)
+	}
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "published", "operator": r.operator, "version": version, "change_set": d.ID,
+	}).Info("change accepted")
+	s.render(r, "published", "Accepted", publishedPage{Version: version, Zones: rollout(r.client.Statuses(r.ctx), version)})
+	return nil
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -146,3 +146,22 @@
 	})
 	return objects, nil
 }
+
+// Ref names one object of a document.
+type Ref struct {
+	Kind string
+	Name string
+}
+
+// Bodies returns the canonical JSON encoding of each object.
+func Bodies(doc *structs.Document) (map[Ref]string, error) {
+	objects, err := Objects(doc)
+	if err != nil {
+		return nil, err
+	}
+	bodies := make(map[Ref]string, len(objects))
+	for _, object := range objects {
+		bodies[Ref{object.Kind, object.Name}] = string(object.Body)
+	}
+	return bodies, nil
+}
--- /dev/null
+++ b/internal/standin/controllersvc/controller.go
@@ -0,0 +1,129 @@
+// Package controllersvc is a stand-in for a controller, for tests of operators' tools.
+package controllersvc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// Controller accepts change sets against its document, with switches for faults.
+type Controller struct {
+	turmericyokev1connect.UnimplementedControllerServiceHandler
+
+	mu         sync.Mutex
+	status     structs.DocumentStatus
+	held       map[string]uint64
+	verdicts   []structs.VerdictStatus
+	surrenders []*v1.Surrender
+	loseAnswer bool
+}
+
+// New returns a controller with an accepted document.
+func New(version uint64, doc structs.Document) *Controller {
+	return &Controller{status: structs.DocumentStatus{Version: version, Document: doc}, held: map[string]uint64{}}
+}
+
+// Handler serves the controller.
+func (c *Controller) Handler() http.Handler {
+	_, handler := turmericyokev1connect.NewControllerServiceHandler(c)
+	return handler
+}
+
+// LoseAnswer makes the next accepted change fail for its caller after it took effect.
+func (c *Controller) LoseAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loseAnswer = true
+}
+
+// Hold sets the rights that holders of the team have.
+func (c *Controller) Hold(team string, units uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[team] = units
+}
+
+// Document returns the accepted document.
+func (c *Controller) Document() structs.DocumentStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.status
+}
+
+// Surrenders returns the requests to return rights.
+func (c *Controller) Surrenders() []*v1.Surrender {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.surrenders
+}
+
+// Status implements the service.
+func (c *Controller) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &v1.StatusResponse{Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true}, nil
+}
+
+// Query implements the service for the sections document, verdicts and teams.
+func (c *Controller) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data, err := json.Marshal(c.section(request))
+	return &v1.QueryResponse{Json: data, ConfigVersion: c.status.Version}, err
+}
+
+func (c *Controller) section(request *v1.QueryRequest) any {
+	switch request.GetSection() {
+	case "document":
+		return c.status
+	case "verdicts":
+		return c.verdicts
+	case "teams":
+		return []structs.TeamStatus{{Name: request.GetName(), Held: c.held[request.GetName()]}}
+	default:
+		return []string{}
+	}
+}
+
+// Propose implements the service for change sets and surrenders.
+func (c *Controller) Propose(_ context.Context, request *v1.ProposeRequest) (*v1.ProposeResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if surrender := request.GetRecord().GetSurrender(); surrender != nil {
+		c.surrenders = append(c.surrenders, surrender)
+		c.held[surrender.GetTeam()] = min(c.held[surrender.GetTeam()], surrender.GetTarget())
+		return &v1.ProposeResponse{Accepted: true}, nil
+	}
+	return c.accept(request.GetRecord().GetChangeSet(), request.GetAuthor())
+}
+
+func (c *Controller) accept(changeSet *v1.ChangeSet, author string) (*v1.ProposeResponse, error) {
+	if changeSet.GetBaseVersion() != c.status.Version {
+		return &v1.ProposeResponse{Kind: string(fault.VersionConflict), Detail: "the base version isn't current"}, nil
+	}
+	next, err := document.Apply(&c.status.Document, changeSet.GetChanges())
+	if err != nil {
+		return nil, err
+	}
+	c.status = structs.DocumentStatus{Version: c.status.Version + 1, Document: *next}
+	c.verdicts = append(c.verdicts, structs.VerdictStatus{
+		Payload: "change_set", Subject: changeSet.GetId(), Author: author,
+		Accepted: true, ConfigVersion: c.status.Version,
+	})
+	if c.loseAnswer {
+		c.loseAnswer = false
+		return nil, connect.NewError(connect.CodeUnknown, errors.New("connection lost"))
+	}
+	return &v1.ProposeResponse{Accepted: true, ConfigVersion: c.status.Version}, nil
+}
--- a/internal/structs/query.go
+++ b/internal/structs/query.go
@@ -56,3 +56,17 @@
 	Version  uint64   `json:"version"`
 	Document Document `json:"document"`
 }
+
+// WaveStatus is the progress of one wave, as controllers answer the query "waves".
+type WaveStatus struct {
+	Name string `json:"name"`
+	Pool string `json:"pool"`
+	// State is running, paused, stopped or done.
+	State string `json:"state"`
+	// Reason says why the wave is paused or stopped.
+	Reason string `json:"reason,omitempty"`
+	// Done, Outstanding and Waiting are hosts that are back, stopped now, and still to come.
+	Done        []string `json:"done,omitempty"`
+	Outstanding []string `json:"outstanding,omitempty"`
+	Waiting     []string `json:"waiting,omitempty"`
+}
