--- a/internal/document/change.go
+++ b/internal/document/change.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/json"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/internal/fault"
 	"turmericyoke/internal/structs"
 )
 
@@ -77,75 +75,3 @@
 		BaseVersion: version, Changes: changes, OutcomeHash: hash,
 	}, nil
 }
-
-// Apply returns base with the changes applied. It leaves base as it is.
-func Apply(base *structs.Document, changes []*v1.Change) (*structs.Document, error) {
-	next := *base
-	for _, change := range changes {
-		if err := applyChange(&next, change); err != nil {
-			return nil, err
-		}
-	}
-	Normalize(&next)
-	return &next, nil
-}
-
-func applyChange(doc *structs.Document, change *v1.Change) error {
-	switch change.GetKind() {
-	case KindZone:
-		return applyObject(&doc.Zones, change, func(z structs.Zone) string { return z.Name })
-	case KindPool:
-		return applyObject(&doc.Pools, change, func(p structs.Pool) string { return p.Name })
-	case KindHost:
-		return applyObject(&doc.Hosts, change, func(h structs.Host) string { return h.Name })
-	case KindTeam:
-		return applyObject(&doc.Teams, change, func(t structs.Team) string { return t.Name })
-	case KindKey:
-		return applyObject(&doc.Keys, change, func(k structs.Key) string { return k.ID })
-	case KindWave:
-		return applyObject(&doc.Waves, change, func(w structs.Wave) string { return w.Name })
-	case KindPolicy:
-		return decodeBody(change, &doc.Policy)
-	default:
-		return fault.New(fault.DocumentInvalid, "change of unknown kind %q", change.GetKind())
-	}
-}
-
-// applyObject replaces, adds or deletes one object in a copy of the list.
-func applyObject[T any](list *[]T, change *v1.Change, name func(T) string) error {
-	var value T
-	if !change.GetDelete() {
-		if err := decodeBody(change, &value); err != nil {
-			return err
-		}
-		if name(value) != change.GetName() {
-			return fault.New(fault.DocumentInvalid, "change of %s %q has a body for %q", change.GetKind(), change.GetName(), name(value))
-		}
-	}
-	kept := make([]T, 0, len(*list)+1)
-	found := false
-	for _, object := range *list {
-		if name(object) != change.GetName() {
-			kept = append(kept, object)
-			continue
-		}
-		found = true
-	}
-	if change.GetDelete() && !found {
-		return fault.New(fault.DocumentInvalid, "change deletes unknown %s %q", change.GetKind(), change.GetName())
-	}
-	if !change.GetDelete() {
-		kept = append(kept, value)
-	}
-	*list = kept
-	return nil
-}
-
-func decodeBody(change *v1.Change, out any) error {
-	decoder := json.NewDecoder(bytes.NewReader(change.GetBody()))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(out); err != nil {
-		return fault.Wrap(fault.DocumentInvalid, err, "change of %s %q can't be decoded", change.GetKind(), change.GetName())
-	}
-	return nil
-}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -73,12 +73,7 @@
 func HashObjects(objects []Object) []byte {
 	digest := sha256.New()
 	for _, object := range objects {
-		digest.Write([]byte(object.Kind))
-		digest.Write([]byte{0})
-		digest.Write([]byte(object.Name))
-		digest.Write([]byte{0})
-		sum := sha256.Sum256(object.Body)
-		digest.Write(sum[:])
+		writeDigest(digest, object.Kind, object.Name, sha256.Sum256(object.Body))
 	}
 	return digest.Sum(nil)
 }
--- /dev/null
+++ b/internal/document/index.go
@@ -0,0 +1,109 @@
+package document
+
+import (
+	"crypto/sha256"
+	"hash"
+	"sort"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/structs"
+)
+
+// Index holds the digest of each object of a document, so that the hash of the next version needs
+// only the changed objects. An Index is immutable.
+type Index struct {
+	// entries are in order of kind and name.
+	entries []indexEntry
+	bytes   int
+}
+
+type indexEntry struct {
+	kind string
+	name string
+	sum  [sha256.Size]byte
+	size int
+}
+
+// NewIndex returns the index of doc. It encodes the whole document.
+func NewIndex(doc *structs.Document) (*Index, error) {
+	objects, err := Objects(doc)
+	if err != nil {
+		return nil, err
+	}
+	return (&Index{}).with(objects), nil
+}
+
+// Bytes returns the size of the canonical encodings of all objects.
+func (x *Index) Bytes() int { return x.bytes }
+
+// Hash returns the same digest as Hash of the document.
+func (x *Index) Hash() []byte {
+	digest := sha256.New()
+	for i := range x.entries {
+		entry := &x.entries[i]
+		writeDigest(digest, entry.kind, entry.name, entry.sum)
+	}
+	return digest.Sum(nil)
+}
+
+// writeDigest adds one object to the digest of a document.
+func writeDigest(digest hash.Hash, kind, name string, sum [sha256.Size]byte) {
+	var buffer [256]byte
+	line := append(buffer[:0], kind...)
+	line = append(line, 0)
+	line = append(line, name...)
+	line = append(line, 0)
+	line = append(line, sum[:]...)
+	digest.Write(line)
+}
+
+// with returns the index after the edits.
+func (x *Index) with(edits []edit) *Index {
+	sorted := append([]edit(nil), edits...)
+	sort.Slice(sorted, func(i, j int) bool {
+		return before(sorted[i].Kind, sorted[i].Name, sorted[j].Kind, sorted[j].Name)
+	})
+	next := &Index{entries: make([]indexEntry, 0, len(x.entries)+len(sorted))}
+	old := x.entries
+	for _, change := range sorted {
+		for len(old) > 0 && before(old[0].kind, old[0].name, change.Kind, change.Name) {
+			next.add(old[0])
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].kind == change.Kind && old[0].name == change.Name {
+			old = old[1:]
+		}
+		if change.Body != nil {
+			next.add(indexEntry{change.Kind, change.Name, sha256.Sum256(change.Body), len(change.Body)})
+		}
+	}
+	for _, entry := range old {
+		next.add(entry)
+	}
+	return next
+}
+
+func (x *Index) add(entry indexEntry) {
+	x.entries = append(x.entries, entry)
+	x.bytes += entry.size
+}
+
+func before(leftKind, leftName, rightKind, rightName string) bool {
+	if leftKind != rightKind {
+		return leftKind < rightKind
+	}
+	return leftName < rightName
+}
+
+func sortedNames(changes map[string]*v1.Change) []string {
+	names := make([]string, 0, len(changes))
+	for name := range changes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func sortByName[T any](list []T, name func(*T) string) {
+	sort.Slice(list, func(i, j int) bool { return name(&list[i]) < name(&list[j]) })
+}
--- /dev/null
+++ b/internal/fold/describe.go
@@ -0,0 +1,81 @@
+package fold
+
+import (
+	"fmt"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+)
+
+// payloadName returns the field name of the payload.
+func payloadName(record *v1.Record) string {
+	message := record.ProtoReflect()
+	oneof := message.Descriptor().Oneofs().ByName("payload")
+	field := message.WhichOneof(oneof)
+	if field == nil {
+		return ""
+	}
+	return string(field.Name())
+}
+
+// maxNamedChanges bounds the changes that the subject of a change set names.
+const maxNamedChanges = 5
+
+// describe returns the operator behind a proposal, if any, and what the proposal is about.
+func describe(record *v1.Record) (author, subject string) {
+	switch p := record.GetPayload().(type) {
+	case *v1.Record_ChangeSet:
+		author, subject = p.ChangeSet.GetAuthor(), describeChanges(p.ChangeSet)
+		if author == "" {
+			author = record.GetProposer()
+		}
+	case *v1.Record_WaveControl:
+		author = p.WaveControl.GetAuthor()
+		subject = fmt.Sprintf("wave %s %s: %s", p.WaveControl.GetWave(), p.WaveControl.GetAction(), p.WaveControl.GetReason())
+	case *v1.Record_Surrender:
+		subject = fmt.Sprintf("team %s to %d units", p.Surrender.GetTeam(), p.Surrender.GetTarget())
+	case *v1.Record_Suspect:
+		author = p.Suspect.GetConfirmedBy()
+		subject = "holder " + p.Suspect.GetHolder()
+	case *v1.Record_Reclaim:
+		subject = "holder " + p.Reclaim.GetHolder()
+	case *v1.Record_Move:
+		subject = fmt.Sprintf("host %s from %s to %s", p.Move.GetHost(), p.Move.GetFrom(), p.Move.GetTo())
+	case *v1.Record_Grant:
+		subject = fmt.Sprintf("host %s for wave %s", p.Grant.GetHost(), p.Grant.GetWave())
+	case *v1.Record_HostDown:
+		subject = "host " + p.HostDown.GetHost()
+	case *v1.Record_HostBack:
+		subject = "host " + p.HostBack.GetHost()
+	default:
+		subject = describeJob(record)
+	}
+	return bound(author), bound(subject)
+}
+
+func describeChanges(set *v1.ChangeSet) string {
+	subject := set.GetId()
+	if set.GetComment() != "" {
+		subject += " (" + set.GetComment() + ")"
+	}
+	for i, change := range set.GetChanges() {
+		if i == maxNamedChanges {
+			return fmt.Sprintf("%s and %d more", subject, len(set.GetChanges())-i)
+		}
+		subject += ", " + change.GetKind() + " " + change.GetName()
+	}
+	return subject
+}
+
+func describeJob(record *v1.Record) string {
+	switch p := record.GetPayload().(type) {
+	case *v1.Record_JobSubmit:
+		return "job " + p.JobSubmit.GetJob()
+	case *v1.Record_JobStart:
+		return fmt.Sprintf("job %s attempt %d on %s", p.JobStart.GetJob(), p.JobStart.GetAttempt(), p.JobStart.GetWorker())
+	case *v1.Record_JobEnd:
+		return fmt.Sprintf("job %s attempt %d %s", p.JobEnd.GetJob(), p.JobEnd.GetAttempt(), p.JobEnd.GetOutcome())
+	case *v1.Record_JobCancel:
+		return "job " + p.JobCancel.GetJob()
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fold/state.go
@@ -0,0 +1,93 @@
+package fold
+
+import (
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/fold/escrow"
+	"turmericyoke/internal/fold/inventory"
+	"turmericyoke/internal/fold/jobs"
+	"turmericyoke/internal/structs"
+)
+
+// State is the fleet state after the record at Offset. It isn't safe for concurrent use.
+type State struct {
+	offset  int64
+	version uint64
+	// hash is the running hash over the previous hash, the offset, the record and the verdict.
+	hash  []byte
+	doc   *structs.Document
+	index *document.Index
+	// recent and changes keep verdicts for operators. Operators' proposals have a ring of their own,
+	// because at 45 gateways the holders' records push all others out of 1,000 within a minute.
+	recent  verdictRing
+	changes verdictRing
+
+	Escrow    *escrow.State
+	Inventory *inventory.State
+	Jobs      *jobs.State
+}
+
+// Numbers of verdicts that the state keeps.
+const (
+	RecentVerdicts = 1000
+	ChangeVerdicts = 256
+)
+
+// New returns the state before the first record.
+func New() *State {
+	doc := &structs.Document{}
+	index, err := document.NewIndex(doc)
+	if err != nil {
+		// An empty document has no value that JSON can't encode.
+		panic(err)
+	}
+	return &State{
+		doc: doc, index: index, hash: make([]byte, hashBytes),
+		recent:  verdictRing{size: RecentVerdicts},
+		changes: verdictRing{size: ChangeVerdicts},
+		Escrow:  escrow.New(), Inventory: inventory.New(), Jobs: jobs.New(),
+	}
+}
+
+// Offset returns the offset of the last folded record, or 0.
+func (s *State) Offset() int64 { return s.offset }
+
+// Version returns the version of the accepted document, or 0 before the first.
+func (s *State) Version() uint64 { return s.version }
+
+// Hash returns the running hash.
+func (s *State) Hash() []byte { return append([]byte(nil), s.hash...) }
+
+// Document returns the accepted document. It is immutable and stays valid after later records.
+func (s *State) Document() *structs.Document { return s.doc }
+
+// DocumentHash returns the hash of the accepted document.
+func (s *State) DocumentHash() []byte { return s.index.Hash() }
+
+// Verdicts returns the last RecentVerdicts verdicts, oldest first.
+func (s *State) Verdicts() []Verdict { return s.recent.list() }
+
+// ChangeVerdicts returns the last ChangeVerdicts verdicts on operators' proposals, oldest first.
+func (s *State) ChangeVerdicts() []Verdict { return s.changes.list() }
+
+// VerdictOf returns the verdict on the first copy of a proposal, if it is still kept.
+func (s *State) VerdictOf(incarnation string, seq uint64) (Verdict, bool) {
+	return s.recent.find(func(v *Verdict) bool {
+		return v.Incarnation == incarnation && v.Seq == seq && v.Kind != fault.ProposalDuplicate
+	})
+}
+
+// LastSeq returns the highest proposal number that the state has read from the incarnation, or 0
+// when the incarnation is no member.
+func (s *State) LastSeq(incarnation string) uint64 {
+	for _, role := range memberRoles {
+		for _, member := range s.Escrow.Members(role) {
+			if member.Incarnation == incarnation {
+				return member.LastSeq
+			}
+		}
+	}
+	return 0
+}
+
+func (s *State) sections() []Section { return []Section{s.Escrow, s.Inventory, s.Jobs} }
--- /dev/null
+++ b/internal/standin/logsvc/faults.go
@@ -0,0 +1,114 @@
+package logsvc
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+// Errors of the log.
+var (
+	errOutage        = errors.New("log outage")
+	errRate          = errors.New("append rate exceeded")
+	errRequestLost   = errors.New("connection lost")
+	errAnswerLost    = errors.New("connection lost")
+	errAppendInvalid = errors.New("append without stream or records, or too large")
+)
+
+// Faults are the switches of the log. Counters are used up by the calls that they affect.
+type Faults struct {
+	// Outage makes each call fail without an effect.
+	Outage bool
+	// AppendOutage and ReadOutage do so for one call only.
+	AppendOutage bool
+	ReadOutage   bool
+	// Delay is how long each call takes.
+	Delay time.Duration
+	// LoseRequests appends fail without taking effect, as if the connection broke.
+	LoseRequests int
+	// LoseAnswers appends take effect and then fail.
+	LoseAnswers int
+	// TruncateRecords records lose their second half when they are stored.
+	TruncateRecords int
+}
+
+// Set changes the switches. It may be called at any moment.
+func (l *Log) Set(change func(*Faults)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.faults)
+	close(l.appended)
+	l.appended = make(chan struct{})
+}
+
+// SetRate sets the appends per second beyond which appends are refused; 0 removes the bound.
+func (l *Log) SetRate(perSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter = limiter{rate: perSecond}
+}
+
+// pass applies delay and outage to one call.
+func (l *Log) pass(ctx context.Context, outage func(*Faults) *bool) error {
+	l.mu.Lock()
+	delay := l.faults.Delay
+	l.mu.Unlock()
+	if err := sleep(ctx, delay); err != nil {
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage || *outage(&l.faults) {
+		return connect.NewError(connect.CodeUnavailable, errOutage)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, span time.Duration) error {
+	if span <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// take uses up one of the calls that a fault affects.
+func take(count *int) bool {
+	if *count <= 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+// limiter is a token bucket that holds the tokens of one second.
+type limiter struct {
+	rate   int
+	tokens float64
+	last   time.Time
+}
+
+func (l *limiter) allow(now time.Time) bool {
+	if l.rate <= 0 {
+		return true
+	}
+	if l.last.IsZero() {
+		l.tokens = float64(l.rate)
+	} else {
+		l.tokens = min(float64(l.rate), l.tokens+now.Sub(l.last).Seconds()*float64(l.rate))
+	}
+	l.last = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
