Add the escrow section of the fold

Cause: the section was a stub, so nothing bounded the units of a team.

Change: members, duplicates, rights, surrender, suspicion, reclaiming and job units. A holder that is cut off from the log counts answers against an old membership, and a quorum of the new one needn't share a member with it. Members confirm a changed membership with Heartbeat.seen_offset. - Incarnations of a proposer rise in string order (structs.NewIncarnation), so one string for each proposer rejects late duplicates of any age. - Each member carries the longest permitted run of any document of its life; a pool whose run was shortened may still run requests of the old length.

Conclusion: rights and job units stay within the limit at each offset.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -62,6 +62,8 @@
 	VowsInsufficient Kind = "vows_insufficient"
 	// RightsInsufficient is a holder without the rights that it gives away.
 	RightsInsufficient Kind = "rights_insufficient"
+	// RightsHeld is a holder that can't leave because it still has rights.
+	RightsHeld Kind = "rights_held"
 	// HostUnknown is a host that the document doesn't have.
 	HostUnknown Kind = "host_unknown"
 	// HostEpochStale is a proposal with an old host epoch.
@@ -139,6 +141,7 @@
 	HolderSuspected:    {http.StatusConflict, connect.CodeFailedPrecondition, true, 0},
 	VowsInsufficient:   {http.StatusConflict, connect.CodeFailedPrecondition, true, 0},
 	RightsInsufficient: {http.StatusConflict, connect.CodeFailedPrecondition, true, 0},
+	RightsHeld:         {http.StatusConflict, connect.CodeFailedPrecondition, true, 0},
 	HostUnknown:        {http.StatusNotFound, connect.CodeNotFound, true, 0},
 	HostEpochStale:     {http.StatusConflict, connect.CodeAborted, true, 0},
 	HostBusy:           {http.StatusConflict, connect.CodeFailedPrecondition, true, 0},
--- /dev/null
+++ b/internal/fold/escrow/members.go
@@ -0,0 +1,168 @@
+package escrow
+
+import (
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// Admit settles duplicates and unknown proposers; it runs before the reducer of every payload.
+func (s *State) Admit(env structs.Envelope, joining bool) *fault.Error {
+	member, _ := s.find(env.Proposer, env.Incarnation)
+	if member == nil {
+		if !joining {
+			return fault.New(fault.ProposerUnknown, "%s %s has not joined or was replaced", env.Proposer, env.Incarnation)
+		}
+		return s.admitJoin(env)
+	}
+	if env.Seq <= member.LastSeq {
+		return fault.New(fault.ProposalDuplicate, "%s %s: proposal %d was read before", env.Proposer, env.Incarnation, env.Seq)
+	}
+	member.LastSeq = env.Seq
+	if member.Suspected {
+		return fault.New(fault.HolderSuspected, "%s %s is suspected", env.Proposer, env.Incarnation)
+	}
+	return nil
+}
+
+// admitJoin rejects incarnations that aren't above every earlier one of the proposer. Incarnations
+// rise in string order, so one string for each proposer settles duplicates of any age.
+func (s *State) admitJoin(env structs.Envelope) *fault.Error {
+	if env.Proposer == "" || len(env.Proposer) > maxTextBytes || len(env.Incarnation) > maxTextBytes {
+		return fault.New(fault.RequestInvalid, "join without a name, or with one above %d bytes", maxTextBytes)
+	}
+	last := s.lastIncarnation(env.Proposer)
+	if env.Incarnation <= last {
+		return fault.New(fault.ProposalDuplicate, "%s: incarnation %q isn't above %q", env.Proposer, env.Incarnation, last)
+	}
+	return nil
+}
+
+// lastIncarnation returns the highest incarnation that can't join again under the name.
+func (s *State) lastIncarnation(name string) string {
+	last, known := s.Ended[name]
+	for _, member := range s.Processes {
+		if member.Name == name {
+			last, known = max(last, member.Incarnation), true
+		}
+	}
+	if !known {
+		return s.Floor
+	}
+	return last
+}
+
+// Join adds a process lifetime. Earlier lifetimes of the same name have ended, since names are
+// unique among running processes; those with rights stay until they are reclaimed.
+func (s *State) Join(env structs.Envelope, p *v1.Join) *fault.Error {
+	if err := checkJoin(p); err != nil {
+		return err
+	}
+	member, _ := s.find(env.Proposer, env.Incarnation)
+	if member != nil {
+		return fault.New(fault.ProposalDuplicate, "%s %s has joined before", env.Proposer, env.Incarnation)
+	}
+	member = &Member{
+		Name: env.Proposer, Incarnation: env.Incarnation,
+		Zone: p.GetZone(), Address: p.GetAddress(), Role: p.GetRole(),
+		LastSeq: env.Seq, Seen: env.Offset, LongestRunMS: s.LongestRunMS,
+	}
+	s.recordMembers(member, env.Offset)
+	for _, earlier := range s.lifetimes(env.Proposer) {
+		s.supersede(earlier, env.Offset)
+	}
+	_, place := s.find(member.Name, member.Incarnation)
+	s.Processes = append(s.Processes[:place:place], append([]*Member{member}, s.Processes[place:]...)...)
+	s.pruneMembers(member.Zone)
+	return nil
+}
+
+func checkJoin(p *v1.Join) *fault.Error {
+	if p.GetRole() != v1.Role_ROLE_GATEWAY && p.GetRole() != v1.Role_ROLE_CONTROLLER {
+		return fault.New(fault.RequestInvalid, "join with role %v", p.GetRole())
+	}
+	if p.GetZone() == "" || len(p.GetZone()) > maxTextBytes || len(p.GetAddress()) > maxTextBytes {
+		return fault.New(fault.RequestInvalid, "join without a zone, or with a text above %d bytes", maxTextBytes)
+	}
+	return nil
+}
+
+// lifetimes returns the process lifetimes of the name.
+func (s *State) lifetimes(name string) []*Member {
+	var found []*Member
+	for _, member := range s.Processes {
+		if member.Name == name {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+// supersede ends an earlier lifetime: without rights it is forgotten, with rights it is suspected.
+func (s *State) supersede(member *Member, offset int64) {
+	if !member.Suspected {
+		s.recordMembers(member, offset)
+	}
+	member.Suspected = true
+	s.markGone(member)
+	s.pruneMembers(member.Zone)
+	if len(member.Rights) == 0 {
+		s.remove(member)
+	}
+}
+
+// Leave removes the proposer.
+func (s *State) Leave(env structs.Envelope, p *v1.Leave) *fault.Error {
+	member, err := s.proposer(env)
+	if err != nil {
+		return err
+	}
+	if len(member.Rights) > 0 {
+		return fault.New(fault.RightsHeld, "%s %s still has rights of %d teams", member.Name, member.Incarnation, len(member.Rights))
+	}
+	s.recordMembers(member, env.Offset)
+	s.markGone(member)
+	s.remove(member)
+	s.pruneMembers(member.Zone)
+	return nil
+}
+
+// Heartbeat accepts a sign of life and notes which members of its zone the proposer uses.
+func (s *State) Heartbeat(env structs.Envelope, p *v1.Heartbeat) *fault.Error {
+	member, err := s.proposer(env)
+	if err != nil {
+		return err
+	}
+	member.Seen = max(member.Seen, min(p.GetSeenOffset(), env.Offset))
+	s.pruneMembers(member.Zone)
+	return nil
+}
+
+// proposer returns the proposer's own lifetime, which must be joined and not suspected.
+func (s *State) proposer(env structs.Envelope) (*Member, *fault.Error) {
+	return s.current(env.Proposer, env.Incarnation)
+}
+
+// current returns a joined lifetime that isn't suspected.
+func (s *State) current(name, incarnation string) (*Member, *fault.Error) {
+	member, _ := s.find(name, incarnation)
+	if member == nil {
+		return nil, fault.New(fault.ProposerUnknown, "%s %s has not joined or was replaced", name, incarnation)
+	}
+	if member.Suspected {
+		return nil, fault.New(fault.HolderSuspected, "%s %s is suspected", name, incarnation)
+	}
+	return member, nil
+}
+
+// holder returns a current lifetime that may have rights.
+func (s *State) holder(name, incarnation string) (*Member, *fault.Error) {
+	member, err := s.current(name, incarnation)
+	if err != nil {
+		return nil, err
+	}
+	if member.Role != v1.Role_ROLE_GATEWAY {
+		return nil, fault.New(fault.RequestInvalid, "%s isn't a gateway: only gateways hold rights", name)
+	}
+	return member, nil
+}
--- a/internal/fold/escrow/state.go
+++ b/internal/fold/escrow/state.go
@@ -1,74 +1,188 @@
 // Package escrow reduces membership and the rights of holders to the units of each team's limit.
+//
+// At every offset, the rights of all holders and the units of running jobs together are at most
+// the limit of each team.
 package escrow
 
 import (
+	"slices"
+	"strings"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/internal/fault"
 	"turmericyoke/internal/structs"
 )
 
 // State is the section of the fleet state that the package reduces.
-type State struct{}
-
-// New returns an empty section.
-func New() *State { return &State{} }
-
-// CheckDocument returns an error when the state forbids the next document.
-func (s *State) CheckDocument(*structs.Document) *fault.Error { return nil }
-
-// AdoptDocument brings the state in line with an accepted document.
-func (s *State) AdoptDocument(*structs.Document) {}
-
-// Admit settles duplicates and unknown proposers; it runs before the reducer of every payload.
-func (s *State) Admit(env structs.Envelope, joining bool) *fault.Error { return nil }
+type State struct {
+	// Teams are the teams of the accepted document by name.
+	Teams map[string]*Team `json:"teams"`
+	// Processes are the joined and the suspected process lifetimes in order of name and incarnation.
+	Processes []*Member `json:"processes,omitempty"`
+	// Past holds, for each zone, the earlier sets of members that some member may still use.
+	Past map[string][]Membership `json:"past"`
+	// Ended is the highest ended incarnation of each proposer, up to maxEnded proposers.
+	Ended map[string]string `json:"ended"`
+	// Floor is the highest incarnation that was dropped from Ended.
+	Floor string `json:"floor,omitempty"`
+	// LongestRunMS is the longest permitted run of the accepted document, in milliseconds.
+	LongestRunMS int64 `json:"longestRunMs"`
+}
 
-// Join adds a process lifetime.
-func (s *State) Join(env structs.Envelope, p *v1.Join) *fault.Error { return nil }
+// Team is the account of one team's limit.
+type Team struct {
+	Limit uint64 `json:"limit"`
+	// Held is the sum of the rights of all holders.
+	Held uint64 `json:"held,omitempty"`
+	// Jobs is the number of units of running jobs.
+	Jobs uint64 `json:"jobs,omitempty"`
+	// Surrender is set while Target bounds new claims and job starts below Limit.
+	Surrender bool   `json:"surrender,omitempty"`
+	Target    uint64 `json:"target,omitempty"`
+}
 
-// Leave removes the proposer.
-func (s *State) Leave(env structs.Envelope, p *v1.Leave) *fault.Error { return nil }
+// Member is one joined process lifetime.
+type Member struct {
+	Name        string            `json:"name"`
+	Incarnation string            `json:"incarnation"`
+	Zone        string            `json:"zone"`
+	Address     string            `json:"address"`
+	Role        v1.Role           `json:"role"`
+	LastSeq     uint64            `json:"lastSeq"`
+	Suspected   bool              `json:"suspected,omitempty"`
+	Rights      map[string]uint64 `json:"rights,omitempty"`
+	// Seen is the offset of the oldest view whose zone members the process may still use.
+	Seen int64 `json:"seen"`
+	// LongestRunMS is the longest permitted run of any document since the process joined. A
+	// request admitted before a later document shortened the run may last this long.
+	LongestRunMS int64 `json:"longestRunMs"`
+}
 
-// Heartbeat accepts a sign of life.
-func (s *State) Heartbeat(env structs.Envelope, p *v1.Heartbeat) *fault.Error { return nil }
+// Membership is a former set of members of a zone.
+type Membership struct {
+	// Until is the offset of the record that ended it.
+	Until  int64   `json:"until"`
+	Voters []Voter `json:"voters"`
+}
 
-// Surrender bounds the rights of a team whose limit is to be lowered.
-func (s *State) Surrender(env structs.Envelope, p *v1.Surrender) *fault.Error { return nil }
+// Voter is one gateway of a former membership.
+type Voter struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	// Gone is set once the process is known to have ended, so that it answers nobody.
+	Gone bool `json:"gone,omitempty"`
+}
 
-// Claim gives unallocated units to the proposer.
-func (s *State) Claim(env structs.Envelope, p *v1.Claim) *fault.Error { return nil }
+// maxEnded bounds the proposers whose last incarnation is kept by name. Beyond it, Floor rejects
+// late duplicates, which also rejects a new proposer whose clock is behind by more than the time
+// that 4,096 replacements take.
+const maxEnded = 4096
 
-// Return takes units back from the proposer.
-func (s *State) Return(env structs.Envelope, p *v1.Return) *fault.Error { return nil }
+// maxTextBytes bounds each name, incarnation, zone and address of the section.
+const maxTextBytes = 128
 
-// Transfer moves units from the proposer to another holder.
-func (s *State) Transfer(env structs.Envelope, p *v1.Transfer) *fault.Error { return nil }
+// New returns an empty section.
+func New() *State {
+	return &State{
+		Teams:        map[string]*Team{},
+		Past:         map[string][]Membership{},
+		Ended:        map[string]string{},
+		LongestRunMS: structs.DefaultMaxRunTime.Milliseconds(),
+	}
+}
 
-// Suspect bars a holder from further proposals.
-func (s *State) Suspect(env structs.Envelope, p *v1.Suspect) *fault.Error { return nil }
+// Members returns the joined processes of the role in order of name, the suspected ones included.
+func (s *State) Members(role v1.Role) []Member {
+	var members []Member
+	for _, member := range s.Processes {
+		if member.Role == role {
+			members = append(members, *member)
+		}
+	}
+	return members
+}
 
-// Reclaim makes the rights of a suspected holder unallocated.
-func (s *State) Reclaim(env structs.Envelope, p *v1.Reclaim) *fault.Error { return nil }
+// Entry returns the member as gateways see it.
+func (m Member) Entry() structs.GatewayEntry {
+	rights := make(map[string]uint64, len(m.Rights))
+	for team, units := range m.Rights {
+		rights[team] = units
+	}
+	return structs.GatewayEntry{
+		Name: m.Name, Incarnation: m.Incarnation, Zone: m.Zone, Address: m.Address,
+		Suspected: m.Suspected, LongestRunMS: m.LongestRunMS, SeenOffset: m.Seen,
+		Rights: rights, LastSeq: m.LastSeq,
+	}
+}
 
-// ReserveJobUnits counts units of a started job against the team's limit.
-func (s *State) ReserveJobUnits(team string, units uint64) *fault.Error { return nil }
+// Unallocated returns the units of the team that no holder and no job has. During a surrender it
+// counts up to the target only.
+func (s *State) Unallocated(team string) uint64 {
+	account := s.Teams[team]
+	if account == nil {
+		return 0
+	}
+	bound := account.Limit
+	if account.Surrender && account.Target < bound {
+		bound = account.Target
+	}
+	used := account.Held + account.Jobs
+	if used >= bound {
+		return 0
+	}
+	return bound - used
+}
 
-// ReleaseJobUnits ends the count of ReserveJobUnits.
-func (s *State) ReleaseJobUnits(team string, units uint64) {}
+// SurrenderTargets returns the targets of the teams under surrender; nil when there are none.
+func (s *State) SurrenderTargets() map[string]uint64 {
+	var targets map[string]uint64
+	for name, account := range s.Teams {
+		if !account.Surrender {
+			continue
+		}
+		if targets == nil {
+			targets = map[string]uint64{}
+		}
+		targets[name] = account.Target
+	}
+	return targets
+}
 
-// Unallocated returns the units of the team that no holder and no job has.
-func (s *State) Unallocated(team string) uint64 { return 0 }
+// find returns the process lifetime and its place, or the place where it belongs.
+func (s *State) find(name, incarnation string) (*Member, int) {
+	place, found := slices.BinarySearchFunc(s.Processes, nil, func(m *Member, _ *Member) int {
+		if order := strings.Compare(m.Name, name); order != 0 {
+			return order
+		}
+		return strings.Compare(m.Incarnation, incarnation)
+	})
+	if !found {
+		return nil, place
+	}
+	return s.Processes[place], place
+}
 
-// Members returns the joined processes of the role in order of name.
-func (s *State) Members(role v1.Role) []Member { return nil }
+// remove drops the process lifetime and keeps what rejects its late duplicates.
+func (s *State) remove(member *Member) {
+	_, place := s.find(member.Name, member.Incarnation)
+	s.Processes = slices.Delete(s.Processes, place, place+1)
+	s.end(member.Name, member.Incarnation)
+}
 
-// Member is one joined process lifetime.
-type Member struct {
-	Name        string            `json:"name"`
-	Incarnation string            `json:"incarnation"`
-	Zone        string            `json:"zone"`
-	Address     string            `json:"address"`
-	Role        v1.Role           `json:"role"`
-	LastSeq     uint64            `json:"lastSeq"`
-	Suspected   bool              `json:"suspected,omitempty"`
-	Rights      map[string]uint64 `json:"rights,omitempty"`
+// end notes that the incarnation can't join again.
+func (s *State) end(name, incarnation string) {
+	if incarnation > s.Ended[name] {
+		s.Ended[name] = incarnation
+	}
+	if len(s.Ended) <= maxEnded {
+		return
+	}
+	oldest := ""
+	for candidate, last := range s.Ended {
+		current := s.Ended[oldest]
+		if oldest == "" || last < current || (last == current && candidate < oldest) {
+			oldest = candidate
+		}
+	}
+	s.Floor = max(s.Floor, s.Ended[oldest])
+	delete(s.Ended, oldest)
 }
--- /dev/null
+++ b/internal/fold/escrow/state_test.go
@@ -0,0 +1,250 @@
+package escrow
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+var teams = []string{"a", "b", "c"}
+
+// reduce is the part of the fold that the section sees.
+func reduce(s *State, env structs.Envelope, payload any) *fault.Error {
+	_, joining := payload.(*v1.Join)
+	if err := s.Admit(env, joining); err != nil {
+		return err
+	}
+	switch p := payload.(type) {
+	case *v1.Join:
+		return s.Join(env, p)
+	case *v1.Leave:
+		return s.Leave(env, p)
+	case *v1.Heartbeat:
+		return s.Heartbeat(env, p)
+	case *v1.Surrender:
+		return s.Surrender(env, p)
+	case *v1.Claim:
+		return s.Claim(env, p)
+	case *v1.Return:
+		return s.Return(env, p)
+	case *v1.Transfer:
+		return s.Transfer(env, p)
+	case *v1.Suspect:
+		return s.Suspect(env, p)
+	default:
+		return s.Reclaim(env, payload.(*v1.Reclaim))
+	}
+}
+
+type proposal struct {
+	env     structs.Envelope
+	payload any
+}
+
+func drawUnits(t *rapid.T) []*v1.Units {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *v1.Units {
+		return &v1.Units{Team: rapid.SampledFrom(teams).Draw(t, "team"), Units: rapid.Uint64Range(1, 4).Draw(t, "units")}
+	}), 1, 3).Draw(t, "list")
+}
+
+func drawPayload(t *rapid.T, lives []life, offset int64) any {
+	pick := func(label string) life { return rapid.SampledFrom(lives).Draw(t, label) }
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return &v1.Leave{}
+	case 1:
+		return &v1.Heartbeat{SeenOffset: offset - rapid.Int64Range(0, 20).Draw(t, "lag")}
+	case 2:
+		return &v1.Surrender{Team: rapid.SampledFrom(teams).Draw(t, "team"), Target: rapid.Uint64Range(0, 9).Draw(t, "target")}
+	case 3, 4:
+		return &v1.Claim{Units: drawUnits(t)}
+	case 5:
+		return &v1.Return{Units: drawUnits(t)}
+	case 6:
+		to := pick("to")
+		return &v1.Transfer{To: to.name, ToIncarnation: to.incarnation, Units: drawUnits(t)}
+	case 7, 8:
+		holder := pick("holder")
+		suspect := &v1.Suspect{Holder: holder.name, HolderIncarnation: holder.incarnation}
+		for _, l := range lives {
+			if rapid.IntRange(0, 2).Draw(t, "vows") > 0 {
+				suspect.Vows = append(suspect.Vows, &v1.Vow{Member: l.name, Incarnation: l.incarnation})
+			}
+		}
+		if rapid.IntRange(0, 9).Draw(t, "confirmed") == 0 {
+			suspect.ConfirmedBy = "operator"
+		}
+		return suspect
+	default:
+		holder := pick("holder")
+		return &v1.Reclaim{Holder: holder.name, HolderIncarnation: holder.incarnation}
+	}
+}
+
+// Guards against a verdict that lets the units of a team exceed its limit, and against bounded
+// memory (forgotten incarnations, pruned memberships) that changes a verdict.
+func TestVerdictsEqualThoseOfNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, model := New(), newNaive()
+		doc := drawDocument(t)
+		state.AdoptDocument(doc)
+		model.limits = limits(doc)
+		var sent []proposal
+		lives := []life{{"none", "0"}}
+		seqs := map[life]uint64{}
+		for offset := int64(1); offset <= 80; offset++ {
+			next := drawProposal(t, sent, &lives, seqs, offset)
+			next.env.Offset = offset
+			sent = append(sent, next)
+			err := reduce(state, next.env, next.payload)
+			assert.Equal(t, err == nil, model.apply(next.env, next.payload), "%d: %+v %T %v: %v", offset, next.env, next.payload, next.payload, err)
+			if rapid.IntRange(0, 9).Draw(t, "extra") == 0 {
+				changeOutside(t, state, model)
+			}
+			if offset%16 == 0 {
+				state = reload(t, state)
+			}
+			compare(t, state, model)
+		}
+	})
+}
+
+func drawProposal(t *rapid.T, sent []proposal, lives *[]life, seqs map[life]uint64, offset int64) proposal {
+	choice := rapid.IntRange(0, 9).Draw(t, "choice")
+	if choice == 0 && len(sent) > 0 {
+		return rapid.SampledFrom(sent).Draw(t, "late duplicate")
+	}
+	if choice <= 2 {
+		index := rapid.IntRange(0, 5).Draw(t, "name")
+		l := life{fmt.Sprintf("gw-%d", index), fmt.Sprintf("%06d", offset)}
+		*lives = append(*lives, l)
+		seqs[l] = 1
+		join := &v1.Join{Zone: fmt.Sprintf("zone-%d", index/4), Address: "127.0.0.1:1", Role: v1.Role_ROLE_GATEWAY}
+		return proposal{structs.Envelope{Proposer: l.name, Incarnation: l.incarnation, Seq: 1}, join}
+	}
+	l := rapid.SampledFrom(*lives).Draw(t, "proposer")
+	seqs[l]++
+	return proposal{structs.Envelope{Proposer: l.name, Incarnation: l.incarnation, Seq: seqs[l]}, drawPayload(t, *lives, offset)}
+}
+
+func drawDocument(t *rapid.T) *structs.Document {
+	doc := &structs.Document{}
+	for _, team := range teams {
+		doc.Teams = append(doc.Teams, structs.Team{Name: team, Share: 1, UpperLimit: rapid.Uint64Range(0, 12).Draw(t, "limit")})
+	}
+	return doc
+}
+
+func limits(doc *structs.Document) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, team := range doc.Teams {
+		out[team.Name] = team.UpperLimit
+	}
+	return out
+}
+
+// changeOutside starts or ends a job, or publishes a document.
+func changeOutside(t *rapid.T, state *State, model *naive) {
+	team := rapid.SampledFrom(teams).Draw(t, "team")
+	units := rapid.Uint64Range(1, 3).Draw(t, "job units")
+	switch rapid.IntRange(0, 2).Draw(t, "outside") {
+	case 0:
+		err := state.ReserveJobUnits(team, units)
+		assert.Equal(t, err == nil, units <= model.free(team))
+		if err == nil {
+			model.jobs[team] += units
+		}
+	case 1:
+		units = min(units, model.jobs[team])
+		state.ReleaseJobUnits(team, units)
+		model.jobs[team] -= units
+	default:
+		adopt(t, state, model)
+	}
+}
+
+func adopt(t *rapid.T, state *State, model *naive) {
+	doc := drawDocument(t)
+	fits := true
+	for name, limit := range limits(doc) {
+		fits = fits && model.used(name) <= limit
+	}
+	err := state.CheckDocument(doc)
+	assert.Equal(t, err == nil, fits)
+	if err != nil {
+		assert.Equal(t, err.Kind, fault.LimitBelowAllotted)
+		return
+	}
+	state.AdoptDocument(doc)
+	for name, limit := range limits(doc) {
+		if model.limits[name] != limit {
+			delete(model.targets, name)
+		}
+	}
+	model.limits = limits(doc)
+}
+
+// reload is what a snapshot does to the section.
+func reload(t *rapid.T, state *State) *State {
+	data, err := json.Marshal(state)
+	assert.NilError(t, err)
+	loaded := &State{}
+	assert.NilError(t, json.Unmarshal(data, loaded))
+	again, err := json.Marshal(loaded)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again), string(data))
+	return loaded
+}
+
+func compare(t *rapid.T, state *State, model *naive) {
+	for _, team := range teams {
+		assert.Assert(t, model.used(team) <= model.limits[team], "team %s", team)
+		assert.Equal(t, state.Teams[team].Held+state.Teams[team].Jobs, model.used(team))
+		assert.Equal(t, state.Unallocated(team), model.free(team))
+	}
+	found := 0
+	for _, member := range state.Members(v1.Role_ROLE_GATEWAY) {
+		l := life{member.Name, member.Incarnation}
+		assert.Equal(t, member.Suspected, model.suspected[l])
+		found++
+		for _, team := range teams {
+			assert.Equal(t, member.Rights[team], model.rights[l][team])
+		}
+	}
+	for l, joined := range model.joined {
+		if joined {
+			found--
+		}
+		assert.Assert(t, joined || !model.any(l))
+	}
+	assert.Equal(t, found, 0)
+}
+
+// Guards against a late Join of a forgotten incarnation that is taken for a new process, also
+// after its proposer itself was forgotten.
+func TestForgottenIncarnationCantJoin(t *testing.T) {
+	state := New()
+	join := &v1.Join{Zone: "z", Role: v1.Role_ROLE_GATEWAY}
+	envelope := func(i int) structs.Envelope {
+		return structs.Envelope{Offset: int64(i), Proposer: fmt.Sprintf("gw-%d", i), Incarnation: fmt.Sprintf("%08d", i), Seq: 1}
+	}
+	const processes = 2*maxEnded + 10
+	for i := 1; i <= processes; i++ {
+		assert.Assert(t, reduce(state, envelope(i), join) == nil)
+		leave := envelope(i)
+		leave.Seq = 2
+		assert.Assert(t, reduce(state, leave, &v1.Leave{}) == nil)
+	}
+	assert.Equal(t, len(state.Ended), maxEnded)
+	for i := 1; i <= processes; i++ {
+		assert.Equal(t, reduce(state, envelope(i), join).Kind, fault.ProposalDuplicate)
+	}
+	assert.Equal(t, len(state.Processes), 0)
+}
--- a/internal/structs/view.go
+++ b/internal/structs/view.go
@@ -39,6 +39,10 @@
 	// Address is the host:port of its peer service.
 	Address   string `json:"address"`
 	Suspected bool   `json:"suspected,omitempty"`
+	// LongestRunMS is the longest run, in milliseconds, that any request of the incarnation may have.
+	LongestRunMS int64 `json:"longestRunMs,omitempty"`
+	// SeenOffset is the offset up to which the gateway has confirmed the members of its zone.
+	SeenOffset int64 `json:"seenOffset,omitempty"`
 	// Rights is the number of units of each team that the gateway holds.
 	Rights map[string]uint64 `json:"rights,omitempty"`
 	// LastSeq is the highest proposal number that the fold has read from the incarnation.
