--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,92 @@
+// Package cli is the command line for operators.
+package cli
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"turmericyoke/internal/adminclient"
+	"turmericyoke/internal/auth"
+	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
+)
+
+// options are the flags that all commands share.
+type options struct {
+	controllers []string
+	format      string
+	author      string
+	timeout     time.Duration
+	tls         transport.TLS
+}
+
+// tokenVariable is the environment variable with the operator's token. A flag would show the token
+// in the list of processes.
+const tokenVariable = "TURMERICYOKE_TOKEN"
+
+func (o *options) client() (*adminclient.Client, error) {
+	if len(o.controllers) == 0 {
+		return nil, usageError{errors.New("no controller is named: use --controller IP:port")}
+	}
+	if errs := o.tls.Check("--cert, --key, --ca"); len(errs) > 0 {
+		return nil, usageError{errors.Join(errs...)}
+	}
+	link, err := transport.New(o.tls)
+	if err != nil {
+		return nil, err
+	}
+	return adminclient.NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
+}
+
+// defaultTimeout bounds one command, the wait for returned rights and for the roll-out included.
+const defaultTimeout = 60 * time.Second
+
+// NewRoot returns the root command.
+func NewRoot(version string) *cobra.Command {
+	opts := &options{}
+	root := &cobra.Command{
+		Use:           "turmericyoke",
+		Short:         "Manage the capacity and maintenance of a shared fleet",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&opts.controllers, "controller", nil, "IP:port of a controller; may be repeated")
+	flags.StringVarP(&opts.format, "output", "o", formatTable, "table, json or yaml")
+	flags.StringVar(&opts.author, "author", "", "operator's name for the audit trail")
+	flags.StringVar(&opts.tls.CertFile, "cert", "", "file with the operator's certificate")
+	flags.StringVar(&opts.tls.KeyFile, "key", "", "file with the key of the certificate")
+	flags.StringVar(&opts.tls.CAFile, "ca", "", "file with the authorities of the controllers' certificates")
+	flags.BoolVar(&opts.tls.Plaintext, "plaintext", false, "call controllers without TLS, for loopback only")
+	flags.DurationVar(&opts.timeout, "timeout", defaultTimeout, "time limit of the command")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(
+		newValidate(), newDiff(opts), newApply(opts), newStatus(opts),
+		newHosts(opts), newTeams(opts), newWave(opts), newKey(opts), newAudit(opts),
+	)
+	return root
+}
+
+// exactArgs is cobra.ExactArgs with the exit status for wrong usage.
+func exactArgs(count int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(count)(cmd, args); err != nil {
+			return usageError{err}
+		}
+		return nil
+	}
+}
+
+// millis formats a wall-clock time in milliseconds.
+func millis(unixMS int64) string {
+	return time.UnixMilli(unixMS).UTC().Format(time.RFC3339)
+}
+
+// span formats milliseconds as a span.
+func span(ms uint64) string {
+	return structs.Duration(time.Duration(ms) * time.Millisecond).Duration().String()
+}
