--- a/internal/fold/inventory/state.go
+++ b/internal/fold/inventory/state.go
@@ -2,43 +2,29 @@
 package inventory
 
 import (
-	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/internal/fault"
+	"encoding/json"
+	"sort"
+
 	"turmericyoke/internal/structs"
 )
 
-// State is the section of the fleet state that the package reduces.
-type State struct{}
-
-// New returns an empty section.
-func New() *State { return &State{} }
-
-// CheckDocument returns an error when the state forbids the next document.
-func (s *State) CheckDocument(*structs.Document) *fault.Error { return nil }
-
-// AdoptDocument brings the state in line with an accepted document.
-func (s *State) AdoptDocument(*structs.Document) {}
-
-// Move starts the move of a host to another pool.
-func (s *State) Move(env structs.Envelope, p *v1.Move) *fault.Error { return nil }
-
-// Grant permits one planned stop.
-func (s *State) Grant(env structs.Envelope, p *v1.Grant) *fault.Error { return nil }
-
-// HostDown marks a host as failed.
-func (s *State) HostDown(env structs.Envelope, p *v1.HostDown) *fault.Error { return nil }
-
-// HostBack ends a grant, a move or a failure.
-func (s *State) HostBack(env structs.Envelope, p *v1.HostBack) *fault.Error { return nil }
+// State is the section of the fleet state that the package reduces. Only the exported fields are
+// kept in snapshots; the index is derived from them.
+type State struct {
+	// Fleet holds the hosts by name.
+	Fleet map[string]*Host `json:"fleet"`
+	// Pools holds the declared pools by name.
+	Pools map[string]structs.Pool `json:"pools"`
+	// Waves holds the declared waves by name.
+	Waves map[string]*Wave `json:"waves"`
+	// EpochFloor is the highest epoch of any removed host. An added host starts above it, so that a
+	// host that returns under its old name isn't taken for its earlier life.
+	EpochFloor uint64 `json:"epochFloor"`
 
-// WaveControl pauses, resumes or stops a wave.
-func (s *State) WaveControl(env structs.Envelope, p *v1.WaveControl) *fault.Error { return nil }
-
-// Host returns the state of one host.
-func (s *State) Host(name string) (Host, bool) { return Host{}, false }
-
-// Hosts returns all hosts in order of name.
-func (s *State) Hosts() []Host { return nil }
+	usage map[string]*usage
+	// order holds the names of all hosts, sorted.
+	order []string
+}
 
 // Phase is where a host stands.
 type Phase string
@@ -65,10 +51,100 @@
 	Phase Phase  `json:"phase"`
 	// Epoch rises each time that the host is proven back, from 1.
 	Epoch uint64 `json:"epoch"`
-	// MoveTo is the pool that a moving host goes to.
+	// MoveTo is the pool that a moving host goes to. A host that fails during its move keeps it.
 	MoveTo string `json:"moveTo,omitempty"`
 	// Wave is the wave that the grant belongs to.
 	Wave string `json:"wave,omitempty"`
-	// SinceOffset is the offset of the record that started the phase.
+	// BootCount is the boot count that the host answered before its grant.
+	BootCount uint64 `json:"bootCount,omitempty"`
+	// SinceOffset is the offset of the record that started the phase; 0 for a host that a document added.
 	SinceOffset int64 `json:"sinceOffset"`
+	// Home is the declared pool, where the host starts.
+	Home string `json:"home"`
+	// Pinned keeps the host in Home.
+	Pinned bool `json:"pinned,omitempty"`
+	// Labels are the declared labels; they are shared and never changed in place.
+	Labels map[string]string `json:"labels,omitempty"`
+}
+
+// Destination is the pool that the host serves in once it is back.
+func (h *Host) Destination() string {
+	if h.MoveTo != "" {
+		return h.MoveTo
+	}
+	return h.Pool
+}
+
+// New returns an empty section.
+func New() *State {
+	return &State{
+		Fleet: map[string]*Host{},
+		Pools: map[string]structs.Pool{},
+		Waves: map[string]*Wave{},
+		usage: map[string]*usage{},
+	}
+}
+
+// UnmarshalJSON reads a snapshot and derives the index.
+func (s *State) UnmarshalJSON(data []byte) error {
+	type plain State
+	fresh := plain(*New())
+	if err := json.Unmarshal(data, &fresh); err != nil {
+		return err
+	}
+	*s = State(fresh)
+	s.index()
+	return nil
+}
+
+// index derives the usage of pools and the order of hosts.
+func (s *State) index() {
+	s.usage = make(map[string]*usage, len(s.Pools))
+	for name := range s.Pools {
+		s.usage[name] = newUsage()
+	}
+	s.order = make([]string, 0, len(s.Fleet))
+	for name, host := range s.Fleet {
+		s.order = append(s.order, name)
+		s.of(host.Pool).add(host)
+	}
+	sort.Strings(s.order)
+}
+
+// Host returns the state of one host.
+func (s *State) Host(name string) (Host, bool) {
+	host, known := s.Fleet[name]
+	if !known {
+		return Host{}, false
+	}
+	return *host, true
+}
+
+// Hosts returns all hosts in order of name.
+func (s *State) Hosts() []Host {
+	hosts := make([]Host, 0, len(s.order))
+	for _, name := range s.order {
+		hosts = append(hosts, *s.Fleet[name])
+	}
+	return hosts
+}
+
+// InPool returns the hosts of the pool in order of name.
+func (s *State) InPool(pool string) []Host {
+	used, known := s.usage[pool]
+	if !known {
+		return nil
+	}
+	hosts := make([]Host, 0, len(used.hosts))
+	for _, host := range used.hosts {
+		hosts = append(hosts, *host)
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// Serving reports whether the host takes new work in the pool.
+func (s *State) Serving(host, pool string) bool {
+	found, known := s.Fleet[host]
+	return known && found.Pool == pool && found.Phase == PhaseServing
 }
