--- /dev/null
+++ b/internal/refusal/reader.go
@@ -0,0 +1,174 @@
+package refusal
+
+import (
+	"sort"
+	"time"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+)
+
+// MaxReaderEntries bounds the entries that a reader holds; the oldest batches are dropped.
+const MaxReaderEntries = 1 << 18
+
+// Reader folds the refusals stream into answers for auditors.
+type Reader struct {
+	incarnations map[string]*history
+	// order lists the records in order of the stream, to drop the oldest.
+	order   []*record
+	entries int
+}
+
+// NewReader returns a reader that has read nothing.
+func NewReader() *Reader { return &Reader{incarnations: map[string]*history{}} }
+
+// Fold takes the next batch of the stream. Batches that were appended twice count once.
+func (r *Reader) Fold(batch *v1.RefusalBatch) *fault.Error {
+	if batch.GetSchema() > Schema {
+		return fault.New(fault.SchemaUnsupported, "refusal batch of schema %d: want at most %d", batch.GetSchema(), Schema)
+	}
+	if count(batch.GetEntries())+batch.GetMissingCount() > batch.GetCumulativeCount() {
+		return fault.New(fault.RecordCorrupt, "refusal batch %d of %s counts more than its cumulative count", batch.GetSeq(), batch.GetIncarnation())
+	}
+	h := r.incarnations[batch.GetIncarnation()]
+	if h == nil {
+		h = &history{gateway: batch.GetGateway(), incarnation: batch.GetIncarnation()}
+		r.incarnations[batch.GetIncarnation()] = h
+	}
+	added := h.fold(batch)
+	if added == nil {
+		return nil
+	}
+	r.order = append(r.order, added)
+	r.entries += len(batch.GetEntries())
+	r.dropOldest()
+	return nil
+}
+
+func (r *Reader) dropOldest() {
+	for r.entries > MaxReaderEntries {
+		oldest := r.order[0]
+		r.order = r.order[1:]
+		r.entries -= len(oldest.batch.GetEntries())
+		if oldest.history.drop(oldest) {
+			delete(r.incarnations, oldest.history.incarnation)
+		}
+	}
+}
+
+// Explanation is the answer for one refusal id.
+type Explanation struct {
+	Gateway string
+	// Entries are those whose numbers include the refusal. There is one, unless entries were
+	// merged to bound memory.
+	Entries []*v1.RefusalEntry
+	// Exact is set when the only entry is that of the refusal itself.
+	Exact bool
+	// Missing is the number of refusals of the incarnation that are known to be lost.
+	Missing uint64
+}
+
+// Explain returns what is known about a refusal id. The answer has no entries when the refusal
+// isn't on the stream: it is pending, lost or older than what the reader holds.
+func (r *Reader) Explain(id string) (Explanation, *fault.Error) {
+	incarnation, number, err := ParseID(id)
+	if err != nil {
+		return Explanation{}, err
+	}
+	h := r.incarnations[incarnation]
+	if h == nil {
+		return Explanation{}, nil
+	}
+	answer := Explanation{Gateway: h.gateway, Missing: h.totals().Missing}
+	h.visit(func(entry *v1.RefusalEntry) {
+		if entry.GetFirstNumber() <= number && number <= entry.GetLastNumber() {
+			answer.Entries = append(answer.Entries, entry)
+		}
+	})
+	answer.narrow()
+	return answer, nil
+}
+
+// narrow keeps the entry that isn't coarse, whose numbers are its own.
+func (e *Explanation) narrow() {
+	for _, entry := range e.Entries {
+		if !entry.GetCoarse() {
+			e.Entries = []*v1.RefusalEntry{entry}
+			e.Exact = true
+			return
+		}
+	}
+}
+
+// Filter selects refusals. Empty fields select all.
+type Filter struct {
+	Team string
+	Rule string
+	// From and To bound the time of the refusals; To is exclusive.
+	From time.Time
+	To   time.Time
+}
+
+func (f Filter) matches(entry *v1.RefusalEntry) bool {
+	if f.Team != "" && entry.GetTeam() != f.Team && !(entry.GetCoarse() && entry.GetTeam() == "") {
+		return false
+	}
+	if f.Rule != "" && entry.GetRule() != f.Rule {
+		return false
+	}
+	if !f.From.IsZero() && entry.GetLastUnixMs() < f.From.UnixMilli() {
+		return false
+	}
+	return f.To.IsZero() || entry.GetFirstUnixMs() < f.To.UnixMilli()
+}
+
+// Found is an entry with the gateway that refused.
+type Found struct {
+	Gateway     string
+	Incarnation string
+	Entry       *v1.RefusalEntry
+}
+
+// Find returns the entries that may hold a selected refusal, in order of time. An entry that was
+// merged over teams matches each team.
+func (r *Reader) Find(filter Filter) []Found {
+	var found []Found
+	for _, h := range r.incarnations {
+		h.visit(func(entry *v1.RefusalEntry) {
+			if filter.matches(entry) {
+				found = append(found, Found{Gateway: h.gateway, Incarnation: h.incarnation, Entry: entry})
+			}
+		})
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].before(found[j]) })
+	return found
+}
+
+func (f Found) before(other Found) bool {
+	if f.Entry.GetFirstUnixMs() != other.Entry.GetFirstUnixMs() {
+		return f.Entry.GetFirstUnixMs() < other.Entry.GetFirstUnixMs()
+	}
+	if f.Incarnation != other.Incarnation {
+		return f.Incarnation < other.Incarnation
+	}
+	return f.Entry.GetFirstNumber() < other.Entry.GetFirstNumber()
+}
+
+// Totals are the refusals of one incarnation.
+type Totals struct {
+	// Counted is the number of refusals in the entries.
+	Counted uint64
+	// Missing is the number of refusals that are known to be lost.
+	Missing uint64
+	// Unread is the number of refusals before the first batch that the reader holds.
+	Unread uint64
+}
+
+// Totals returns the totals of each incarnation that the reader has met.
+func (r *Reader) Totals() map[string]Totals {
+	all := make(map[string]Totals, len(r.incarnations))
+	for name, h := range r.incarnations {
+		all[name] = h.totals()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/refusal/recorder.go
@@ -0,0 +1,178 @@
+package refusal
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+)
+
+// Recorder merges the refusals of one incarnation of a gateway and appends a batch each second.
+type Recorder struct {
+	gateway     string
+	incarnation string
+	now         func() time.Time
+
+	mu sync.Mutex
+	// pending holds refusals that aren't in a batch.
+	pending *table
+	// inflight is the batch that is being appended. Its content stays the same until the log has
+	// answered, since it may be on the stream already.
+	inflight *v1.RefusalBatch
+	// settled and seq are the cumulative count and number of the last batch whose append was answered.
+	settled uint64
+	seq     uint64
+	total   uint64
+	blocks  blocks
+}
+
+// NewRecorder returns a recorder without refusals. now is the clock.
+func NewRecorder(gateway, incarnation string, now func() time.Time) *Recorder {
+	return &Recorder{gateway: gateway, incarnation: incarnation, now: now, pending: newTable(), blocks: newBlocks()}
+}
+
+// Add records a refusal and returns its id.
+func (r *Recorder) Add(refusal Refusal) string {
+	k := key{
+		team: bounded(refusal.Team, MaxFieldBytes), keyID: bounded(refusal.KeyID, MaxFieldBytes),
+		pool: bounded(refusal.Pool, MaxFieldBytes), rule: string(refusal.Kind), version: refusal.ConfigVersion,
+	}
+	at := r.now().UnixMilli()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	number, block := r.blocks.next(k)
+	r.total++
+	k.block = block
+	if into := r.pending.entries[k]; into != nil {
+		into.Count++
+		into.LastNumber = number
+		into.LastUnixMs = max(into.GetLastUnixMs(), at)
+		return ID(r.incarnation, number)
+	}
+	r.pending.add(k, &v1.RefusalEntry{
+		Team: k.team, KeyId: k.keyID, Pool: k.pool, Rule: k.rule, ConfigVersion: k.version, Count: 1,
+		FirstNumber: number, LastNumber: number, FirstUnixMs: at, LastUnixMs: at,
+		SampleFree: refusal.Free, SampleNeeded: refusal.Needed, SampleDetail: bounded(refusal.Detail, MaxDetailBytes),
+	}, r.room())
+	return ID(r.incarnation, number)
+}
+
+// maxBatch leaves room for refusals that come while a batch is appended.
+const maxBatch = MaxEntries * 3 / 4
+
+// room returns the number of entries that pending may hold.
+func (r *Recorder) room() int {
+	if r.inflight == nil {
+		return maxBatch
+	}
+	return MaxEntries - len(r.inflight.GetEntries())
+}
+
+// Total returns the refusals of the incarnation.
+func (r *Recorder) Total() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
+// Entries returns the number of entries held in memory.
+func (r *Recorder) Entries() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pending.entries) + len(r.inflight.GetEntries())
+}
+
+// Run appends a batch each second until ctx ends, and then appends what is left.
+func (r *Recorder) Run(ctx context.Context, appender Appender, log *logrus.Entry) error {
+	ticker := time.NewTicker(FlushInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return r.drain(context.WithoutCancel(ctx), appender)
+		case <-ticker.C:
+		}
+		err := r.Flush(ctx, appender)
+		if (err != nil) != failing {
+			failing = err != nil
+			log.WithField("entries", r.Entries()).WithField("failing", failing).WithError(err).Info("refusals append state changed")
+		}
+	}
+}
+
+// drain appends what is left: the batch in flight, and what came after it.
+func (r *Recorder) drain(ctx context.Context, appender Appender) error {
+	for r.Entries() > 0 {
+		if err := r.Flush(ctx, appender); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Flush appends the batch in flight, or a new one with all that is pending. After an error the
+// next Flush appends the same batch again.
+func (r *Recorder) Flush(ctx context.Context, appender Appender) error {
+	batch := r.nextBatch()
+	if batch == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, AppendTimeout)
+	defer cancel()
+	if err := appender.AppendRefusals(ctx, batch); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inflight != batch {
+		return nil
+	}
+	r.inflight = nil
+	r.settled = batch.GetCumulativeCount()
+	r.seq = batch.GetSeq()
+	return nil
+}
+
+func (r *Recorder) nextBatch() *v1.RefusalBatch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inflight != nil {
+		return r.inflight
+	}
+	if len(r.pending.entries) == 0 {
+		return nil
+	}
+	r.inflight = r.batch(r.pending.sorted())
+	r.pending = newTable()
+	return r.inflight
+}
+
+// batch returns a batch that follows the settled one.
+func (r *Recorder) batch(entries []*v1.RefusalEntry) *v1.RefusalBatch {
+	return &v1.RefusalBatch{
+		Schema: Schema, Gateway: r.gateway, Incarnation: r.incarnation, Seq: r.seq + 1,
+		Entries: entries, CumulativeCount: r.settled + count(entries), AppendedBy: r.gateway,
+	}
+}
+
+// Copy returns all refusals that aren't settled as one batch, for a peer to append if this gateway
+// is lost. The batch covers the one in flight, so that a reader that meets both keeps the one that
+// covers more. Without such refusals it has no entries; it is never nil, so that a peer knows that
+// it holds the copy.
+func (r *Recorder) Copy() *v1.RefusalBatch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries := make([]*v1.RefusalEntry, 0, len(r.pending.entries)+len(r.inflight.GetEntries()))
+	for _, entry := range r.inflight.GetEntries() {
+		entries = append(entries, proto.CloneOf(entry))
+	}
+	for _, entry := range r.pending.sorted() {
+		entries = append(entries, proto.CloneOf(entry))
+	}
+	return r.batch(entries)
+}
--- /dev/null
+++ b/internal/refusal/refusal_test.go
@@ -0,0 +1,213 @@
+package refusal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/telemetry"
+)
+
+var errAppend = errors.New("no answer")
+
+// stream is a fake of the refusals stream whose appends can fail before or after they took effect.
+type stream struct {
+	batches []*v1.RefusalBatch
+	// mode is 0 for success, 1 for a lost answer, 2 for a failure.
+	mode int
+}
+
+func (s *stream) AppendRefusals(_ context.Context, batch *v1.RefusalBatch) error {
+	if s.mode != 2 {
+		s.batches = append(s.batches, proto.CloneOf(batch))
+	}
+	if s.mode != 0 {
+		return errAppend
+	}
+	return nil
+}
+
+func (s *stream) read(t assert.TestingT) *Reader {
+	reader := NewReader()
+	for _, batch := range s.batches {
+		if err := reader.Fold(batch); err != nil {
+			assert.NilError(t, err)
+		}
+	}
+	return reader
+}
+
+// naive counts each refusal by itself.
+type naive struct {
+	ids    []string
+	family map[string][2]string
+	total  uint64
+}
+
+func (n *naive) add(id string, refusal Refusal) {
+	n.ids = append(n.ids, id)
+	n.family[id] = [2]string{refusal.Team, string(refusal.Kind)}
+	n.total++
+}
+
+// Guards against refusals that are lost, counted twice or unexplained after duplicates, lost
+// answers, false suspicion, the death of the gateway and handover.
+func TestCountsAgreeWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &stream{}
+		recorder := NewRecorder("gw-1", "inc-1", func() time.Time { return time.Unix(1, 0) })
+		keeper := NewKeeper("gw-2")
+		model := &naive{family: map[string][2]string{}}
+		exchanged, observed := uint64(0), uint64(0)
+		keys := rapid.SampledFrom([]int{1, 3, 6000}).Draw(t, "keys")
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			log.mode = rapid.IntRange(0, 2).Draw(t, "mode")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				refuseSome(t, recorder, model, keys)
+			case 1:
+				_ = recorder.Flush(context.Background(), log)
+			case 2:
+				keeper.Keep(recorder.Copy())
+				exchanged = model.total
+			case 3:
+				if exchanged > 0 {
+					keeper.Observe("gw-1", "inc-1", recorder.Total())
+					observed = model.total
+				}
+			case 4:
+				// The peer takes the gateway for lost, while it may still be alive.
+				_ = keeper.HandOver(context.Background(), "gw-1", "inc-1", log)
+				keeper.Keep(recorder.Copy())
+				exchanged = model.total
+			}
+			assert.Assert(t, recorder.Entries() <= MaxEntries)
+		}
+		log.mode = 0
+		if rapid.Bool().Draw(t, "dies") {
+			checkAfterDeath(t, log, keeper, model, max(exchanged, observed))
+			return
+		}
+		assert.NilError(t, recorder.drain(context.Background(), log))
+		checkAll(t, log.read(t), model)
+	})
+}
+
+func refuseSome(t *rapid.T, recorder *Recorder, model *naive, keys int) {
+	for i := range rapid.SampledFrom([]int{1, 20, 20, 20, 5000}).Draw(t, "count") {
+		refusal := Refusal{
+			Team: fmt.Sprintf("team-%d", i%7), KeyID: fmt.Sprintf("key-%d", i%keys), Pool: "tallies",
+			Kind: []fault.Kind{fault.TeamLimit, fault.QueueFull}[i%2], ConfigVersion: 1,
+		}
+		model.add(recorder.Add(refusal), refusal)
+	}
+}
+
+// checkAfterDeath checks that what the peer heard is counted or declared missing.
+func checkAfterDeath(t *rapid.T, log *stream, keeper *Keeper, model *naive, heard uint64) {
+	assert.NilError(t, keeper.HandOver(context.Background(), "gw-1", "inc-1", log))
+	totals := log.read(t).Totals()["inc-1"]
+	appended := uint64(0)
+	for _, batch := range log.batches {
+		if batch.GetAppendedBy() == "gw-1" {
+			appended = max(appended, batch.GetCumulativeCount())
+		}
+	}
+	assert.Equal(t, totals.Counted+totals.Missing, max(heard, appended))
+	assert.Assert(t, totals.Counted >= appended)
+	assert.Assert(t, totals.Counted <= model.total)
+}
+
+// checkAll checks that each refusal is counted once and explained by an entry of its team and rule.
+func checkAll(t *rapid.T, reader *Reader, model *naive) {
+	totals := reader.Totals()["inc-1"]
+	assert.Equal(t, totals.Counted, model.total)
+	assert.Equal(t, totals.Missing, uint64(0))
+	want := map[[2]string]uint64{}
+	for _, id := range model.ids {
+		want[model.family[id]]++
+	}
+	for family, refused := range want {
+		sum := uint64(0)
+		for _, found := range reader.Find(Filter{Team: family[0], Rule: family[1]}) {
+			sum += found.Entry.GetCount()
+		}
+		assert.Equal(t, sum, refused, "%v", family)
+	}
+	for i := 0; i < len(model.ids); i += 1 + len(model.ids)/10 {
+		answer, err := reader.Explain(model.ids[i])
+		assert.Assert(t, err == nil)
+		explained := false
+		for _, entry := range answer.Entries {
+			explained = explained || [2]string{entry.GetTeam(), entry.GetRule()} == model.family[model.ids[i]]
+		}
+		assert.Assert(t, explained, "%s isn't explained by %v", model.ids[i], answer.Entries)
+	}
+}
+
+// Guards against memory that grows and counts that are lost while the log is down for an hour.
+func TestOutageOfAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &stream{mode: 2}
+		recorder := NewRecorder("gw-1", "inc-1", time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- recorder.Run(ctx, log, telemetry.NewLogger(t.Output(), "gateway", "a")) }()
+		total, most := uint64(0), 0
+		for second := range 3600 {
+			for i := range 160 {
+				recorder.Add(Refusal{Team: fmt.Sprintf("team-%d", i), KeyID: fmt.Sprintf("key-%d", second%40), Pool: "clips", Kind: fault.QueueFull})
+				total++
+			}
+			most = max(most, recorder.Entries())
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		log.mode = 0
+		cancel()
+		assert.NilError(t, <-done)
+		assert.Assert(t, most <= MaxEntries, "%d entries", most)
+		assert.Equal(t, log.read(t).Totals()["inc-1"], Totals{Counted: total})
+	})
+}
+
+// BenchmarkAdd measures merged refusals at three numbers of teams, and the bytes of a batch.
+func BenchmarkAdd(b *testing.B) {
+	for _, teams := range []int{16, 160, 1600} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			log := &stream{}
+			recorder := NewRecorder("gw-1", "inc-1", time.Now)
+			names := make([]string, teams)
+			for i := range names {
+				names[i] = fmt.Sprintf("team-%04d", i)
+			}
+			refuse := func(i int) {
+				recorder.Add(Refusal{Team: names[i%teams], KeyID: "key-1", Pool: "clips", Kind: fault.QueueFull, ConfigVersion: 7, Detail: "team is furthest above its share"})
+			}
+			i := 0
+			for b.Loop() {
+				refuse(i)
+				i++
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "refusals/s")
+			_ = recorder.Flush(context.Background(), log)
+			// The batch of a second in which each team has ten refusals.
+			for i := range 10 * teams {
+				refuse(i)
+			}
+			_ = recorder.Flush(context.Background(), log)
+			b.ReportMetric(float64(proto.Size(log.batches[1])), "bytes/batch")
+			b.ReportMetric(float64(len(log.batches[1].GetEntries())), "entries/batch")
+		})
+	}
+}
