Fix the seeds of property tests

Cause: property tests drew a new seed in each run, so the verdict of the test command could change. Change: package fixedseed sets the seed; the test command refuses property tests without it. Conclusion: the same code has the same verdict in every run; another seed can still be chosen.

--- a/internal/fold/escrow/state_test.go
+++ b/internal/fold/escrow/state_test.go
@@ -10,6 +10,7 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/structs"
 )
 
--- a/internal/fold/inventory/state_test.go
+++ b/internal/fold/inventory/state_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/structs"
 )
 
--- a/internal/refusal/refusal_test.go
+++ b/internal/refusal/refusal_test.go
@@ -14,6 +14,7 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/telemetry"
 )
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,12 @@
   echo "gofmt: not formatted:" && echo "$unformatted"
   exit 1
 fi
+unseeded=$(git ls-files --cached --others --exclude-standard '*_test.go' | xargs grep -l 'rapid\.Check' | xargs -n1 dirname | sort -u |
+  while read -r dir; do grep -qs 'internal/fixedseed' "$dir"/*_test.go || echo "$dir"; done)
+if [ -n "$unseeded" ]; then
+  echo "property tests without a fixed seed (import turmericyoke/internal/fixedseed):" && echo "$unseeded"
+  exit 1
+fi
 go vet ./...
 go tool staticcheck ./...
 go mod tidy -diff
