--- /dev/null
+++ b/internal/controller/snapshot/snapshot.go
@@ -0,0 +1,182 @@
+// Package snapshot writes snapshots of the fleet state, from which controllers start.
+package snapshot
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/rank"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/fold"
+	"turmericyoke/internal/follower"
+)
+
+// Rules of when a snapshot is due.
+const (
+	// everyRecords bounds the tail that a starting controller folds.
+	everyRecords = 2000
+	// everySpan keeps the newest snapshot well inside the log's retention on quiet days.
+	everySpan    = time.Hour
+	tickInterval = time.Second
+	callTimeout  = 10 * time.Second
+)
+
+// Log is the platform's log; connect's LogServiceClient implements it.
+type Log interface {
+	Append(context.Context, *v1.AppendRequest) (*v1.AppendResponse, error)
+	Read(context.Context, *v1.ReadRequest) (*v1.ReadResponse, error)
+}
+
+// State is the source of snapshots; follower.Follower implements it.
+type State interface {
+	Read(func(*fold.State)) bool
+	Ready() bool
+	Stopped() bool
+	Snapshot() (*v1.FetchStateResponse, error)
+}
+
+// Loop writes a snapshot when one is due and no better-ranked controller has written it.
+type Loop struct {
+	Name        string
+	Incarnation string
+	State       State
+	Log         Log
+	// Gone reports hosts that the host list shows as gone; it may be nil.
+	Gone   func(name string) bool
+	Logger *logrus.Entry
+
+	// written is the offset of the newest snapshot that the loop knows, and writtenAt is when it
+	// learned of it.
+	written   int64
+	writtenAt time.Time
+	// dueSince is when the next snapshot became due, or zero.
+	dueSince time.Time
+}
+
+// Run writes snapshots until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	l.writtenAt = time.Now()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := l.step(ctx); err != nil {
+			l.Logger.WithField("kind", fault.KindOf(err)).WithError(err).Warn("snapshot not written")
+		}
+	}
+}
+
+// step writes a snapshot if it is this controller's turn. A stopped follower writes none: its state
+// may be the one that is wrong.
+func (l *Loop) step(ctx context.Context) error {
+	if !l.State.Ready() || l.State.Stopped() || !l.due() {
+		return nil
+	}
+	if time.Since(l.dueSince) < time.Duration(l.rank())*rank.Step {
+		return nil
+	}
+	if err := l.learn(ctx); err != nil {
+		return err
+	}
+	if !l.due() {
+		return nil
+	}
+	return l.write(ctx)
+}
+
+func (l *Loop) due() bool {
+	var offset int64
+	l.State.Read(func(state *fold.State) { offset = state.Offset() })
+	grown := offset - l.written
+	if grown >= everyRecords || (grown > 0 && time.Since(l.writtenAt) >= everySpan) {
+		if l.dueSince.IsZero() {
+			l.dueSince = time.Now()
+		}
+		return true
+	}
+	l.dueSince = time.Time{}
+	return false
+}
+
+func (l *Loop) rank() int {
+	var names []string
+	l.State.Read(func(state *fold.State) { names = rank.Controllers(state, l.Gone) })
+	return rank.Of(rank.SnapshotSubject, names, l.Name)
+}
+
+// learn reads the last chunk on the stream, which is short when a snapshot was written whole.
+func (l *Loop) learn(ctx context.Context) error {
+	bounds, err := l.read(ctx, math.MaxInt64-1)
+	if err != nil {
+		return err
+	}
+	if bounds.GetHeadOffset() < bounds.GetOldestOffset() {
+		return nil
+	}
+	last, err := l.read(ctx, bounds.GetHeadOffset()-1)
+	if err != nil {
+		return err
+	}
+	for _, record := range last.GetRecords() {
+		chunk, damaged := fold.DecodeChunk(record.GetData())
+		if damaged == nil && chunk.GetIndex()+1 == chunk.GetCount() && chunk.GetOffset() > l.written {
+			l.wrote(chunk.GetOffset())
+		}
+	}
+	return nil
+}
+
+func (l *Loop) read(ctx context.Context, after int64) (*v1.ReadResponse, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := l.Log.Read(call, &v1.ReadRequest{Stream: follower.SnapshotStream, AfterOffset: after, MaxRecords: 1})
+	if err != nil {
+		return nil, fault.Wrap(fault.LogUnavailable, err, "snapshots can't be read")
+	}
+	return response, nil
+}
+
+// write appends all chunks. A lost answer makes the loop write the whole snapshot again, which is
+// harmless.
+func (l *Loop) write(ctx context.Context) error {
+	encoded, err := l.State.Snapshot()
+	if err != nil {
+		return err
+	}
+	chunks := fold.Split(encoded.GetState(), l.Name, l.Incarnation, encoded.GetOffset(), encoded.GetStateHash())
+	for _, chunk := range chunks {
+		if err := l.append(ctx, chunk); err != nil {
+			return err
+		}
+	}
+	l.wrote(encoded.GetOffset())
+	l.Logger.WithField("offset", encoded.GetOffset()).WithField("bytes", len(encoded.GetState())).Info("snapshot written")
+	return nil
+}
+
+func (l *Loop) append(ctx context.Context, chunk *v1.SnapshotChunk) error {
+	raw, err := proto.Marshal(chunk)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "chunk can't be encoded")
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := l.Log.Append(call, &v1.AppendRequest{Stream: follower.SnapshotStream, Records: [][]byte{raw}}); err != nil {
+		return fault.Wrap(fault.LogUnavailable, err, "chunk %d of %d wasn't appended", chunk.GetIndex(), chunk.GetCount())
+	}
+	return nil
+}
+
+func (l *Loop) wrote(offset int64) {
+	l.written, l.writtenAt = offset, time.Now()
+	l.dueSince = time.Time{}
+}
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -70,10 +70,18 @@
 // ChangeVerdicts returns the last ChangeVerdicts verdicts on operators' proposals, oldest first.
 func (s *State) ChangeVerdicts() []Verdict { return s.changes.list() }
 
-// VerdictOf returns the verdict on the first copy of a proposal, if it is still kept.
+// VerdictOf returns the verdict on the first copy of a proposal, if it is still kept. Later copies
+// are rejected, as duplicates or as records of a proposer that has left.
 func (s *State) VerdictOf(incarnation string, seq uint64) (Verdict, bool) {
 	return s.recent.find(func(v *Verdict) bool {
-		return v.Incarnation == incarnation && v.Seq == seq && v.Kind != fault.ProposalDuplicate
+		return v.Seq == seq && v.Incarnation == incarnation && v.Kind != fault.ProposalDuplicate
+	})
+}
+
+// DuplicateOf returns the oldest kept verdict that rejected a proposal as a duplicate.
+func (s *State) DuplicateOf(incarnation string, seq uint64) (Verdict, bool) {
+	return s.recent.find(func(v *Verdict) bool {
+		return v.Seq == seq && v.Incarnation == incarnation && v.Kind == fault.ProposalDuplicate
 	})
 }
 
--- a/internal/fold/verdict.go
+++ b/internal/fold/verdict.go
@@ -87,9 +87,9 @@
 	return append(list, r.items[:r.next]...)
 }
 
-// find returns the newest verdict that matches.
+// find returns the oldest verdict that matches.
 func (r *verdictRing) find(match func(*Verdict) bool) (Verdict, bool) {
-	for i := len(r.items) - 1; i >= 0; i-- {
+	for i := range r.items {
 		item := &r.items[(r.next+i)%len(r.items)]
 		if match(item) {
 			return *item, true
--- a/internal/proposer/proposer.go
+++ b/internal/proposer/proposer.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -73,14 +71,6 @@
 	err     error
 }
 
-// NewIncarnation returns a name for one process lifetime.
-func NewIncarnation() string {
-	var raw [8]byte
-	// Read of crypto/rand never fails.
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
-}
-
 // New returns a proposer. Nothing is appended before Run is called.
 func New(name, incarnation string, log Log, reader Fold) *Proposer {
 	return &Proposer{
--- /dev/null
+++ b/internal/viewdelta/apply.go
@@ -0,0 +1,91 @@
+package viewdelta
+
+import (
+	"cmp"
+	"slices"
+
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/structs"
+)
+
+// Apply returns the view after the delta, and leaves view as it is. The error is of kind LogGap
+// when the view is older than the delta's base; the gateway then asks for the whole view. A delta
+// that isn't newer than the view changes nothing.
+func Apply(view *structs.View, delta *structs.ViewDelta) (*structs.View, *fault.Error) {
+	if view.Offset < delta.BaseOffset {
+		return nil, fault.New(fault.LogGap, "delta from offset %d: the view is at %d", delta.BaseOffset, view.Offset)
+	}
+	if view.Offset >= delta.Offset {
+		return view, nil
+	}
+	removed := map[structs.RemovedObject]bool{}
+	for _, object := range delta.Removed {
+		removed[object] = true
+	}
+	next := &structs.View{
+		Offset: delta.Offset, ConfigVersion: delta.ConfigVersion,
+		Teams:     merge(view.Teams, delta.Teams, removed, "teams", teamKey),
+		Keys:      merge(view.Keys, delta.Keys, removed, "keys", keyKey),
+		Pools:     merge(view.Pools, delta.Pools, removed, "pools", poolKey),
+		Endpoints: merge(view.Endpoints, delta.Endpoints, removed, "endpoints", endpointKey),
+		Gateways:  merge(withoutRights(view.Gateways), delta.Gateways, removed, "gateways", gatewayKey),
+	}
+	// The key of a gateway isn't in the order of the list, since a slash comes after a hyphen.
+	slices.SortFunc(next.Gateways, func(a, b structs.GatewayEntry) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	setRights(next, merge(heldUnits(view.Gateways), delta.Rights, removed, "rights", heldKey))
+	setUnits(next, merge(teamUnits(view), delta.Units, removed, "units", unitsKey))
+	return next, nil
+}
+
+// merge returns the objects that aren't removed, with the replacements, in order of key.
+func merge[T any](base, changed []T, removed map[structs.RemovedObject]bool, list string, key func(*T) string) []T {
+	replaced := make(map[string]bool, len(changed))
+	for i := range changed {
+		replaced[key(&changed[i])] = true
+	}
+	merged := make([]T, 0, len(base)+len(changed))
+	for i := range base {
+		id := key(&base[i])
+		if !replaced[id] && !removed[structs.RemovedObject{List: list, Key: id}] {
+			merged = append(merged, base[i])
+		}
+	}
+	merged = append(merged, changed...)
+	slices.SortFunc(merged, func(a, b T) int { return cmp.Compare(key(&a), key(&b)) })
+	return merged
+}
+
+func setRights(view *structs.View, held []structs.HeldUnits) {
+	byGateway := map[string]map[string]uint64{}
+	for _, entry := range held {
+		id := entry.Gateway + "/" + entry.Incarnation
+		if byGateway[id] == nil {
+			byGateway[id] = map[string]uint64{}
+		}
+		byGateway[id][entry.Team] = entry.Units
+	}
+	for i := range view.Gateways {
+		view.Gateways[i].Rights = byGateway[gatewayKey(&view.Gateways[i])]
+	}
+}
+
+func setUnits(view *structs.View, units []structs.TeamUnits) {
+	for _, entry := range units {
+		if entry.Unallotted != nil {
+			view.Unallotted = put(view.Unallotted, entry.Team, *entry.Unallotted)
+		}
+		if entry.SurrenderTarget != nil {
+			view.SurrenderTargets = put(view.SurrenderTargets, entry.Team, *entry.SurrenderTarget)
+		}
+	}
+}
+
+func put(units map[string]uint64, team string, value uint64) map[string]uint64 {
+	if units == nil {
+		units = map[string]uint64{}
+	}
+	units[team] = value
+	return units
+}
