Add the controller's service, membership and process

Cause: nothing served the fleet state to gateways, peers and operators.

Change: ControllerService (View, Tail, FetchState, Status, Propose, Query) over the follower and the proposer, the controller's own Join and Leave, health and readiness on the operators' address, and the process with its settings.

--- /dev/null
+++ b/cmd/controller/run.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/auth"
+	"turmericyoke/internal/controller/member"
+	"turmericyoke/internal/controller/ops"
+	"turmericyoke/internal/controller/serve"
+	"turmericyoke/internal/follower"
+	"turmericyoke/internal/proposer"
+	"turmericyoke/internal/structs"
+	"turmericyoke/internal/telemetry"
+	"turmericyoke/internal/transport"
+)
+
+// shutdownTimeout bounds the wait for calls in progress; long polls end at once.
+const shutdownTimeout = 5 * time.Second
+
+// process is one running controller.
+type process struct {
+	config     *config
+	logger     *logrus.Entry
+	link       *transport.Transport
+	registry   *prometheus.Registry
+	parts      parts
+	membership *member.Membership
+	draining   atomic.Bool
+}
+
+// run serves until ctx ends or a part fails.
+func run(ctx context.Context, config *config, logs io.Writer) error {
+	p, err := newProcess(config, logs)
+	if err != nil {
+		return err
+	}
+	p.logger.WithFields(logrus.Fields{"version": version, "incarnation": p.parts.incarnation, "listen": config.Listen}).Info("controller started")
+	err = p.serve(ctx)
+	if err == nil || (ctx.Err() != nil && errors.Is(err, context.Canceled)) {
+		p.logger.Info("controller stopped")
+		return nil
+	}
+	p.logger.WithError(err).Error("controller failed")
+	return err
+}
+
+func newProcess(config *config, logs io.Writer) (*process, error) {
+	link, err := transport.New(config.TLS)
+	if err != nil {
+		return nil, err
+	}
+	logger := telemetry.NewLogger(logs, "controller", config.Zone).WithField("name", config.Name)
+	if err := setLevel(logger, config.LogLevel); err != nil {
+		return nil, err
+	}
+	client := link.Client()
+	clients := platform{
+		log:     turmericyokev1connect.NewLogServiceClient(client, link.URL(config.Log)),
+		hosts:   turmericyokev1connect.NewHostServiceClient(client, link.URL(config.Hosts)),
+		workers: turmericyokev1connect.NewWorkerServiceClient(client, link.URL(config.Workers)),
+	}
+	incarnation := structs.NewIncarnation(time.Now(), "")
+	reader := follower.New(follower.Config{
+		Name: config.Name, Incarnation: incarnation, Zone: config.Zone,
+		Log: clients.log, Peers: peers(config, link, client), Logger: logger,
+	})
+	writer := proposer.New(config.Name, incarnation, clients.log, reader)
+	return &process{
+		config: config, logger: logger, link: link, registry: telemetry.NewRegistry(),
+		parts: parts{
+			name: config.Name, incarnation: incarnation, follower: reader, proposer: writer,
+			platform: clients, logger: logger,
+		},
+		membership: &member.Membership{
+			Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: config.Address(),
+			Proposer: writer, State: reader, Logger: logger,
+		},
+	}, nil
+}
+
+func setLevel(logger *logrus.Entry, level string) error {
+	if level == "" {
+		return nil
+	}
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	logger.Logger.SetLevel(parsed)
+	return nil
+}
+
+func peers(config *config, link *transport.Transport, client *http.Client) []follower.Peer {
+	var list []follower.Peer
+	for _, peer := range config.Controllers {
+		list = append(list, follower.Peer{
+			Name: peer.Name, Zone: peer.Zone,
+			Client: turmericyokev1connect.NewControllerServiceClient(client, link.URL(peer.Address)),
+		})
+	}
+	return list
+}
+
+// serve runs all parts. On shutdown, the control loops end first, then the controller leaves the
+// fleet, then the services close, and the reader and the proposer end last.
+func (p *process) serve(ctx context.Context) error {
+	base, stopBase := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBase()
+	services, err := p.listen(base)
+	if err != nil {
+		return err
+	}
+	group, failed := errgroup.WithContext(base)
+	group.Go(func() error { return p.parts.follower.Run(base) })
+	group.Go(func() error { return p.parts.proposer.Run(base) })
+	for _, service := range services {
+		group.Go(service.run)
+	}
+	group.Go(func() error {
+		defer stopBase()
+		work, stopWork := context.WithCancel(ctx)
+		defer stopWork()
+		stopAfter := context.AfterFunc(failed, stopWork)
+		defer stopAfter()
+		err := p.work(work)
+		p.draining.Store(true)
+		p.membership.Leave()
+		for _, service := range services {
+			service.stop()
+		}
+		return err
+	})
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// work joins and runs the control loops until ctx ends.
+func (p *process) work(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.membership.Run(ctx) })
+	for _, loop := range loops(p.parts) {
+		group.Go(func() error {
+			if err := p.awaitJoin(ctx); err != nil {
+				return err
+			}
+			p.logger.WithField("loop", loop.name).Info("control loop started")
+			return loop.run(ctx)
+		})
+	}
+	return group.Wait()
+}
+
+// joinPoll is how often a control loop asks whether the controller has joined.
+const joinPoll = 250 * time.Millisecond
+
+func (p *process) awaitJoin(ctx context.Context) error {
+	ticker := time.NewTicker(joinPoll)
+	defer ticker.Stop()
+	for !p.membership.Joined() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// service is one HTTP server with its listener.
+type service struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s service) run() error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s service) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+}
+
+// listen opens the service for other processes and the one for operators.
+func (p *process) listen(base context.Context) ([]service, error) {
+	listener, err := p.link.Listen(p.config.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := net.Listen("tcp", p.config.OperatorsListen)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	main := p.link.Server(p.handler())
+	// Long polls end when the process drains, so that the shutdown needn't wait for them.
+	polls, endPolls := context.WithCancel(base)
+	main.BaseContext = func(net.Listener) context.Context { return polls }
+	main.RegisterOnShutdown(endPolls)
+	return []service{
+		{server: main, listener: listener},
+		{server: &http.Server{Handler: p.opsHandler(), ReadHeaderTimeout: shutdownTimeout}, listener: operators},
+	}, nil
+}
+
+func (p *process) handler() http.Handler {
+	reader := p.parts.follower
+	api := serve.New(serve.Config{
+		Follower: reader, Proposer: p.parts.proposer, Joined: p.membership.Joined,
+		Metrics: serve.NewMetrics(p.registry, reader),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(turmericyokev1connect.NewControllerServiceHandler(api,
+		connect.WithInterceptors(auth.NewInterceptor(p.config.Operators)),
+		connect.WithReadMaxBytes(transport.MaxMessageBytes)))
+	return mux
+}
+
+func (p *process) opsHandler() http.Handler {
+	return ops.Handler(ops.Config{
+		Registry: p.registry, Status: p.parts.follower.Status, Stopped: p.parts.follower.Stopped,
+		Draining: p.draining.Load, Joined: p.membership.Joined,
+	})
+}
--- /dev/null
+++ b/internal/controller/serve/query.go
@@ -0,0 +1,127 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/fold"
+	"turmericyoke/internal/structs"
+)
+
+// Query implements the ControllerService.
+func (s *Service) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
+	response := &v1.QueryResponse{}
+	var failed error
+	known := s.cfg.Follower.Read(func(state *fold.State) {
+		response.Offset, response.ConfigVersion = state.Offset(), state.Version()
+		// Sections are encoded under the lock, since later records change them in place.
+		response.Json, failed = answer(state, request.GetSection(), request.GetName())
+	})
+	if !known {
+		return nil, connectError(fault.New(fault.NotReady, "no state yet"))
+	}
+	if failed != nil {
+		return nil, connectError(failed)
+	}
+	return response, nil
+}
+
+// answer encodes one section of the state.
+func answer(state *fold.State, section, name string) ([]byte, error) {
+	switch section {
+	case "document":
+		return encode(structs.DocumentStatus{Version: state.Version(), Document: *state.Document()})
+	case "teams":
+		return encode(teams(state, name))
+	case "hosts":
+		return encode(hosts(state, name))
+	case "holders":
+		return encode(holders(state, name))
+	case "verdicts":
+		return encode(verdicts(state))
+	case "waves":
+		return encode(state.Inventory)
+	case "jobs":
+		return encode(state.Jobs)
+	default:
+		return nil, fault.New(fault.RequestInvalid, "section %q: want document, hosts, teams, waves, jobs, holders or verdicts", section)
+	}
+}
+
+func encode(value any) ([]byte, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "answer can't be encoded")
+	}
+	return data, nil
+}
+
+func teams(state *fold.State, name string) []structs.TeamStatus {
+	list := []structs.TeamStatus{}
+	for _, team := range state.Document().Teams {
+		account := state.Escrow.Teams[team.Name]
+		if account == nil || (name != "" && name != team.Name) {
+			continue
+		}
+		status := structs.TeamStatus{
+			Name: team.Name, Share: team.Share, UpperLimit: team.UpperLimit,
+			JobUnits: account.Jobs, Held: account.Held, Unallocated: state.Escrow.Unallocated(team.Name),
+		}
+		if account.Surrender {
+			target := account.Target
+			status.SurrenderTarget = &target
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+func hosts(state *fold.State, name string) []structs.HostStatus {
+	list := []structs.HostStatus{}
+	for _, host := range state.Inventory.Hosts() {
+		if name != "" && name != host.Name {
+			continue
+		}
+		list = append(list, structs.HostStatus{
+			Name: host.Name, Pool: host.Pool, Zone: host.Zone, Rack: host.Rack, Phase: string(host.Phase),
+			Epoch: host.Epoch, MoveTo: host.MoveTo, Wave: host.Wave, SinceOffset: host.SinceOffset,
+		})
+	}
+	return list
+}
+
+func holders(state *fold.State, name string) []structs.GatewayEntry {
+	list := []structs.GatewayEntry{}
+	for _, member := range state.Escrow.Members(v1.Role_ROLE_GATEWAY) {
+		if name == "" || name == member.Name {
+			list = append(list, member.Entry())
+		}
+	}
+	return list
+}
+
+// verdicts returns the verdicts on operators' proposals that have left the ring of recent ones, and
+// the recent ones, oldest first.
+func verdicts(state *fold.State) []structs.VerdictStatus {
+	recent := state.Verdicts()
+	list := []structs.VerdictStatus{}
+	for _, verdict := range state.ChangeVerdicts() {
+		if len(recent) == 0 || verdict.Offset < recent[0].Offset {
+			list = append(list, verdictStatus(verdict))
+		}
+	}
+	for _, verdict := range recent {
+		list = append(list, verdictStatus(verdict))
+	}
+	return list
+}
+
+func verdictStatus(v fold.Verdict) structs.VerdictStatus {
+	return structs.VerdictStatus{
+		Offset: v.Offset, Proposer: v.Proposer, TimeUnixMS: v.TimeUnixMS, Payload: v.Payload,
+		Author: v.Author, Subject: v.Subject, Accepted: v.Accepted,
+		Kind: string(v.Kind), Detail: v.Detail, ConfigVersion: v.Version,
+	}
+}
