--- a/cmd/controller/config.go
+++ b/cmd/controller/config.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"turmericyoke/internal/auth"
 	"turmericyoke/internal/settings"
 	"turmericyoke/internal/transport"
 )
@@ -11,12 +10,12 @@
 	settings.Controller `yaml:",inline"`
 	TLS                 transport.TLS `yaml:"tls"`
 	// Operators may change the fleet through this controller.
-	Operators []auth.Operator `yaml:"operators"`
+	Operators []settings.Operator `yaml:"operators"`
 }
 
 // Check implements settings.Checker.
 func (c *config) Check() []error {
 	errs := c.Controller.Check()
 	errs = append(errs, c.TLS.Check("tls")...)
-	return append(errs, auth.Check("operators", c.Operators)...)
+	return append(errs, settings.CheckOperators("operators", c.Operators)...)
 }
--- a/cmd/controller/run.go
+++ b/cmd/controller/run.go
@@ -37,7 +37,9 @@
 	registry   *prometheus.Registry
 	parts      parts
 	membership *member.Membership
-	draining   atomic.Bool
+	// services are the open listeners with their servers.
+	services []service
+	draining atomic.Bool
 }
 
 // run serves until ctx ends or a part fails.
@@ -47,7 +49,10 @@
 		return err
 	}
 	p.logger.WithFields(logrus.Fields{"version": version, "incarnation": p.parts.incarnation, "listen": config.Listen}).Info("controller started")
-	err = p.serve(ctx)
+	err = p.open()
+	if err == nil {
+		err = p.serve(ctx)
+	}
 	if err == nil || (ctx.Err() != nil && errors.Is(err, context.Canceled)) {
 		p.logger.Info("controller stopped")
 		return nil
@@ -118,14 +123,10 @@
 func (p *process) serve(ctx context.Context) error {
 	base, stopBase := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBase()
-	services, err := p.listen(base)
-	if err != nil {
-		return err
-	}
 	group, failed := errgroup.WithContext(base)
 	group.Go(func() error { return p.parts.follower.Run(base) })
 	group.Go(func() error { return p.parts.proposer.Run(base) })
-	for _, service := range services {
+	for _, service := range p.services {
 		group.Go(service.run)
 	}
 	group.Go(func() error {
@@ -137,12 +138,12 @@
 		err := p.work(work)
 		p.draining.Store(true)
 		p.membership.Leave()
-		for _, service := range services {
+		for _, service := range p.services {
 			service.stop()
 		}
 		return err
 	})
-	err = group.Wait()
+	err := group.Wait()
 	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
 		return nil
 	}
@@ -203,25 +204,26 @@
 	}
 }
 
-// listen opens the service for other processes and the one for operators.
-func (p *process) listen(base context.Context) ([]service, error) {
+// open opens the service for other processes and the one for operators.
+func (p *process) open() error {
 	listener, err := p.link.Listen(p.config.Listen)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	operators, err := net.Listen("tcp", p.config.OperatorsListen)
 	if err != nil {
-		return nil, errors.Join(err, listener.Close())
+		return errors.Join(err, listener.Close())
 	}
 	main := p.link.Server(p.handler())
 	// Long polls end when the process drains, so that the shutdown needn't wait for them.
-	polls, endPolls := context.WithCancel(base)
+	polls, endPolls := context.WithCancel(context.Background())
 	main.BaseContext = func(net.Listener) context.Context { return polls }
 	main.RegisterOnShutdown(endPolls)
-	return []service{
+	p.services = []service{
 		{server: main, listener: listener},
 		{server: &http.Server{Handler: p.opsHandler(), ReadHeaderTimeout: shutdownTimeout}, listener: operators},
-	}, nil
+	}
+	return nil
 }
 
 func (p *process) handler() http.Handler {
--- a/internal/controller/serve/view.go
+++ b/internal/controller/serve/view.go
@@ -12,6 +12,7 @@
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/viewdelta"
 )
 
 const (
@@ -42,55 +43,108 @@
 	if offset <= request.GetAfterOffset() {
 		return response, nil
 	}
-	view, err := s.views.get(ctx, s.cfg.Follower, request.GetAfterOffset())
+	answer, err := s.views.get(ctx, s.cfg.Follower, request)
 	if err != nil {
 		return nil, connectError(err)
 	}
-	response.Offset, response.ConfigVersion, response.View = view.offset, view.version, view.data
-	s.gateways.sent(request.GetGateway(), view.offset, view.version)
-	s.cfg.Metrics.viewBytes.Add(float64(len(view.data)))
+	response.Offset, response.ConfigVersion = answer.offset, answer.version
+	response.View, response.Delta = answer.view, answer.delta
+	s.gateways.sent(request.GetGateway(), answer.offset, answer.version)
+	s.cfg.Metrics.viewBytes.Add(float64(len(answer.view) + len(answer.delta)))
 	return response, nil
 }
 
-// encodedView is one view, shared by all gateways.
-type encodedView struct {
+// viewAnswer is a whole view or a delta to it.
+type viewAnswer struct {
 	offset  int64
 	version uint64
-	data    []byte
-	made    time.Time
+	view    []byte
+	delta   []byte
 }
 
-// viewCache encodes a view at most once in viewInterval.
+// viewCache derives views and deltas at most once in viewInterval; gateways share them.
 type viewCache struct {
-	mu   sync.Mutex
-	last encodedView
+	mu      sync.Mutex
+	tracker viewdelta.Tracker
+	view    *structs.View
+	made    time.Time
+	// whole is the encoded view, and deltas the encoded deltas to it by their base; both are made
+	// when they are first asked for.
+	whole  []byte
+	deltas map[int64][]byte
 }
 
-// get returns a view above after. It waits until viewInterval has passed since the last encoding.
-func (c *viewCache) get(ctx context.Context, follower Follower, after int64) (encodedView, error) {
+// get answers with a view above the one that the gateway has.
+func (c *viewCache) get(ctx context.Context, follower Follower, request *v1.ViewRequest) (viewAnswer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last.offset > after && time.Since(c.last.made) < viewInterval {
-		return c.last, nil
+	if err := c.refresh(ctx, follower, request.GetAfterOffset()); err != nil {
+		return viewAnswer{}, err
+	}
+	answer := viewAnswer{offset: c.view.Offset, version: c.view.ConfigVersion}
+	var err error
+	if request.GetAcceptDelta() && request.GetAfterOffset() > 0 {
+		answer.delta, err = c.encodeDelta(request.GetAfterOffset())
+	}
+	if err == nil && answer.delta == nil {
+		answer.view, err = c.encodeWhole()
 	}
-	if err := pause(ctx, viewInterval-time.Since(c.last.made)); err != nil {
-		return encodedView{}, err
+	return answer, err
+}
+
+// refresh takes a new view from the state, once viewInterval has passed since the last one.
+func (c *viewCache) refresh(ctx context.Context, follower Follower, after int64) error {
+	if c.view != nil && c.view.Offset > after && time.Since(c.made) < viewInterval {
+		return nil
+	}
+	if err := pause(ctx, viewInterval-time.Since(c.made)); err != nil {
+		return err
 	}
 	var view *structs.View
 	follower.Read(func(state *fold.State) {
-		if state.Offset() != c.last.offset {
+		if c.view == nil || state.Offset() > c.view.Offset {
 			view = state.View()
 		}
 	})
+	if view == nil && c.view == nil {
+		return fault.New(fault.NotReady, "no state yet")
+	}
 	if view == nil {
-		return c.last, nil
+		return nil
+	}
+	c.view, c.made = view, time.Now()
+	c.tracker.Update(view)
+	c.whole, c.deltas = nil, map[int64][]byte{}
+	return nil
+}
+
+func (c *viewCache) encodeWhole() ([]byte, error) {
+	if c.whole != nil {
+		return c.whole, nil
+	}
+	data, err := json.Marshal(c.view)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "view can't be encoded")
+	}
+	c.whole = data
+	return data, nil
+}
+
+// encodeDelta returns nil when the tracker doesn't know what changed since base.
+func (c *viewCache) encodeDelta(base int64) ([]byte, error) {
+	if data, made := c.deltas[base]; made {
+		return data, nil
+	}
+	delta, known := c.tracker.Delta(base)
+	if !known {
+		return nil, nil
 	}
-	data, err := json.Marshal(view)
+	data, err := json.Marshal(delta)
 	if err != nil {
-		return encodedView{}, fault.Wrap(fault.Internal, err, "view can't be encoded")
+		return nil, fault.Wrap(fault.Internal, err, "delta can't be encoded")
 	}
-	c.last = encodedView{offset: view.Offset, version: view.ConfigVersion, data: data, made: time.Now()}
-	return c.last, nil
+	c.deltas[base] = data
+	return data, nil
 }
 
 func pause(ctx context.Context, span time.Duration) error {
