Serve requests from callers through a chain of filters

Cause: the request path had no code. Change: add the filters (authenticate, route, admit, queue, choose, dispatch, account) with the endpoint table, the load exchange, the forwarding to peers, the view client and an endpoint stand-in. Add the error kind caller_gone, and to the exchange messages the fields that acknowledge an answer and tell freshness.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -38,6 +38,8 @@
 	OutcomeUnknown Kind = "outcome_unknown"
 	// ResponseTruncated is an answer that ended early.
 	ResponseTruncated Kind = "response_truncated"
+	// CallerGone is a request whose caller disconnected before the answer.
+	CallerGone Kind = "caller_gone"
 	// ShuttingDown is a process that takes no new work.
 	ShuttingDown Kind = "shutting_down"
 
@@ -101,6 +103,9 @@
 	Internal Kind = "internal"
 )
 
+// StatusCallerGone is the status in the account of a request whose caller disconnected; nobody receives it.
+const StatusCallerGone = 499
+
 // Answer is what a caller or operator receives for an error kind.
 type Answer struct {
 	// HTTPStatus answers callers over HTTP.
@@ -126,6 +131,7 @@
 	EndpointUnavailable: {http.StatusServiceUnavailable, connect.CodeUnavailable, true, 1},
 	OutcomeUnknown:      {http.StatusBadGateway, connect.CodeUnknown, false, 0},
 	ResponseTruncated:   {http.StatusBadGateway, connect.CodeDataLoss, false, 0},
+	CallerGone:          {StatusCallerGone, connect.CodeCanceled, false, 0},
 	ShuttingDown:        {http.StatusServiceUnavailable, connect.CodeUnavailable, true, 1},
 
 	DocumentInvalid:    {http.StatusUnprocessableEntity, connect.CodeInvalidArgument, true, 0},
--- /dev/null
+++ b/internal/gateway/exchange/exchange.go
@@ -0,0 +1,214 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/structs"
+)
+
+// callTimeout bounds one exchange, so that a stalled peer is asked again in the next round.
+const callTimeout = time.Second
+
+// Lease takes the results of renewals, and decides about the renewal of others.
+type Lease interface {
+	// Renewed reports that the peer answered this gateway's incarnation, to a message sent at sentAt.
+	Renewed(peer, incarnation string, sentAt time.Time)
+	// Heard notes that the holder sent a report.
+	Heard(holder, incarnation string)
+	// MayRenew reports whether this gateway hasn't vowed against the incarnation.
+	MayRenew(holder, incarnation string) bool
+	// Vow returns this gateway's vow against the holder, or nil when it heard the holder recently.
+	Vow(holder, incarnation string) *v1.Vow
+}
+
+// Pending gives and takes copies of refusals that aren't on the log yet.
+type Pending interface {
+	// Copy returns the batch for the peer, or nil when another peer keeps the copy.
+	Copy(peer string) *v1.RefusalBatch
+	// Keep stores the batch of another gateway.
+	Keep(batch *v1.RefusalBatch)
+}
+
+// Config is what the exchange needs.
+type Config struct {
+	// Self, Incarnation and Zone identify this gateway.
+	Self, Incarnation, Zone string
+	Peers                   *Peers
+	// Load returns the report of this gateway, without its identity.
+	Load func() *v1.GatewayLoad
+	// Client returns the client for the gateway at the address.
+	Client  func(address string) turmericyokev1connect.PeerServiceClient
+	Lease   Lease
+	Pending Pending
+	// Learn is called with each report that was taken, and when the exchange that brought it was
+	// sent; sentAt is zero for reports that came with a call of the peer.
+	Learn func(load *v1.GatewayLoad, sentAt time.Time)
+	// Changed is called after each round with the gateways that own slots.
+	Changed func(members []string)
+	Now     func() time.Time
+}
+
+// Exchange talks to the other gateways.
+type Exchange struct {
+	config Config
+	seq    atomic.Uint64
+
+	mu sync.Mutex
+	// busy holds the gateways with an exchange in flight.
+	busy map[string]bool
+	// answered holds for each caller what this gateway last answered it.
+	answered map[string]answer
+	// received holds the sequence number of the newest load of each gateway.
+	received map[string]uint64
+	bytes    int
+}
+
+// answer is the last answer to a caller.
+type answer struct {
+	seq    uint64
+	sentAt time.Time
+}
+
+// New returns an exchange.
+func New(config Config) *Exchange {
+	return &Exchange{config: config, busy: map[string]bool{}, answered: map[string]answer{}, received: map[string]uint64{}}
+}
+
+// Run exchanges with all peers until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	var pace pace
+	zonesAt := e.config.Now()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		e.round(ctx, &calls)
+		if !e.config.Now().Before(zonesAt) {
+			e.zoneRound(ctx, &calls)
+			zonesAt = e.config.Now().Add(zoneInterval)
+		}
+		e.config.Changed(e.config.Peers.Members())
+		timer := time.NewTimer(pace.next(e.takeBytes()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// round calls each gateway of the zone with a higher name; those with a lower name call this one.
+func (e *Exchange) round(ctx context.Context, calls *sync.WaitGroup) {
+	for _, entry := range e.config.Peers.higher() {
+		e.start(ctx, calls, entry, e.load())
+	}
+}
+
+// zoneRound calls one gateway of each other zone of the region.
+func (e *Exchange) zoneRound(ctx context.Context, calls *sync.WaitGroup) {
+	for _, entry := range e.config.Peers.oneOfEachZone() {
+		e.start(ctx, calls, entry, e.zoneLoad())
+	}
+}
+
+// start exchanges with entry in the background, unless an earlier exchange is still in flight.
+func (e *Exchange) start(ctx context.Context, calls *sync.WaitGroup, entry structs.GatewayEntry, load *v1.GatewayLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy[entry.Name] {
+		return
+	}
+	e.busy[entry.Name] = true
+	calls.Go(func() {
+		defer e.finish(entry.Name)
+		e.call(ctx, entry, load)
+	})
+}
+
+func (e *Exchange) finish(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.busy, name)
+}
+
+func (e *Exchange) call(ctx context.Context, entry structs.GatewayEntry, load *v1.GatewayLoad) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &v1.ExchangeRequest{
+		Load: load, AckSeq: e.receivedFrom(entry.Name), AnswererIncarnation: entry.Incarnation,
+	}
+	if entry.Zone == e.config.Zone {
+		request.Renewed = e.config.Lease.MayRenew(entry.Name, entry.Incarnation)
+		request.Pending = e.config.Pending.Copy(entry.Name)
+	}
+	sentAt := e.config.Now()
+	response, err := e.config.Client(entry.Address).Exchange(ctx, request)
+	if err != nil {
+		return
+	}
+	e.addBytes(proto.Size(request) + proto.Size(response) + callOverhead)
+	e.take(response.GetLoad(), sentAt)
+	if entry.Zone == e.config.Zone && response.GetRenewed() {
+		e.config.Lease.Renewed(entry.Name, entry.Incarnation, sentAt)
+	}
+}
+
+// take uses the report of another gateway.
+func (e *Exchange) take(load *v1.GatewayLoad, sentAt time.Time) {
+	if !e.config.Peers.Heard(load) {
+		return
+	}
+	e.mu.Lock()
+	e.received[load.GetGateway()] = load.GetSeq()
+	e.mu.Unlock()
+	if load.GetZone() == e.config.Zone {
+		e.config.Lease.Heard(load.GetGateway(), load.GetIncarnation())
+	}
+	e.config.Learn(load, sentAt)
+}
+
+func (e *Exchange) receivedFrom(name string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received[name]
+}
+
+func (e *Exchange) addBytes(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bytes += count
+}
+
+func (e *Exchange) takeBytes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := e.bytes
+	e.bytes = 0
+	return count
+}
+
+// load returns the report of this gateway.
+func (e *Exchange) load() *v1.GatewayLoad {
+	load := e.config.Load()
+	load.Gateway = e.config.Self
+	load.Incarnation = e.config.Incarnation
+	load.Zone = e.config.Zone
+	load.Seq = e.seq.Add(1)
+	return load
+}
+
+// zoneLoad returns the report of this gateway together with those of its zone.
+func (e *Exchange) zoneLoad() *v1.GatewayLoad {
+	load := e.load()
+	load.Rights = nil
+	load.Draining = false
+	e.config.Peers.addZone(load)
+	return load
+}
--- /dev/null
+++ b/internal/gateway/exchange/pick.go
@@ -0,0 +1,203 @@
+package exchange
+
+import (
+	"cmp"
+	"slices"
+
+	"turmericyoke/internal/gateway/choose"
+	"turmericyoke/internal/gateway/pipe"
+)
+
+// queuedShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
+// there between two of its reports. More would only move the queue from one gateway to another.
+const queuedShare = 4
+
+// candidates returns the audible peers that fit, in order of name so that picks are reproducible.
+func (p *Peers) candidates(fits func(*peer) bool) []*peer {
+	var list []*peer
+	for _, known := range p.peers {
+		if p.audible(known) && !known.load.GetDraining() && fits(known) {
+			list = append(list, known)
+		}
+	}
+	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.entry.Name, b.entry.Name) })
+	return list
+}
+
+// betterOfTwo draws two candidates and returns the one with more room. All gateways that take the
+// very best one would overload it between two reports.
+func (p *Peers) betterOfTwo(list []*peer, room func(*peer) int) *peer {
+	if len(list) == 0 {
+		return nil
+	}
+	first := list[p.random.IntN(len(list))]
+	second := list[p.random.IntN(len(list))]
+	if room(second) > room(first) {
+		return second
+	}
+	return first
+}
+
+func (known *peer) target() *pipe.Peer {
+	return &pipe.Peer{Name: known.entry.Name, Address: known.entry.Address}
+}
+
+// WithSlot implements choose.Peers.
+func (p *Peers) WithSlot(pool string) *pipe.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	room := func(known *peer) int { return known.slots[pool] }
+	best := p.betterOfTwo(p.candidates(func(known *peer) bool { return room(known) > 0 }), room)
+	if best == nil {
+		return nil
+	}
+	best.slots[pool]--
+	return best.target()
+}
+
+// WithRight implements choose.Peers.
+func (p *Peers) WithRight(team, pool string) *pipe.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	subject := poolTeam{pool, team}
+	room := func(known *peer) int { return known.rights[team] }
+	best := p.betterOfTwo(p.candidates(func(known *peer) bool {
+		return room(known) > 0 && !known.barred[subject]
+	}), room)
+	if best == nil {
+		best = p.holder(subject)
+	}
+	if best == nil {
+		return nil
+	}
+	best.rights[team]--
+	return best.target()
+}
+
+// holder picks a peer that holds rights of a team of which this gateway holds none. All rights of
+// the team may be in use; the request then waits where the next one becomes free.
+func (p *Peers) holder(subject poolTeam) *peer {
+	for _, entry := range p.snapshot.View.Gateways {
+		if entry.Name == p.self && entry.Rights[subject.team] > 0 {
+			return nil
+		}
+	}
+	held := func(known *peer) int { return int(min(known.entry.Rights[subject.team], maxReported)) }
+	return p.betterOfTwo(p.candidates(func(known *peer) bool {
+		return held(known) > 0 && !known.barred[subject] && known.mayQueue(subject.pool)
+	}), held)
+}
+
+// mayQueue counts one more request that is sent to wait at the peer.
+func (known *peer) mayQueue(pool string) bool {
+	for _, load := range known.load.GetPools() {
+		if load.GetPool() == pool {
+			return known.queuedThere < max(int(min(load.GetOwnedSlots(), maxReported))/queuedShare, 1)
+		}
+	}
+	return false
+}
+
+// AboveShare implements choose.Peers. A peer fits if giving one of its slots to the team brings
+// the usages closer to the shares. The peer needs a right of the team as well.
+func (p *Peers) AboveShare(pool, team string) *pipe.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	subject := poolTeam{pool, team}
+	excess := func(known *peer) int { return p.excess(known, subject) }
+	best := p.betterOfTwo(p.candidates(func(known *peer) bool {
+		return known.rights[team] > 0 && !known.barred[subject] && known.mayQueue(pool) && excess(known) > 0
+	}), excess)
+	if best == nil {
+		return nil
+	}
+	best.queuedThere++
+	best.rights[team]--
+	return best.target()
+}
+
+// excess counts the slots of the peer that run teams which stay at or above the usage of the
+// subject's team when one slot changes over to it.
+func (p *Peers) excess(known *peer, subject poolTeam) int {
+	mine := p.usage(subject) + 1
+	share := p.share(subject.team)
+	count := 0
+	for _, load := range known.load.GetTeams() {
+		other := poolTeam{load.GetPool(), load.GetTeam()}
+		if other.pool != subject.pool || other.team == subject.team || load.GetRunning() == 0 {
+			continue
+		}
+		if (p.usage(other)-1)*share >= mine*p.share(other.team) {
+			count += int(min(load.GetRunning(), maxReported))
+		}
+	}
+	return count
+}
+
+// usage is what the team runs in the pool across the region; at least what one report says.
+func (p *Peers) usage(subject poolTeam) uint64 {
+	return p.local[subject] + (*p.elsewhere.Load())[subject]
+}
+
+func (p *Peers) share(team string) uint64 {
+	declared, ok := p.snapshot.Team(team)
+	if !ok || declared.Share < 1 {
+		return 1
+	}
+	return uint64(declared.Share)
+}
+
+// Spill implements choose.Peers.
+func (p *Peers) Spill(pool string) *pipe.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, zone := range p.region {
+		report, ok := p.zones[zone]
+		if !ok || p.now().Sub(report.heardAt) >= zoneSilence || !report.quiet(pool) {
+			continue
+		}
+		gateways := p.remote[zone]
+		if len(gateways) == 0 {
+			continue
+		}
+		report.slots[pool]--
+		entry := gateways[p.random.IntN(len(gateways))]
+		return &pipe.Peer{Name: entry.Name, Address: entry.Address, CrossesZone: true}
+	}
+	return nil
+}
+
+// quiet reports whether few enough slots of the zone are busy for work from other zones.
+func (z *zoneReport) quiet(pool string) bool {
+	for _, load := range z.load.GetPools() {
+		if load.GetPool() != pool {
+			continue
+		}
+		owned := int(min(load.GetOwnedSlots(), maxReported))
+		busy := owned - z.slots[pool]
+		return owned > 0 && busy*100 < owned*choose.SpillBusyPercent
+	}
+	return false
+}
+
+// Refused notes that a peer didn't run a request, so that it isn't asked again before its next report.
+func (p *Peers) Refused(target *pipe.Peer, pool, team string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if target.CrossesZone {
+		for _, report := range p.zones {
+			if report.load.GetGateway() == target.Name {
+				report.slots[pool] = 0
+			}
+		}
+		return
+	}
+	known, ok := p.peers[target.Name]
+	if !ok || known.load == nil {
+		return
+	}
+	known.barred[poolTeam{pool, team}] = true
+	if target.RightHeld {
+		known.slots[pool] = 0
+	}
+}
--- /dev/null
+++ b/internal/gateway/peerclient/forward.go
@@ -0,0 +1,110 @@
+package peerclient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/gateway/dispatch"
+	"turmericyoke/internal/gateway/pipe"
+)
+
+// Barrer notes peers that didn't run a request.
+type Barrer interface {
+	Refused(peer *pipe.Peer, pool, team string)
+}
+
+// Forwarder runs requests through other gateways. It implements dispatch.Forwarder.
+type Forwarder struct {
+	Barrer
+	pool *Pool
+	now  func() time.Time
+}
+
+// NewForwarder returns a forwarder over the clients of pool.
+func NewForwarder(pool *Pool, barrer Barrer, now func() time.Time) *Forwarder {
+	return &Forwarder{Barrer: barrer, pool: pool, now: now}
+}
+
+// Forward implements dispatch.Forwarder. The call itself is never repeated: it's a POST without an
+// idempotency key, which net/http sends again only when no byte of it was processed.
+func (f *Forwarder) Forward(ctx context.Context, peer *pipe.Peer, r *pipe.Request) dispatch.Forwarded {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	response, err := f.pool.Peer(peer.Address).Forward(ctx, f.request(peer, r))
+	if err != nil {
+		return lost(peer, err, connected.Load())
+	}
+	return settle(r.Out, response)
+}
+
+// lost judges a call without an answer. Without a connection nothing can have reached the peer.
+func lost(peer *pipe.Peer, err error, connected bool) dispatch.Forwarded {
+	var operation *net.OpError
+	dialing := errors.As(err, &operation) && operation.Op == "dial"
+	if !connected || dialing {
+		return dispatch.Forwarded{
+			Outcome: pipe.OutcomeNotRun,
+			Fault:   fault.Wrap(fault.EndpointUnavailable, err, "no connection to gateway %s", peer.Name),
+		}
+	}
+	return dispatch.Forwarded{
+		Outcome: pipe.OutcomeUnknown, Lost: true,
+		Fault: fault.Wrap(fault.OutcomeUnknown, err, "lost contact to gateway %s", peer.Name),
+	}
+}
+
+func (f *Forwarder) request(peer *pipe.Peer, r *pipe.Request) *v1.ForwardRequest {
+	left := max(r.Deadline.Sub(f.now()).Milliseconds(), 1)
+	message := &v1.ForwardRequest{
+		Pool: r.PoolName, Team: r.Team, KeyId: r.KeyID,
+		Method: string(r.In.Header.Method()), Path: r.Path, Body: r.In.Body(),
+		TimeoutMs: uint32(min(left, 1<<31)), Idempotent: r.Idempotent,
+		RightHeld: peer.RightHeld, CrossedZone: r.CrossedZone || peer.CrossesZone, Hops: r.Hops + 1,
+	}
+	for name, value := range r.In.Header.All() {
+		message.Headers = append(message.Headers, &v1.Header{Name: string(name), Value: string(value)})
+	}
+	return message
+}
+
+// settle takes the peer's answer. An answer without a known outcome proves nothing.
+func settle(out *fasthttp.Response, response *v1.ForwardResponse) dispatch.Forwarded {
+	switch response.GetOutcome() {
+	case v1.RequestOutcome_REQUEST_OUTCOME_DONE:
+		fill(out, response)
+		return dispatch.Forwarded{Outcome: pipe.OutcomeDone}
+	case v1.RequestOutcome_REQUEST_OUTCOME_NOT_RUN:
+		return dispatch.Forwarded{Outcome: pipe.OutcomeNotRun, Fault: refusal(response, fault.EndpointUnavailable, true)}
+	}
+	return dispatch.Forwarded{Outcome: pipe.OutcomeUnknown, Fault: refusal(response, fault.OutcomeUnknown, false)}
+}
+
+// refusal returns the peer's kind if it agrees with the outcome, and otherwise the fallback.
+func refusal(response *v1.ForwardResponse, fallback fault.Kind, notRun bool) *fault.Error {
+	kind := fault.Kind(response.GetKind())
+	if kind == fault.Internal || fault.AnswerFor(kind).NotRun != notRun {
+		kind = fallback
+	}
+	return fault.New(kind, "%s", response.GetDetail())
+}
+
+func fill(out *fasthttp.Response, response *v1.ForwardResponse) {
+	out.Reset()
+	out.SetStatusCode(int(response.GetStatus()))
+	for _, header := range response.GetHeaders() {
+		out.Header.Add(header.GetName(), header.GetValue())
+	}
+	out.SetBodyRaw(response.GetBody())
+}
--- /dev/null
+++ b/internal/gateway/server/body.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"turmericyoke/internal/fault"
+)
+
+// readBody reads the whole body into memory, within the bounds for one request and for all of
+// them. It returns the bytes that count against the bound for all.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) (int64, *fault.Error) {
+	length := ctx.Request.Header.ContentLength()
+	if length == 0 || !ctx.Request.IsBodyStream() {
+		return 0, nil
+	}
+	limit := s.config.Limits.BodyBytes
+	if length > limit {
+		return 0, tooLarge(limit)
+	}
+	reserve := int64(length)
+	if length < 0 {
+		reserve = int64(limit)
+	}
+	if s.buffered.Add(reserve) > s.config.Limits.BufferedBytes {
+		return reserve, fault.New(fault.QueueFull, "the bodies of the requests in progress fill the memory for them")
+	}
+	return reserve, s.readStream(ctx, length, limit)
+}
+
+func (s *Server) readStream(ctx *fasthttp.RequestCtx, length, limit int) *fault.Error {
+	body := make([]byte, 0, max(length, 512))
+	stream := io.LimitReader(ctx.RequestBodyStream(), int64(limit)+1)
+	body, err := appendAll(body, stream)
+	if err != nil {
+		return fault.New(fault.RequestInvalid, "the body can't be read: %v", err)
+	}
+	if len(body) > limit {
+		return tooLarge(limit)
+	}
+	if length >= 0 && len(body) != length {
+		return fault.New(fault.RequestInvalid, "body of %d bytes: want the announced %d", len(body), length)
+	}
+	_ = ctx.Request.CloseBodyStream()
+	ctx.Request.SetBodyRaw(body)
+	return nil
+}
+
+// appendAll reads all of stream behind body.
+func appendAll(body []byte, stream io.Reader) ([]byte, error) {
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+func tooLarge(limit int) *fault.Error {
+	return fault.New(fault.RequestTooLarge, "body: want at most %d bytes", limit)
+}
--- /dev/null
+++ b/internal/gateway/server/forward.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/gateway/pipe"
+)
+
+// Forward runs a request of another gateway. A refusal is a response and not an error, since an
+// error of the call means to the sender that the outcome isn't known.
+func (s *Server) Forward(ctx context.Context, message *v1.ForwardRequest) (*v1.ForwardResponse, error) {
+	in, out := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(in)
+	defer fasthttp.ReleaseResponse(out)
+	r := s.received(ctx, message, in, out)
+	s.config.Chain.Run(r)
+	return response(r), nil
+}
+
+func (s *Server) received(ctx context.Context, message *v1.ForwardRequest, in *fasthttp.Request, out *fasthttp.Response) *pipe.Request {
+	now := s.config.Now()
+	for _, header := range message.GetHeaders() {
+		in.Header.Add(header.GetName(), header.GetValue())
+	}
+	in.Header.SetMethod(message.GetMethod())
+	in.SetBodyRaw(message.GetBody())
+	_, number := s.NextID()
+	return &pipe.Request{
+		ID: string(in.Header.Peek(pipe.HeaderRequestID)), Number: number,
+		Arrived: now, Ctx: ctx, In: in, Out: out,
+		PoolName: message.GetPool(), Path: message.GetPath(),
+		Team: message.GetTeam(), KeyID: message.GetKeyId(),
+		Idempotent:  message.GetIdempotent(),
+		Deadline:    now.Add(time.Duration(message.GetTimeoutMs()) * time.Millisecond),
+		Forwarded:   true,
+		RightHeld:   message.GetRightHeld(),
+		CrossedZone: message.GetCrossedZone(),
+		Hops:        max(message.GetHops(), 1),
+	}
+}
+
+func response(r *pipe.Request) *v1.ForwardResponse {
+	if r.Fault != nil {
+		return &v1.ForwardResponse{
+			Outcome: outcomes[r.Outcome], Kind: string(r.Fault.Kind), Detail: r.Fault.Detail,
+		}
+	}
+	message := &v1.ForwardResponse{
+		Outcome: outcomes[r.Outcome],
+		Status:  uint32(r.Out.StatusCode()),
+		Body:    append([]byte(nil), r.Out.Body()...),
+	}
+	for name, value := range r.Out.Header.All() {
+		message.Headers = append(message.Headers, &v1.Header{Name: string(name), Value: string(value)})
+	}
+	return message
+}
+
+var outcomes = map[pipe.Outcome]v1.RequestOutcome{
+	pipe.OutcomeDone:    v1.RequestOutcome_REQUEST_OUTCOME_DONE,
+	pipe.OutcomeNotRun:  v1.RequestOutcome_REQUEST_OUTCOME_NOT_RUN,
+	pipe.OutcomeUnknown: v1.RequestOutcome_REQUEST_OUTCOME_UNKNOWN,
+}
--- /dev/null
+++ b/internal/gateway/viewclient/viewclient.go
@@ -0,0 +1,137 @@
+// Package viewclient follows the fleet state through a controller.
+package viewclient
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/gateway/fleet"
+	"turmericyoke/internal/structs"
+)
+
+// Times of the long poll.
+const (
+	// wait is the long poll's time at the controller. Freshness counts from when the poll was sent,
+	// so that a response that was held up on its way doesn't look fresh; a longer wait would make
+	// it look old.
+	wait = time.Second
+	// callTimeout bounds one poll.
+	callTimeout = wait + 2*time.Second
+	// retryPause is the pause before the next controller is asked.
+	retryPause = 200 * time.Millisecond
+	// homePeriod is the time for which another controller is followed before the gateway's own
+	// controller is tried again.
+	homePeriod = 5 * time.Second
+)
+
+// Controller serves views.
+type Controller interface {
+	View(ctx context.Context, request *v1.ViewRequest) (*v1.ViewResponse, error)
+}
+
+// Source is a controller with its name for logs.
+type Source struct {
+	Name   string
+	Client Controller
+}
+
+// Follower polls one controller at a time.
+type Follower struct {
+	gateway string
+	sources []Source
+	store   *fleet.Store
+	log     *logrus.Entry
+	now     func() time.Time
+
+	// current is the index of the followed source, and leftHome when the first one was given up.
+	current  int
+	leftHome time.Time
+}
+
+// New returns a follower for the named gateway. The first source is the gateway's own controller;
+// the others are used while it doesn't answer.
+func New(gateway string, sources []Source, store *fleet.Store, log *logrus.Entry, now func() time.Time) *Follower {
+	return &Follower{gateway: gateway, sources: sources, store: store, log: log, now: now}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.returnHome()
+		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+			f.log.WithError(err).WithField("controller", f.sources[f.current].Name).Warn("view unavailable")
+			f.moveOn()
+			pause(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+// moveOn follows the next source.
+func (f *Follower) moveOn() {
+	if f.current == 0 {
+		f.leftHome = f.now()
+	}
+	f.current = (f.current + 1) % len(f.sources)
+}
+
+// returnHome goes back to the gateway's own controller after a while.
+func (f *Follower) returnHome() {
+	if f.current != 0 && f.now().Sub(f.leftHome) >= homePeriod {
+		f.current = 0
+	}
+}
+
+// poll asks the followed source once. A source that is behind the gateway is an error, so that
+// another one is tried.
+func (f *Follower) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	known := f.store.Current().View.Offset
+	sentAt := f.now()
+	response, err := f.sources[f.current].Client.View(ctx, &v1.ViewRequest{
+		AfterOffset: known, WaitMs: uint32(wait.Milliseconds()), Gateway: f.gateway,
+	})
+	if err != nil {
+		return err
+	}
+	if response.GetOffset() < known {
+		return fault.New(fault.NotReady, "the controller is at offset %d: want at least %d", response.GetOffset(), known)
+	}
+	return f.adopt(response, sentAt.Add(-age(response.GetFreshnessMs())))
+}
+
+// oldest bounds ages, so that a controller that was never current can't overflow the subtraction.
+const oldest = 365 * 24 * time.Hour
+
+func age(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(oldest.Milliseconds()))) * time.Millisecond
+}
+
+func (f *Follower) adopt(response *v1.ViewResponse, freshAt time.Time) error {
+	if len(response.GetView()) == 0 {
+		f.store.Refresh(response.GetOffset(), freshAt)
+		return nil
+	}
+	view := &structs.View{}
+	if err := json.Unmarshal(response.GetView(), view); err != nil {
+		return fault.Wrap(fault.RecordCorrupt, err, "the view can't be decoded")
+	}
+	f.store.Adopt(view, freshAt)
+	return nil
+}
+
+// pause waits for span or until ctx ends.
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/endpointsvc/endpointsvc.go
@@ -0,0 +1,259 @@
+// Package endpointsvc is a stand-in for the endpoints of the platform. It keeps the contract with
+// gateways, can break it in known ways, and records each run.
+package endpointsvc
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"turmericyoke/internal/netpeek"
+)
+
+// Defaults of an endpoint.
+const (
+	DefaultSlots       = 8
+	DefaultConnections = 64
+)
+
+// Faults are the ways in which an endpoint breaks its contract. The zero value keeps it.
+type Faults struct {
+	// CloseAtByte closes each connection after this many received bytes, if above 0.
+	CloseAtByte int
+	// CutAnswerAt closes the connection after this many sent bytes, if above 0.
+	CutAnswerAt int
+	// Crossed answers with the id of another request.
+	Crossed bool
+	// IgnoreDeadline answers after the deadline.
+	IgnoreDeadline bool
+	// Anonymous answers without the request id.
+	Anonymous bool
+}
+
+// Config sets up an endpoint.
+type Config struct {
+	Slots, Connections int
+	// Work is the time that each run takes.
+	Work time.Duration
+	// Body is the answer's body; without one the answer repeats the request's body.
+	Body []byte
+}
+
+// Endpoint is one endpoint.
+type Endpoint struct {
+	config Config
+	server *fasthttp.Server
+	slots  chan struct{}
+
+	mu       sync.Mutex
+	faults   Faults
+	draining bool
+	// runs counts the runs of each request id.
+	runs map[string]int
+	// refused counts the requests that were answered with X-Not-Run.
+	refused int
+	peak    int
+	running int
+	ended   int
+	// closed counts runs that ended because their connection closed.
+	closed int
+}
+
+// New returns an endpoint that isn't served yet.
+func New(config Config) *Endpoint {
+	if config.Slots == 0 {
+		config.Slots = DefaultSlots
+	}
+	if config.Connections == 0 {
+		config.Connections = DefaultConnections
+	}
+	e := &Endpoint{config: config, slots: make(chan struct{}, config.Slots), runs: map[string]int{}}
+	e.server = &fasthttp.Server{
+		Handler: e.handle, Concurrency: config.Connections,
+		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: silent{},
+	}
+	return e
+}
+
+// silent drops the server's log lines about cut connections.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Serve accepts connections until the listener closes.
+func (e *Endpoint) Serve(listener net.Listener) error {
+	return e.server.Serve(&faultyListener{Listener: listener, endpoint: e})
+}
+
+// Shutdown closes the listener and waits for runs in progress until ctx ends.
+func (e *Endpoint) Shutdown(ctx context.Context) error { return e.server.ShutdownWithContext(ctx) }
+
+// SetFaults switches faults for connections and requests that begin afterwards.
+func (e *Endpoint) SetFaults(faults Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// SetDraining makes the endpoint answer new work with 503 and go on with what runs.
+func (e *Endpoint) SetDraining(draining bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = draining
+}
+
+func (e *Endpoint) handle(ctx *fasthttp.RequestCtx) {
+	faults, draining := e.switches()
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	if !faults.Anonymous {
+		ctx.Response.Header.Set("X-Request-Id", answeredID(id, faults))
+	}
+	if draining {
+		ctx.Response.Header.Set("X-Leaving", "1")
+		e.refuse(ctx)
+		return
+	}
+	select {
+	case e.slots <- struct{}{}:
+	default:
+		e.refuse(ctx)
+		return
+	}
+	defer func() { <-e.slots }()
+	e.run(ctx, id, faults)
+}
+
+func answeredID(id string, faults Faults) string {
+	if faults.Crossed {
+		return "other-" + id
+	}
+	return id
+}
+
+func (e *Endpoint) refuse(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	e.refused++
+	e.mu.Unlock()
+	ctx.Response.Header.Set("X-Not-Run", "1")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+func (e *Endpoint) switches() (Faults, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults, e.draining
+}
+
+func (e *Endpoint) run(ctx *fasthttp.RequestCtx, id string, faults Faults) {
+	e.begin(id)
+	defer e.end()
+	if !e.work(ctx, faults) {
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+		return
+	}
+	if e.config.Body != nil {
+		ctx.SetBody(e.config.Body)
+		return
+	}
+	ctx.SetBody(ctx.Request.Body())
+}
+
+func (e *Endpoint) begin(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[id]++
+	e.running++
+	e.peak = max(e.peak, e.running)
+}
+
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	e.ended++
+}
+
+// lookInterval is how often a run looks whether its connection is still open.
+const lookInterval = 5 * time.Millisecond
+
+// work takes the configured time, and reports whether it came to its end before the deadline and
+// with the connection still open.
+func (e *Endpoint) work(ctx *fasthttp.RequestCtx, faults Faults) bool {
+	if e.config.Work == 0 {
+		return true
+	}
+	done := time.NewTimer(e.config.Work)
+	defer done.Stop()
+	deadline := time.NewTimer(deadlineOf(ctx, faults))
+	defer deadline.Stop()
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	for {
+		select {
+		case <-done.C:
+			return true
+		case <-deadline.C:
+			return false
+		case <-look.C:
+			if netpeek.Look(ctx.Conn()) == netpeek.Closed && !faults.IgnoreDeadline {
+				e.noteClosed()
+				return false
+			}
+		}
+	}
+}
+
+func (e *Endpoint) noteClosed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed++
+}
+
+// longest is the deadline of requests without one.
+const longest = time.Hour
+
+func deadlineOf(ctx *fasthttp.RequestCtx, faults Faults) time.Duration {
+	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek("X-Deadline-Ms")))
+	if err != nil || faults.IgnoreDeadline {
+		return longest
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Stats are the counts of an endpoint since its start.
+type Stats struct {
+	// Runs counts all runs, and Requests those with different ids.
+	Runs, Requests int
+	// MostRuns is the highest number of runs of one request.
+	MostRuns int
+	// Refused counts requests that weren't run.
+	Refused int
+	// Ended counts the runs that came to an end, and Closed those that ended as their connection closed.
+	Ended, Closed int
+	// Peak is the highest number of runs at a time.
+	Peak int
+}
+
+// Stats returns the counts.
+func (e *Endpoint) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stats := Stats{Requests: len(e.runs), Refused: e.refused, Ended: e.ended, Closed: e.closed, Peak: e.peak}
+	for _, count := range e.runs {
+		stats.Runs += count
+		stats.MostRuns = max(stats.MostRuns, count)
+	}
+	return stats
+}
+
+// Runs returns the number of runs of a request.
+func (e *Endpoint) Runs(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
