--- /dev/null
+++ b/internal/standin/platform/faults.go
@@ -0,0 +1,41 @@
+package platform
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"turmericyoke/internal/standin/logsvc"
+)
+
+// setFault sets one switch: POST /faults/log-outage?on=true, /faults/log-delay?span=2s,
+// /faults/log-lose-answers?count=3, /faults/host-dead?host=NAME&on=true,
+// /faults/rack-dead?rack=NAME&on=true, /faults/zone-cut-off?zone=NAME&on=true,
+// /faults/host-list-frozen?on=true.
+func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	on := query.Get("on") != "false"
+	switch r.PathValue("switch") {
+	case "log-outage":
+		p.log.Set(func(f *logsvc.Faults) { f.Outage = on })
+	case "log-delay":
+		span, err := time.ParseDuration(query.Get("span"))
+		if err != nil {
+			http.Error(w, "span: want a span with a unit", http.StatusBadRequest)
+			return
+		}
+		p.log.Set(func(f *logsvc.Faults) { f.Delay = span })
+	case "log-lose-answers":
+		count, err := strconv.Atoi(query.Get("count"))
+		if err != nil {
+			http.Error(w, "count: want a whole number", http.StatusBadRequest)
+			return
+		}
+		p.log.Set(func(f *logsvc.Faults) { f.LoseAnswers = count })
+	default:
+		http.Error(w, "unknown switch", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,86 @@
+// Package platform puts the stand-ins of the platform's services into one process: the log, hosts
+// with their endpoints, and workers.
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/standin/logsvc"
+	"turmericyoke/internal/structs"
+)
+
+// stopTimeout bounds the end of open calls; a long poll of the log may last longer.
+const stopTimeout = time.Second
+
+// Options set the times of the stand-ins.
+type Options struct {
+	// Listen is the IP:port of all services and of the fault switches.
+	Listen string
+	// AppendsPerSecond is the rate beyond which the log refuses appends; 0 removes the bound.
+	AppendsPerSecond int
+	// ListLag is the age of the host list.
+	ListLag time.Duration
+	// RebootTime is how long a reboot takes, and AssignTime a change of pool.
+	RebootTime time.Duration
+	AssignTime time.Duration
+	// WorkTime is how long an endpoint works on one request.
+	WorkTime time.Duration
+}
+
+// Platform is the set of stand-ins.
+type Platform struct {
+	options   Options
+	log       *logsvc.Log
+	endpoints *endpoints
+}
+
+// New returns the stand-ins for the hosts of a document.
+func New(options Options, hosts []structs.Host) *Platform {
+	p := &Platform{options: options, log: logsvc.New(), endpoints: newEndpoints(hosts, options.WorkTime)}
+	p.log.SetRate(options.AppendsPerSecond)
+	return p
+}
+
+// Handler serves all services and the fault switches.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(turmericyokev1connect.NewLogServiceHandler(p.log))
+	mux.HandleFunc("POST /faults/{switch}", p.setFault)
+	return mux
+}
+
+// Run serves until ctx ends.
+func (p *Platform) Run(ctx context.Context) error {
+	if err := p.endpoints.startAll(); err != nil {
+		return err
+	}
+	defer p.endpoints.stopAll()
+	listener, err := net.Listen("tcp", p.options.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: stopTimeout}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if server.Shutdown(stopCtx) != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
