Prove at-most-once, slots, share and exchange by tests, and add the gateway binary

Cause: outcomes, ownership and the exchange were not proved, and nothing started a gateway. Change: add fault tests that close the endpoint's connection at each byte of request, answer and forwarded call; differential tests of the pick by share, of slot ownership and of the endpoint table; tests of the exchange, the view client, admission, header handling and shutdown. Add cmd/gateway with its settings. The binary admits nothing until lease and rights are wired in.

--- /dev/null
+++ b/cmd/gateway/main_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/settings"
+	"turmericyoke/internal/structs"
+)
+
+// Guards the settings check: each broken rule is named, and nothing starts.
+func TestCheckConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway.yaml")
+	text := "name: g1\nzone: z1\nlisten: 127.0.0.1:1\npeerListen: 127.0.0.1:2\noperatorListen: %s\ncontrollers: [127.0.0.1:4]\n"
+	for operator, want := range map[string]string{"127.0.0.1:3": "", "localhost:3": "operatorListen"} {
+		assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, text, operator), 0o600))
+		cmd := command()
+		var out bytes.Buffer
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs([]string{"--config", path, "--check-config"})
+		err := cmd.Execute()
+		if want == "" {
+			assert.NilError(t, err)
+			assert.Equal(t, out.String(), "settings are valid\n")
+			continue
+		}
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+// Guards the start and the end of the process: it isn't ready without a view and a lease, profiles
+// are only on the operators' address, and a signal ends it.
+func TestStartAndStop(t *testing.T) {
+	config := settings.DefaultGateway()
+	config.Name, config.Zone = "g1", "z1"
+	config.Listen, config.PeerListen, config.OperatorListen = free(t), free(t), free(t)
+	config.Controllers = []string{free(t)}
+	config.Timeouts.Drain = structs.Duration(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	var out bytes.Buffer
+	p := newProcess(config, &out)
+	assert.NilError(t, p.listen())
+	go func() { done <- p.run(ctx) }()
+	status := func(address, path string) int {
+		response, err := http.Get("http://" + address + path)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	assert.Equal(t, status(config.OperatorListen, "/healthz"), http.StatusOK)
+	assert.Equal(t, status(config.OperatorListen, "/readyz"), http.StatusServiceUnavailable)
+	assert.Equal(t, status(config.OperatorListen, "/metrics"), http.StatusOK)
+	assert.Equal(t, status(config.OperatorListen, "/debug/pprof/"), http.StatusOK)
+	assert.Equal(t, status(config.Listen, "/debug/pprof/"), http.StatusUnauthorized)
+	cancel()
+	assert.NilError(t, <-done)
+}
+
+// free returns a loopback address that nobody listens on.
+func free(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- a/internal/gateway/bed_test.go
+++ b/internal/gateway/bed_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -191,11 +193,27 @@
 }
 
 // publish gives the view to all gateways.
-func (b *bed) publish() {
+func (b *bed) publish() { b.publishAt(time.Now()) }
+
+// publishAt gives the view, as known to be current at freshAt.
+func (b *bed) publishAt(freshAt time.Time) {
 	b.view.Offset++
 	for _, n := range b.nodes {
 		view := b.view
-		n.store.Adopt(&view, time.Now())
+		view.Teams = slices.Clone(view.Teams)
+		view.Keys = slices.Clone(view.Keys)
+		view.Endpoints = slices.Clone(view.Endpoints)
+		view.Gateways = slices.Clone(view.Gateways)
+		n.store.Adopt(&view, freshAt)
+	}
+}
+
+// onRun closes full once count runs have begun.
+func onRun(running *atomic.Int32, count int32, full chan struct{}) func(*fasthttp.RequestCtx) {
+	return func(*fasthttp.RequestCtx) {
+		if running.Add(1) == count {
+			close(full)
+		}
 	}
 }
 
@@ -207,6 +225,9 @@
 	body              string
 }
 
+// callers sends what the test says, once.
+var callers = fasthttp.Client{DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1}
+
 // call sends one request with key a to the gateway.
 func call(t testing.TB, n *node, method, path, body string, headers ...string) answer {
 	req, out := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -222,7 +243,7 @@
 			req.Header.Del(headers[i])
 		}
 	}
-	assert.NilError(t, fasthttp.Do(req, out))
+	assert.NilError(t, callers.Do(req, out))
 	return answer{
 		status: out.StatusCode(), body: string(out.Body()),
 		id: string(out.Header.Peek("X-Request-Id")), outcome: string(out.Header.Peek("X-Outcome")),
--- a/internal/gateway/choose/choose.go
+++ b/internal/gateway/choose/choose.go
@@ -37,9 +37,17 @@
 	Spill(pool string) *pipe.Peer
 }
 
+// Slots are the slots of endpoints that this gateway owns.
+type Slots interface {
+	// Take takes a free slot of the pool on another host than avoid, or returns nil.
+	Take(pool, avoid string) pipe.Slot
+	// Room returns the slots of the pool.
+	Room(pool string) endpoints.Room
+}
+
 // Chooser places requests. It implements queue.Placer.
 type Chooser struct {
-	table  *endpoints.Table
+	slots  Slots
 	rights rights.Source
 	peers  Peers
 
@@ -49,8 +57,8 @@
 }
 
 // New returns a chooser.
-func New(table *endpoints.Table, source rights.Source, peers Peers) *Chooser {
-	return &Chooser{table: table, rights: source, peers: peers, crossed: map[string]int{}}
+func New(slots Slots, source rights.Source, peers Peers) *Chooser {
+	return &Chooser{slots: slots, rights: source, peers: peers, crossed: map[string]int{}}
 }
 
 // Place implements queue.Placer.
@@ -63,7 +71,7 @@
 	if err != nil {
 		return c.placeWithoutRight(r, err)
 	}
-	if slot := c.table.Take(r.PoolName, r.Avoid); slot != nil {
+	if slot := c.slots.Take(r.PoolName, r.Avoid); slot != nil {
 		r.Placement = pipe.Placement{Slot: slot, ReleaseRight: release}
 		return queue.Placed
 	}
@@ -80,7 +88,7 @@
 	if r.CrossedZone && !c.admitCrossed(r.PoolName) {
 		return queue.NoSlot
 	}
-	slot := c.table.Take(r.PoolName, r.Avoid)
+	slot := c.slots.Take(r.PoolName, r.Avoid)
 	if slot == nil {
 		c.endCrossed(r)
 		return queue.NoSlot
@@ -91,7 +99,7 @@
 
 // admitCrossed counts one more request from another zone if the bounds permit it.
 func (c *Chooser) admitCrossed(pool string) bool {
-	room := c.table.Room(pool)
+	room := c.slots.Room(pool)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	busy := room.Owned - room.Free
--- a/internal/gateway/dispatch/dispatch.go
+++ b/internal/gateway/dispatch/dispatch.go
@@ -33,6 +33,14 @@
 	Ended(r *pipe.Request)
 }
 
+// Endpoints takes what attempts show about endpoints.
+type Endpoints interface {
+	// Learn notes a lesson about the slot's endpoint.
+	Learn(slot pipe.Slot, lesson endpoints.Lesson)
+	// Usable returns the number of endpoints of the pool that take new work, besides the host avoid.
+	Usable(pool, avoid string) int
+}
+
 // Forwarder runs requests through other gateways.
 type Forwarder interface {
 	// Forward sends r to peer and sets r.Out when the outcome is done.
@@ -53,14 +61,14 @@
 type Filter struct {
 	queue   Queue
 	ended   func(r *pipe.Request)
-	table   *endpoints.Table
+	table   Endpoints
 	forward Forwarder
 	now     func() time.Time
 	budget  *budget
 }
 
 // New returns the filter. ended is told of each placed request that no longer runs.
-func New(queue Queue, ended func(*pipe.Request), table *endpoints.Table, forward Forwarder, now func() time.Time) *Filter {
+func New(queue Queue, ended func(*pipe.Request), table Endpoints, forward Forwarder, now func() time.Time) *Filter {
 	return &Filter{queue: queue, ended: ended, table: table, forward: forward, now: now, budget: newBudget()}
 }
 
--- /dev/null
+++ b/internal/gateway/exchange/exchange_test.go
@@ -0,0 +1,183 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/gateway/fleet"
+	"turmericyoke/internal/structs"
+)
+
+// lease notes what it is told.
+type lease struct {
+	mu        sync.Mutex
+	renewedAt map[string]time.Time
+	vowed     map[string]bool
+}
+
+func (l *lease) Renewed(peer, _ string, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.renewedAt[peer] = sentAt
+}
+
+func (l *lease) Heard(string, string)           {}
+func (l *lease) MayRenew(holder, _ string) bool { return !l.vowed[holder] }
+func (l *lease) Vow(string, string) *v1.Vow     { return nil }
+func (l *lease) Copy(string) *v1.RefusalBatch   { return nil }
+func (l *lease) Keep(*v1.RefusalBatch)          {}
+
+// wire is a call to another gateway that takes a while, or none at all.
+type wire struct {
+	turmericyokev1connect.PeerServiceClient
+	to    *Exchange
+	delay time.Duration
+	down  *bool
+}
+
+func (w wire) Exchange(ctx context.Context, request *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
+	time.Sleep(w.delay)
+	if *w.down {
+		return nil, context.DeadlineExceeded
+	}
+	return w.to.Exchange(ctx, proto.Clone(request).(*v1.ExchangeRequest))
+}
+
+// gateways are exchanges that call each other directly.
+type gateways struct {
+	exchanges map[string]*Exchange
+	peers     map[string]*Peers
+	leases    map[string]*lease
+	loads     map[string]*v1.GatewayLoad
+	down      bool
+}
+
+// newGateways returns gateways named zone-number in the zones.
+func newGateways(zones map[string]int) *gateways {
+	g := &gateways{
+		exchanges: map[string]*Exchange{}, peers: map[string]*Peers{}, leases: map[string]*lease{},
+		loads: map[string]*v1.GatewayLoad{},
+	}
+	view := &structs.View{Offset: 1, Teams: []structs.Team{{Name: "a", Share: 1}, {Name: "b", Share: 1}}}
+	for zone, count := range zones {
+		for i := range count {
+			name := fmt.Sprintf("%s-%d", zone, i)
+			view.Gateways = append(view.Gateways, structs.GatewayEntry{Name: name, Incarnation: name, Zone: zone, Address: name})
+		}
+	}
+	for i, entry := range view.Gateways {
+		g.add(entry, uint64(i))
+		g.peers[entry.Name].Adopt(fleet.NewSnapshot(view, time.Time{}))
+	}
+	return g
+}
+
+func (g *gateways) add(entry structs.GatewayEntry, seed uint64) {
+	name := entry.Name
+	var region []string
+	for _, zone := range []string{"z1", "z2"} {
+		if zone != entry.Zone {
+			region = append(region, zone)
+		}
+	}
+	g.peers[name] = NewPeers(name, entry.Zone, region, seed, time.Now)
+	g.leases[name] = &lease{renewedAt: map[string]time.Time{}, vowed: map[string]bool{}}
+	g.loads[name] = &v1.GatewayLoad{}
+	g.exchanges[name] = New(Config{
+		Self: name, Incarnation: name, Zone: entry.Zone, Peers: g.peers[name],
+		Load: func() *v1.GatewayLoad { return proto.Clone(g.loads[name]).(*v1.GatewayLoad) },
+		Client: func(address string) turmericyokev1connect.PeerServiceClient {
+			return wire{to: g.exchanges[address], delay: time.Millisecond, down: &g.down}
+		},
+		Lease: g.leases[name], Pending: g.leases[name], Now: time.Now,
+		Learn:   func(*v1.GatewayLoad, time.Time) {},
+		Changed: func([]string) {},
+	})
+}
+
+// run runs all exchanges for the span of fake time.
+func (g *gateways) run(span time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	done := make(chan error, len(g.exchanges))
+	for _, e := range g.exchanges {
+		go func() { done <- e.Run(ctx) }()
+	}
+	for range g.exchanges {
+		<-done
+	}
+}
+
+// Guards the lease against renewal by fewer answers than it needs: both sides of a pair are
+// renewed, never from a time after the message was sent, and not by a member that vowed.
+func TestBothSidesRenewTheirLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateways(map[string]int{"z1": 3, "z2": 1})
+		g.leases["z1-2"].vowed["z1-0"] = true
+		start := time.Now()
+		g.run(5 * time.Second)
+		for _, pair := range [][2]string{{"z1-0", "z1-1"}, {"z1-1", "z1-0"}, {"z1-1", "z1-2"}, {"z1-2", "z1-1"}} {
+			at := g.leases[pair[0]].renewedAt[pair[1]]
+			assert.Assert(t, at.After(start.Add(3*time.Second)) && !at.After(time.Now()), "%v", pair)
+		}
+		assert.Assert(t, g.leases["z1-0"].renewedAt["z1-2"].IsZero(), "renewed by a member that vowed")
+		assert.Assert(t, g.leases["z1-0"].renewedAt["z2-0"].IsZero(), "renewed by another zone")
+		assert.Equal(t, len(g.peers["z1-0"].Members()), 3)
+
+		g.down = true
+		last := g.leases["z1-1"].renewedAt["z1-0"]
+		g.run(5 * time.Second)
+		assert.Equal(t, g.leases["z1-1"].renewedAt["z1-0"], last, "renewed without an answer")
+		assert.DeepEqual(t, g.peers["z1-1"].Members(), []string{"z1-1"})
+	})
+}
+
+// Guards the counts that the queue picks by: each running request in the region counts once.
+func TestRunningElsewhereCountsTheRegionOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateways(map[string]int{"z1": 3, "z2": 3})
+		for name := range g.loads {
+			g.loads[name].Teams = []*v1.TeamLoad{{Pool: "desk", Team: "a", Running: 5}}
+		}
+		g.run(10 * time.Second)
+		for name, peers := range g.peers {
+			assert.Equal(t, peers.RunningElsewhere("desk", "a"), uint64(25), name)
+		}
+	})
+}
+
+// Guards the bounds of spill, and that a peer which refused isn't asked again before its next report.
+func TestPicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateways(map[string]int{"z1": 2, "z2": 1})
+		g.loads["z2-0"].Pools = []*v1.PoolLoad{{Pool: "desk", OwnedSlots: 10, FreeSlots: 5}, {Pool: "full", OwnedSlots: 10, FreeSlots: 3}}
+		g.loads["z1-1"].Pools = []*v1.PoolLoad{{Pool: "desk", OwnedSlots: 8, FreeSlots: 2}}
+		g.loads["z1-1"].Teams = []*v1.TeamLoad{{Pool: "desk", Team: "b", Running: 6}}
+		g.loads["z1-1"].Rights = []*v1.RightsLoad{{Team: "a", Free: 3}}
+		g.run(5 * time.Second)
+		peers := g.peers["z1-0"]
+		assert.Assert(t, peers.Spill("full") == nil, "70% busy")
+		assert.Assert(t, peers.Spill("desk").CrossesZone)
+		assert.Assert(t, peers.Spill("desk") != nil)
+		assert.Assert(t, peers.Spill("desk") == nil, "7 of 10 expected busy")
+
+		assert.Equal(t, peers.AboveShare("desk", "a").Name, "z1-1")
+		assert.Assert(t, peers.AboveShare("desk", "b") == nil)
+		first := peers.WithSlot("desk")
+		first.RightHeld = true
+		peers.Refused(first, "desk", "a")
+		assert.Assert(t, peers.WithSlot("desk") == nil)
+		assert.Assert(t, peers.WithRight("a", "desk") == nil)
+		g.run(2 * time.Second)
+		assert.Assert(t, peers.WithSlot("desk") != nil && peers.WithRight("a", "desk") != nil)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,13 +65,17 @@
 	account  *account.Filter
 	server   *server.Server
 	exchange *exchange.Exchange
+	// members counts the gateways that own slots, and changed is closed when that number changes.
+	mu      sync.Mutex
+	members int
+	changed chan struct{}
 	// draining is set once the gateway leaves; closing once it takes no new requests.
 	draining, closing atomic.Bool
 }
 
 // New returns a gateway that doesn't run yet.
 func New(config Config) *Gateway {
-	g := &Gateway{config: config}
+	g := &Gateway{config: config, members: 1, changed: make(chan struct{})}
 	g.peers = exchange.NewPeers(config.Name, config.Zone, config.Region, config.Seed, config.Now)
 	g.table = endpoints.New(endpoints.Config{
 		Self: config.Name, Zone: config.Zone, Limits: config.Endpoints,
@@ -101,7 +106,7 @@
 		Self: g.config.Name, Incarnation: g.config.Incarnation, Zone: g.config.Zone,
 		Peers: g.peers, Load: g.load, Client: clients.Peer,
 		Lease: g.config.Lease, Pending: g.config.Pending,
-		Learn: g.learn, Changed: g.table.SetMembers, Now: g.config.Now,
+		Learn: g.learn, Changed: g.setMembers, Now: g.config.Now,
 	})
 }
 
@@ -110,6 +115,33 @@
 	g.table.Adopt(snapshot)
 }
 
+func (g *Gateway) setMembers(members []string) {
+	g.table.SetMembers(members)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(members) != g.members {
+		g.members = len(members)
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
+}
+
+// AwaitMembers waits until count gateways own the slots of the zone, or ctx ends.
+func (g *Gateway) AwaitMembers(ctx context.Context, count int) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		members, changed := g.members, g.changed
+		g.mu.Unlock()
+		if members == count {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Run runs the exchange, the queue and the watch of callers until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -129,6 +161,9 @@
 	g.peers.SetDraining()
 }
 
+// Draining reports whether the gateway leaves.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
 // Shutdown refuses new requests, stops accepting, and waits until no request is in progress or ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
--- a/internal/standin/endpointsvc/conn.go
+++ b/internal/standin/endpointsvc/conn.go
@@ -18,9 +18,29 @@
 	if err != nil {
 		return nil, err
 	}
+	l.endpoint.noteAccepted()
 	return &faultyConn{Conn: conn, endpoint: l.endpoint}, nil
 }
 
+func (e *Endpoint) noteAccepted() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accepted++
+}
+
+func (e *Endpoint) noteReceived(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received += count
+}
+
+// Received returns the bytes that all connections received.
+func (e *Endpoint) Received() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
 // faultyConn counts the bytes of one connection.
 type faultyConn struct {
 	net.Conn
@@ -28,26 +48,24 @@
 	received, sent int
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The fault is looked up after the bytes arrived, since a kept
+// connection already waits for them when the fault is switched on.
 func (c *faultyConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
 	faults, _ := c.endpoint.switches()
-	if faults.CloseAtByte > 0 {
-		left := faults.CloseAtByte - c.received
-		if left <= 0 {
-			_ = c.Conn.Close()
-			return 0, io.EOF
-		}
-		b = b[:min(len(b), left)]
+	if left := faults.CloseAtByte - c.received; faults.CloseAtByte > 0 && n >= left {
+		_ = c.Conn.Close()
+		n, err = max(left, 0), io.EOF
 	}
-	n, err := c.Conn.Read(b)
 	c.received += n
+	c.endpoint.noteReceived(n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *faultyConn) Write(b []byte) (int, error) {
 	faults, _ := c.endpoint.switches()
-	if faults.CutAnswerAt > 0 {
+	if faults.CutAnswer {
 		left := max(faults.CutAnswerAt-c.sent, 0)
 		if left < len(b) {
 			n, _ := c.Conn.Write(b[:left])
--- a/internal/standin/endpointsvc/endpointsvc.go
+++ b/internal/standin/endpointsvc/endpointsvc.go
@@ -24,7 +24,8 @@
 type Faults struct {
 	// CloseAtByte closes each connection after this many received bytes, if above 0.
 	CloseAtByte int
-	// CutAnswerAt closes the connection after this many sent bytes, if above 0.
+	// CutAnswer closes each connection after CutAnswerAt sent bytes.
+	CutAnswer   bool
 	CutAnswerAt int
 	// Crossed answers with the id of another request.
 	Crossed bool
@@ -41,6 +42,10 @@
 	Work time.Duration
 	// Body is the answer's body; without one the answer repeats the request's body.
 	Body []byte
+	// OnRun is called at the start of each run with its request.
+	OnRun func(ctx *fasthttp.RequestCtx)
+	// OnClosed is called when a run ends because its connection closed.
+	OnClosed func()
 }
 
 // Endpoint is one endpoint.
@@ -61,6 +66,9 @@
 	ended   int
 	// closed counts runs that ended because their connection closed.
 	closed int
+	// accepted counts connections.
+	accepted int
+	received int
 }
 
 // New returns an endpoint that isn't served yet.
@@ -152,6 +160,9 @@
 func (e *Endpoint) run(ctx *fasthttp.RequestCtx, id string, faults Faults) {
 	e.begin(id)
 	defer e.end()
+	if e.config.OnRun != nil {
+		e.config.OnRun(ctx)
+	}
 	if !e.work(ctx, faults) {
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 		return
@@ -210,8 +221,11 @@
 
 func (e *Endpoint) noteClosed() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.closed++
+	e.mu.Unlock()
+	if e.config.OnClosed != nil {
+		e.config.OnClosed()
+	}
 }
 
 // longest is the deadline of requests without one.
@@ -237,13 +251,15 @@
 	Ended, Closed int
 	// Peak is the highest number of runs at a time.
 	Peak int
+	// Accepted counts the connections.
+	Accepted int
 }
 
 // Stats returns the counts.
 func (e *Endpoint) Stats() Stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	stats := Stats{Requests: len(e.runs), Refused: e.refused, Ended: e.ended, Closed: e.closed, Peak: e.peak}
+	stats := Stats{Requests: len(e.runs), Refused: e.refused, Ended: e.ended, Closed: e.closed, Peak: e.peak, Accepted: e.accepted}
 	for _, count := range e.runs {
 		stats.Runs += count
 		stats.MostRuns = max(stats.MostRuns, count)
