--- a/internal/gateway/exchange/peers.go
+++ b/internal/gateway/exchange/peers.go
@@ -36,8 +36,8 @@
 	rights map[string]int
 	// barred holds what the peer refused since its last report.
 	barred map[poolTeam]bool
-	// queuedThere counts the requests that were forwarded to wait at the peer since its last report.
-	queuedThere int
+	// sent counts the forwarded requests in progress that may wait in the peer's queue.
+	sent map[poolTeam]int
 }
 
 // zoneReport is what another zone of the region reports.
@@ -107,7 +107,7 @@
 // keepPeer returns the peer for entry, with its last report unless it has restarted.
 func keepPeer(old *peer, entry structs.GatewayEntry) *peer {
 	if old == nil || old.entry.Incarnation != entry.Incarnation {
-		old = &peer{}
+		old = &peer{sent: map[poolTeam]int{}}
 	}
 	next := *old
 	next.entry = entry
@@ -133,7 +133,6 @@
 	known.slots = freeSlots(load)
 	known.rights = freeRights(load)
 	known.barred = map[poolTeam]bool{}
-	known.queuedThere = 0
 	p.rebuild()
 	return true
 }
--- a/internal/gateway/exchange/pick.go
+++ b/internal/gateway/exchange/pick.go
@@ -8,9 +8,9 @@
 	"turmericyoke/internal/gateway/pipe"
 )
 
-// queuedShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
-// there between two of its reports. More would only move the queue from one gateway to another.
-const queuedShare = 4
+// sentShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
+// there at a time. More would only move the queue from one gateway to another.
+const sentShare = 2
 
 // candidates returns the audible peers that fit, in order of name so that picks are reproducible.
 func (p *Peers) candidates(fits func(*peer) bool) []*peer {
@@ -71,7 +71,38 @@
 		return nil
 	}
 	best.rights[team]--
-	return best.target()
+	return best.send(subject)
+}
+
+// send returns the peer as the target of a request that may wait there.
+func (known *peer) send(subject poolTeam) *pipe.Peer {
+	known.sent[subject]++
+	target := known.target()
+	target.Waits = true
+	return target
+}
+
+// Ended notes that a forwarded request is no longer in progress.
+func (p *Peers) Ended(target *pipe.Peer, pool, team string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[target.Name]
+	if !target.Waits || !ok {
+		return
+	}
+	subject := poolTeam{pool, team}
+	if known.sent[subject]--; known.sent[subject] <= 0 {
+		delete(known.sent, subject)
+	}
+}
+
+// sentFor counts the requests of the team that wait at peers.
+func (p *Peers) sentFor(subject poolTeam) uint64 {
+	total := 0
+	for _, known := range p.peers {
+		total += known.sent[subject]
+	}
+	return uint64(total)
 }
 
 // holder picks a peer that holds rights of a team of which this gateway holds none. All rights of
@@ -88,11 +119,17 @@
 	}), held)
 }
 
-// mayQueue counts one more request that is sent to wait at the peer.
+// mayQueue reports whether one more request may be sent to wait at the peer.
 func (known *peer) mayQueue(pool string) bool {
+	sent := 0
+	for subject, count := range known.sent {
+		if subject.pool == pool {
+			sent += count
+		}
+	}
 	for _, load := range known.load.GetPools() {
 		if load.GetPool() == pool {
-			return known.queuedThere < max(int(min(load.GetOwnedSlots(), maxReported))/queuedShare, 1)
+			return sent < max(int(min(load.GetOwnedSlots(), maxReported))/sentShare, 1)
 		}
 	}
 	return false
@@ -111,15 +148,14 @@
 	if best == nil {
 		return nil
 	}
-	best.queuedThere++
 	best.rights[team]--
-	return best.target()
+	return best.send(subject)
 }
 
 // excess counts the slots of the peer that run teams which stay at or above the usage of the
 // subject's team when one slot changes over to it.
 func (p *Peers) excess(known *peer, subject poolTeam) int {
-	mine := p.usage(subject) + 1
+	mine := p.usage(subject) + p.sentFor(subject) + 1
 	share := p.share(subject.team)
 	count := 0
 	for _, load := range known.load.GetTeams() {
@@ -185,19 +221,44 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if target.CrossesZone {
-		for _, report := range p.zones {
-			if report.load.GetGateway() == target.Name {
-				report.slots[pool] = 0
-			}
-		}
+		p.closeZone(target.Name, pool)
 		return
 	}
 	known, ok := p.peers[target.Name]
 	if !ok || known.load == nil {
 		return
 	}
-	known.barred[poolTeam{pool, team}] = true
 	if target.RightHeld {
 		known.slots[pool] = 0
+		return
+	}
+	known.barred[poolTeam{pool, team}] = true
+}
+
+// closeZone stops spill to the zone of the gateway until its next report.
+func (p *Peers) closeZone(gateway, pool string) {
+	for zone, report := range p.zones {
+		for _, entry := range p.remote[zone] {
+			if entry.Name == gateway {
+				report.slots[pool] = 0
+			}
+		}
+	}
+}
+
+// Told takes what a peer had free when it ended a forwarded request. Requests are shorter than the
+// interval of the exchange, so without it slots that became free at the peer would stay idle until
+// its next report.
+func (p *Peers) Told(target *pipe.Peer, pool, team string, slots, rights uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[target.Name]
+	if !ok || known.load == nil {
+		return
+	}
+	known.slots[pool] = int(min(slots, maxReported))
+	known.rights[team] = int(min(rights, maxReported))
+	if slots > 0 && rights > 0 {
+		delete(known.barred, poolTeam{pool, team})
 	}
 }
