--- a/internal/standin/platform/endpoints.go
+++ b/internal/standin/platform/endpoints.go
@@ -91,7 +91,7 @@
 	if endpoint == nil {
 		return 0
 	}
-	return uint64(endpoint.Stats().Running)
+	return uint64(endpoint.Running())
 }
 
 // stopAll ends all endpoints.
