Find the verdict on a change set by the start of its subject

Cause: the subject of a change set names its objects after the id, so a lost answer wasn't settled. Change: the client compares the start of the subject; the stand-in has subjects of the same form. Conclusion: apply and the console settle a lost answer against a real controller's verdicts.

--- a/internal/adminclient/publish.go
+++ b/internal/adminclient/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
@@ -66,7 +67,8 @@
 		return 0, cause
 	}
 	for _, verdict := range verdicts {
-		if verdict.Accepted && verdict.Subject == publication.ChangeSet.GetId() {
+		// The subject of a change set starts with its id, which is random and unique.
+		if verdict.Accepted && strings.HasPrefix(verdict.Subject, publication.ChangeSet.GetId()) {
 			return verdict.ConfigVersion, nil
 		}
 	}
--- a/internal/standin/controllersvc/controller.go
+++ b/internal/standin/controllersvc/controller.go
@@ -118,7 +118,7 @@
 	}
 	c.status = structs.DocumentStatus{Version: c.status.Version + 1, Document: *next}
 	c.verdicts = append(c.verdicts, structs.VerdictStatus{
-		Payload: "change_set", Subject: changeSet.GetId(), Author: author,
+		Payload: "change_set", Subject: changeSet.GetId() + ", and more", Author: author,
 		Accepted: true, ConfigVersion: c.status.Version,
 	})
 	if c.loseAnswer {
