--- /dev/null
+++ b/internal/placement/cache_test.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+)
+
+// Guards against sums of usage that drift from the running jobs, and against snapshots that change
+// after they were taken or show jobs that were removed.
+func TestCacheAndQueueAgreeWithRescan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := Source{Queue: NewQueue(), Cache: NewCache(), Health: NewHealth(), Teams: []Team{{"a", 1, 9}, {"b", 2, 9}}}
+		source.Cache.SetWorkers([]WorkerSpec{{"w0", "p", Vector{8000, 8000, 1}}, {"w1", "p", Vector{8000, 8000, 1}}})
+		waiting := map[string]bool{}
+		var old *Snapshot
+		var oldJobs string
+		now := testNow
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			id := fmt.Sprintf("j%d", rapid.IntRange(0, 5).Draw(t, "job"))
+			team := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team")
+			size := Vector{rapid.Int64Range(0, 4000).Draw(t, "cpu"), rapid.Int64Range(1, 4000).Draw(t, "mem"), rapid.Int64Range(0, 1).Draw(t, "acc")}
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				source.Queue.Put(Lane{"p", team, v1.JobClass_JOB_CLASS_BATCH}, &Waiting{Job: id, SubmitOffset: rapid.Int64Range(0, 20).Draw(t, "offset")})
+				waiting[id] = true
+			case 1:
+				source.Queue.Remove(id)
+				delete(waiting, id)
+			case 2:
+				source.Cache.Run(Task{Job: id, Attempt: rapid.Uint32Range(1, 2).Draw(t, "attempt"), Team: team, Pool: "p", Worker: rapid.SampledFrom([]string{"w0", "w1"}).Draw(t, "worker"), Declared: size}, now)
+			case 3:
+				source.Cache.End(id)
+			case 4:
+				source.Cache.Report(id, 1, size, now)
+			case 5:
+				source.Cache.Throttle(id, rapid.Bool().Draw(t, "throttled"))
+			case 6:
+				old = source.Snapshot(now, []string{"p"})
+				oldJobs = fmt.Sprint(jobsOf(old))
+			}
+			if old != nil {
+				assert.Equal(t, fmt.Sprint(jobsOf(old)), oldJobs)
+			}
+		}
+		used, teams := map[string]Vector{}, map[usage]Vector{}
+		for _, task := range source.Cache.tasks {
+			used[task.Worker] = used[task.Worker].Plus(task.counted())
+			teams[usage{"p", task.Team}] = teams[usage{"p", task.Team}].Plus(task.counted())
+			assert.Assert(t, task.counted()[Accelerators] >= task.Declared[Accelerators])
+		}
+		for _, name := range []string{"w0", "w1"} {
+			assert.Equal(t, source.Cache.workers[name].used, used[name])
+		}
+		for _, team := range []string{"a", "b"} {
+			assert.Equal(t, source.Cache.used[usage{"p", team}], teams[usage{"p", team}])
+		}
+		found := jobsOf(source.Snapshot(now, []string{"p"}))
+		assert.Equal(t, len(found), len(waiting))
+		for _, id := range found {
+			assert.Assert(t, waiting[id])
+		}
+	})
+}
+
+func jobsOf(s *Snapshot) []string {
+	var jobs []string
+	for _, bucket := range s.Pools[0].Buckets {
+		for _, job := range bucket.Jobs {
+			jobs = append(jobs, job.Job)
+		}
+	}
+	return jobs
+}
+
+// Guards against decisions on declared sizes that are far off.
+func TestSizesFollowReports(t *testing.T) {
+	cache := NewCache()
+	cache.SetWorkers([]WorkerSpec{{"w0", "p", Vector{64000, 64000, 0}}})
+	cache.Run(Task{Job: "j", Attempt: 1, Team: "a", Pool: "p", Worker: "w0", Declared: Vector{1000, 1000, 0}}, testNow)
+	cache.Report("j", 1, Vector{8000, 100, 0}, testNow.Add(ramp))
+	task, _ := cache.Task("j")
+	assert.Assert(t, task.size[CPU] >= 9200 && task.size[Memory] < 200, "%v", task.size)
+	estimate := cache.ratio("p", "a").Estimate(Vector{1000, 1000, 0})
+	assert.Assert(t, estimate[CPU] > 4000 && estimate[Memory] > 1000, "raised at once, lowered slowly: %v", estimate)
+}
+
+// Guards against a worker that swallows jobs by failing them fast, and against bad jobs that
+// condemn good workers.
+func TestQuarantine(t *testing.T) {
+	h, now := NewHealth(), testNow
+	for i := range 10 {
+		h.Succeeded(fmt.Sprintf("good%d", i), now)
+		h.Succeeded(fmt.Sprintf("good%d", i), now)
+	}
+	for i := range 20 {
+		bad := fmt.Sprintf("bad-job-%d", i)
+		for j := range 3 {
+			h.Failed(fmt.Sprintf("good%d", (i+j)%10), bad, now)
+		}
+	}
+	for i := range 10 {
+		assert.Assert(t, !h.Quarantined(fmt.Sprintf("good%d", i), now))
+	}
+	for i := range 3 {
+		assert.Assert(t, h.Limit("hole", now) > 0)
+		h.Failed("hole", fmt.Sprintf("job-%d", i), now)
+	}
+	assert.Equal(t, h.Limit("hole", now), 0)
+	now = now.Add(firstQuarantine)
+	assert.Equal(t, h.Limit("hole", now), 1)
+	h.Started("hole", now)
+	assert.Equal(t, h.Limit("hole", now), 0)
+	h.Failed("hole", "job-9", now)
+	assert.Assert(t, h.Quarantined("hole", now.Add(firstQuarantine)), "the second span is longer")
+	now = now.Add(2 * firstQuarantine)
+	h.Started("hole", now)
+	h.Succeeded("hole", now)
+	assert.Assert(t, h.Limit("hole", now) > 0)
+}
+
+// BenchmarkCycle measures a snapshot and plan of a full fleet, and BenchmarkCancelWave the removal
+// of 10,000 waiting jobs with the next snapshot.
+func BenchmarkCycle(b *testing.B) {
+	for _, scale := range []int{1, 2, 4} {
+		workers := 700 * scale
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", workers, 10*workers), func(b *testing.B) {
+			source, pools := loadedFleet(workers, 10*workers)
+			for b.Loop() {
+				Compute(source.Snapshot(testNow, pools), DefaultOptions())
+			}
+		})
+	}
+}
+
+func BenchmarkCancelWave(b *testing.B) {
+	for _, waiting := range []int{10_000, 20_000, 40_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				source, pools := loadedFleet(700, waiting)
+				source.Snapshot(testNow, pools)
+				b.StartTimer()
+				for i := range 10_000 {
+					source.Queue.Remove(fmt.Sprintf("wait-%d", i))
+				}
+				source.Snapshot(testNow, pools)
+			}
+		})
+	}
+}
+
+// loadedFleet returns a fleet of 25 pools and 160 teams in which each worker runs about ten jobs
+// and many more of 64 sizes wait.
+func loadedFleet(workers, waiting int) (*Source, []string) {
+	source := &Source{Queue: NewQueue(), Cache: NewCache(), Health: NewHealth()}
+	var specs []WorkerSpec
+	var pools []string
+	for i := range 25 {
+		pools = append(pools, fmt.Sprintf("pool-%02d", i))
+	}
+	for i := range workers {
+		specs = append(specs, WorkerSpec{fmt.Sprintf("w%04d", i), pools[i%25], Vector{64000, 128 << 10, 0}})
+	}
+	source.Cache.SetWorkers(specs)
+	for i := range 160 {
+		source.Teams = append(source.Teams, Team{fmt.Sprintf("team-%03d", i), 1 + i%5, 1 << 20})
+	}
+	for i := range 10 * workers {
+		w := specs[i%workers]
+		source.Cache.Run(Task{Job: fmt.Sprintf("run-%d", i), Attempt: 1, Team: source.Teams[i%160].Name, Pool: w.Pool, Worker: w.Name, Declared: Vector{5300, 10 << 10, 0}}, testNow)
+	}
+	for i := range waiting {
+		lane := Lane{pools[i%25], source.Teams[i*7%160].Name, v1.JobClass(1 + i%2)}
+		source.Queue.Put(lane, &Waiting{Job: fmt.Sprintf("wait-%d", i), Attempt: 1, Units: 1, SubmitOffset: int64(i), Since: testNow, Declared: Vector{int64(1000 + i%64*100), int64(1<<10 + i%8<<10), 0}})
+	}
+	return source, pools
+}
--- /dev/null
+++ b/internal/placement/nearness_test.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+)
+
+// simulatedWorkers keeps the naive policies, which sort all waiting jobs for each start, affordable.
+const simulatedWorkers = 8
+
+// simulation runs one pool of workers of 64 cores and 128 GB with six teams, whose demand peaks in
+// turn for 20 s and is about a twentieth of that otherwise.
+type simulation struct {
+	source  Source
+	ends    map[string]int
+	waiting []int
+	offset  int64
+	random  *rand.Rand
+}
+
+var simulatedShares = []int{4, 3, 2, 1, 1, 1}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{
+		source: Source{Queue: NewQueue(), Cache: NewCache(), Health: NewHealth()},
+		ends:   map[string]int{}, waiting: make([]int, len(simulatedShares)), random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	var workers []WorkerSpec
+	for i := range simulatedWorkers {
+		workers = append(workers, WorkerSpec{Name: fmt.Sprintf("w%02d", i), Pool: "counts", Capacity: Vector{64000, 128 << 10, 0}})
+	}
+	s.source.Cache.SetWorkers(workers)
+	for i, share := range simulatedShares {
+		s.source.Teams = append(s.source.Teams, Team{Name: fmt.Sprintf("t%d", i), Share: share, Free: math.MaxInt32})
+	}
+	return s
+}
+
+// submit adds the demand of one second. Two teams are always in their peak; the first team asks for three times its part.
+func (s *simulation) submit(second int, now time.Time) {
+	for team := range simulatedShares {
+		jobs := 0
+		if phase := second/20 + team; phase%3 == 0 {
+			jobs = 7
+			if team == 3 {
+				jobs = 20
+			}
+		} else if s.random.IntN(4) == 0 {
+			jobs = 1
+		}
+		for range jobs {
+			s.offset++
+			s.waiting[team]++
+			s.source.Queue.Put(Lane{"counts", fmt.Sprintf("t%d", team), v1.JobClass_JOB_CLASS_STANDARD}, &Waiting{
+				Job: fmt.Sprintf("j%d", s.offset), Attempt: 1, Units: 1, SubmitOffset: s.offset, Since: now,
+				Declared: Vector{int64(2000 + s.random.IntN(6000)), int64(2<<10 + s.random.IntN(12<<10)), 0},
+			})
+		}
+	}
+}
+
+// run returns the mean distance of the teams' usage from their fair parts over contended seconds.
+func (s *simulation) run(seconds int, plan func(*Snapshot) []Start) float64 {
+	distance, contended := 0.0, 0
+	for second := range seconds {
+		now := time.Unix(int64(second), 0)
+		for job, end := range s.ends {
+			if end == second {
+				s.source.Cache.End(job)
+				delete(s.ends, job)
+			}
+		}
+		s.submit(second, now)
+		snapshot := s.source.Snapshot(now, []string{"counts"})
+		for _, start := range plan(snapshot) {
+			waiting, at, _ := s.source.Queue.Find(start.Job)
+			s.source.Queue.Remove(start.Job)
+			s.waiting[start.Team]--
+			s.source.Cache.Run(Task{Job: start.Job, Attempt: 1, Team: at.Team, Pool: at.Pool, Worker: start.Worker, Class: at.Class, Declared: waiting.Declared}, now)
+			s.ends[start.Job] = second + 3 + s.random.IntN(8)
+		}
+		if s.source.Queue.Len() > 0 {
+			contended++
+			distance += s.distance()
+		}
+	}
+	return distance / float64(contended)
+}
+
+// distance is half the sum of the differences between used and fair parts. A team that has nothing
+// waiting is satisfied; the others divide the rest by weight.
+func (s *simulation) distance() float64 {
+	used, fair := make([]float64, len(simulatedShares)), make([]float64, len(simulatedShares))
+	rest, weights := 1.0, 0
+	capacity := Vector{64000 * simulatedWorkers, (128 << 10) * simulatedWorkers, 0}
+	total := 0.0
+	for team := range used {
+		v := s.source.Cache.used[usage{"counts", s.source.Teams[team].Name}]
+		used[team] = max(float64(v[CPU])/float64(capacity[CPU]), float64(v[Memory])/float64(capacity[Memory]))
+		total += used[team]
+	}
+	for team := range used {
+		used[team] /= total
+		if s.waiting[team] == 0 {
+			fair[team] = used[team]
+			rest -= used[team]
+			continue
+		}
+		weights += simulatedShares[team]
+	}
+	sum := 0.0
+	for team := range used {
+		if s.waiting[team] > 0 {
+			fair[team] = rest * float64(simulatedShares[team]) / float64(weights)
+		}
+		sum += math.Abs(used[team] - fair[team])
+	}
+	return sum / 2
+}
+
+func nearness(policy string) float64 {
+	options := DefaultOptions()
+	options.MaxStarts = 0
+	plans := map[string]func(*Snapshot) []Start{
+		"shares": func(s *Snapshot) []Start { return Compute(s, options).Starts },
+		"fcfs":   func(s *Snapshot) []Start { return naivePlan(s, byAge).plan.Starts },
+		"strict": func(s *Snapshot) []Start { return naivePlan(s, byTeam).plan.Starts },
+	}
+	return newSimulation(7).run(180, plans[policy])
+}
+
+// Guards against a policy that keeps teams further from their shares than simpler ones do.
+func TestNearerToShareThanSimplerPolicies(t *testing.T) {
+	shares, fcfs, strict := nearness("shares"), nearness("fcfs"), nearness("strict")
+	t.Logf("mean distance from share: shares %.3f, first come first served %.3f, strict priority %.3f", shares, fcfs, strict)
+	assert.Assert(t, shares < fcfs/2 && shares < strict/2)
+}
+
+// Guards against batch work that waits for ever behind a stream of small standard and urgent jobs:
+// a job that needs a whole worker starts within the aging bound.
+func TestAgingBoundsTheWait(t *testing.T) {
+	source := Source{Queue: NewQueue(), Cache: NewCache(), Health: NewHealth(), Teams: []Team{{"batch", 1, 100}, {"busy", 1, 1 << 30}}}
+	source.Cache.SetWorkers([]WorkerSpec{{"w1", "counts", Vector{1000, 1000, 0}}, {"w2", "counts", Vector{1000, 1000, 0}}})
+	start := time.Unix(0, 0)
+	source.Queue.Put(Lane{"counts", "batch", v1.JobClass_JOB_CLASS_BATCH}, &Waiting{Job: "large", Units: 1, Declared: Vector{1000, 1000, 0}, Since: start})
+	options := DefaultOptions()
+	urgentRun := 5 * time.Second
+	bound := options.AgingAfter + options.PreemptAfter + urgentRun + 2*time.Second
+	stopping := map[string]string{}
+	for second := 0; ; second++ {
+		now := start.Add(time.Duration(second) * time.Second)
+		assert.Assert(t, now.Sub(start) <= bound, "still waits")
+		for victim := range stopping {
+			source.Cache.End(victim)
+		}
+		clear(stopping)
+		source.Cache.End(fmt.Sprintf("small-%d-0", second-int(urgentRun/time.Second)))
+		for i := range 8 {
+			class := v1.JobClass_JOB_CLASS_STANDARD
+			if i%8 == 0 {
+				class = v1.JobClass_JOB_CLASS_URGENT
+			}
+			id := fmt.Sprintf("small-%d-%d", second, i)
+			source.Queue.Put(Lane{"counts", "busy", class}, &Waiting{Job: id, Units: 1, Declared: Vector{300, 300, 0}, SubmitOffset: int64(8*second + i + 1), Since: now})
+		}
+		snapshot := source.Snapshot(now, []string{"counts"})
+		plan := Compute(snapshot, options)
+		for _, s := range plan.Starts {
+			if s.Job == "large" {
+				return
+			}
+			waiting, at, _ := source.Queue.Find(s.Job)
+			source.Queue.Remove(s.Job)
+			// Standard jobs never end by themselves.
+			source.Cache.Run(Task{Job: s.Job, Team: at.Team, Pool: "counts", Worker: s.Worker, Class: at.Class, Declared: waiting.Declared}, now)
+		}
+		for _, p := range plan.Preemptions {
+			source.Claims = slices.DeleteFunc(source.Claims, func(c ClaimSpec) bool { _, _, found := source.Queue.Find(c.Job); return !found })
+			source.Claims = append(source.Claims, ClaimSpec{Job: p.For.Job, Worker: p.Worker, Size: p.Size})
+			for _, victim := range p.Victims {
+				stopping[victim.Job] = p.For.Job
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+)
+
+var testNow = time.Unix(10000, 0)
+
+// drawSnapshot draws one pool with few workers and many odd jobs. Urgent and overdue jobs are left out on request.
+func drawSnapshot(t *rapid.T, urgent bool) *Snapshot {
+	s := &Snapshot{Now: testNow}
+	pool := Pool{Name: "tallies"}
+	for i := range rapid.IntRange(1, 4).Draw(t, "teams") {
+		s.Teams = append(s.Teams, Team{Name: fmt.Sprintf("t%d", i), Share: rapid.IntRange(1, 4).Draw(t, "share"), Free: rapid.Uint64Range(0, 12).Draw(t, "free")})
+	}
+	pool.Used = make([]Vector, len(s.Teams))
+	offset := int64(0)
+	for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+		w := Worker{Name: fmt.Sprintf("w%d", i), Capacity: Vector{8, 8, int64(i % 2)}, Limit: rapid.SampledFrom([]int{0, 1, unlimited, unlimited}).Draw(t, "limit")}
+		w.Free = w.Capacity
+		for range rapid.IntRange(0, 4).Draw(t, "running") {
+			offset++
+			r := Running{
+				Job: fmt.Sprintf("r%d", offset), Team: rapid.IntRange(0, len(s.Teams)-1).Draw(t, "team"), StartOffset: offset,
+				Class: v1.JobClass(rapid.Int32Range(1, 3).Draw(t, "class")), Size: Vector{rapid.Int64Range(1, 4).Draw(t, "cpu"), rapid.Int64Range(1, 4).Draw(t, "mem"), 0},
+				Preemptions: rapid.Uint32Range(0, 3).Draw(t, "preemptions"),
+			}
+			w.Free = w.Free.Minus(r.Size)
+			pool.Used[r.Team] = pool.Used[r.Team].Plus(r.Size)
+			w.Running = append(w.Running, r)
+		}
+		pool.Workers = append(pool.Workers, w)
+	}
+	for team := range s.Teams {
+		for class := v1.JobClass_JOB_CLASS_BATCH; class <= v1.JobClass_JOB_CLASS_URGENT; class++ {
+			if class == v1.JobClass_JOB_CLASS_URGENT && !urgent {
+				break
+			}
+			pool.Buckets = append(pool.Buckets, drawBucket(t, team, class, &offset))
+		}
+	}
+	s.Pools = []Pool{pool}
+	return s
+}
+
+func drawBucket(t *rapid.T, team int, class v1.JobClass, offset *int64) Bucket {
+	b := Bucket{Team: team, Class: class, Ratio: Ratio{rapid.Float64Range(0.2, 3).Draw(t, "ratio"), 1 / (1 + Margin), 1}}
+	since := testNow.Add(-time.Duration(rapid.IntRange(0, 14).Draw(t, "waited")) * time.Minute)
+	for range rapid.IntRange(0, 6).Draw(t, "jobs") {
+		*offset += int64(rapid.IntRange(1, 100).Draw(t, "gap"))
+		job := &Waiting{
+			Job: fmt.Sprintf("j%d", *offset), Attempt: 1, Units: rapid.Uint64Range(1, 4).Draw(t, "units"), SubmitOffset: *offset, Since: since,
+			Declared: Vector{rapid.Int64Range(1, 9).Draw(t, "cpu"), rapid.Int64Range(1, 8).Draw(t, "mem"), rapid.Int64Range(0, 1).Draw(t, "acc")},
+		}
+		if rapid.IntRange(0, 4).Draw(t, "avoids") == 0 {
+			job.Avoid = []string{"w0"}
+		}
+		b.Jobs = append(b.Jobs, job)
+	}
+	return b
+}
+
+// naiveJob is one waiting job of the naive planner.
+type naiveJob struct {
+	*Waiting
+	team  int
+	class v1.JobClass
+	ratio Ratio
+}
+
+// naiveOrder compares two jobs given the dominant shares of their teams.
+type naiveOrder func(p *poolCycle, a, b naiveJob) int
+
+func byClassShareAge(p *poolCycle, a, b naiveJob) int {
+	left, right := cursorKey{rank: p.rankOf(a.Waiting, a.class)}, cursorKey{rank: p.rankOf(b.Waiting, b.class)}
+	if left.rank > rankAged || left.rank == rankUrgent {
+		left.share = p.dominant(a.team)
+	}
+	if right.rank > rankAged || right.rank == rankUrgent {
+		right.share = p.dominant(b.team)
+	}
+	return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.share, right.share), cmp.Compare(a.SubmitOffset, b.SubmitOffset))
+}
+
+func byAge(_ *poolCycle, a, b naiveJob) int { return cmp.Compare(a.SubmitOffset, b.SubmitOffset) }
+
+func byTeam(_ *poolCycle, a, b naiveJob) int {
+	return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.SubmitOffset, b.SubmitOffset))
+}
+
+// naivePlan takes all jobs anew for each decision, without a heap or remembered sizes.
+func naivePlan(s *Snapshot, compare naiveOrder) *poolCycle {
+	c := &cycle{snapshot: s, options: DefaultOptions()}
+	for _, team := range s.Teams {
+		c.units = append(c.units, team.Free)
+	}
+	p := newPoolCycle(c, &s.Pools[0])
+	var jobs []naiveJob
+	for _, b := range s.Pools[0].Buckets {
+		for _, w := range b.Jobs {
+			jobs = append(jobs, naiveJob{w, b.Team, b.Class, b.Ratio})
+		}
+	}
+	for len(jobs) > 0 {
+		next := slices.MinFunc(jobs, func(a, b naiveJob) int { return compare(p, a, b) })
+		jobs = slices.DeleteFunc(jobs, func(j naiveJob) bool { return j.Waiting == next.Waiting })
+		if next.Units > p.units[next.team] {
+			continue
+		}
+		s := shapeOf(next.Waiting, next.ratio)
+		p.unfit = nil
+		if worker, found := p.bestFit(next.Waiting, s); found {
+			p.start(next.Waiting, next.team, worker, s.on(p.pool.Workers[worker].Capacity), false)
+		} else if p.rankOf(next.Waiting, next.class) == rankAged {
+			p.reserve(next.Waiting, s)
+		}
+	}
+	return p
+}
+
+// Guards against plans that exceed workers or units, leave room unused, or are further from the
+// shares than the naive planner: the plan must be the same as the naive one.
+func TestPlanAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t, false)
+		plan := Compute(s, DefaultOptions())
+		naive := naivePlan(s, byClassShareAge)
+		assert.DeepEqual(t, plan.Starts, naive.plan.Starts)
+		free, units := map[string]Vector{}, map[int]uint64{}
+		waiting := map[string]*Waiting{}
+		for _, w := range s.Pools[0].Workers {
+			free[w.Name] = w.Free
+		}
+		for _, b := range s.Pools[0].Buckets {
+			for _, job := range b.Jobs {
+				waiting[job.Job] = job
+			}
+		}
+		for _, start := range plan.Starts {
+			assert.Assert(t, start.Size.Fits(free[start.Worker]), "%+v on %v", start, free[start.Worker])
+			free[start.Worker] = free[start.Worker].Minus(start.Size)
+			units[start.Team] += waiting[start.Job].Units
+			delete(waiting, start.Job)
+		}
+		for team, used := range units {
+			assert.Assert(t, used <= s.Teams[team].Free)
+		}
+		checkWorkConserving(t, s, naive, waiting, units)
+	})
+}
+
+// checkWorkConserving checks that what still waits fits nowhere but on reserved or limited workers.
+func checkWorkConserving(t *rapid.T, s *Snapshot, naive *poolCycle, waiting map[string]*Waiting, units map[int]uint64) {
+	for _, b := range s.Pools[0].Buckets {
+		for _, job := range b.Jobs {
+			if waiting[job.Job] == nil || job.Units > s.Teams[b.Team].Free-units[b.Team] {
+				continue
+			}
+			for i, w := range s.Pools[0].Workers {
+				sh := shapeOf(job, b.Ratio)
+				fits := sh.declared.Fits(w.Capacity) && sh.on(w.Capacity).Fits(naive.free[i]) && !slices.Contains(job.Avoid, w.Name)
+				assert.Assert(t, !fits || naive.reserved[i] || naive.limit[i] <= 0, "%s fits on %s", job.Job, w.Name)
+			}
+		}
+	}
+}
+
+// Guards against victims that aren't needed, that are urgent, or whose team is nearer to its share
+// than that of other sufficient victims.
+func TestPreemptionIsMinimal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t, true)
+		pool := &s.Pools[0]
+		pool.Buckets = []Bucket{{Team: 0, Class: v1.JobClass_JOB_CLASS_URGENT, Ratio: Ratio{1, 1, 1}, Jobs: []*Waiting{{
+			Job: "urgent", Units: 1, Declared: Vector{rapid.Int64Range(1, 6).Draw(t, "need"), 1, 0}, Since: testNow,
+		}}}}
+		s.Teams[0].Free = 1
+		plan := Compute(s, DefaultOptions())
+		p := newPoolCycle(&cycle{snapshot: s, options: DefaultOptions()}, pool)
+		places := p.teamPlaces()
+		if len(plan.Preemptions) == 0 {
+			if len(plan.Starts) == 0 {
+				assert.Equal(t, fewestPlaces(p, places), len(places), "victims were left out")
+			}
+			return
+		}
+		chosen := plan.Preemptions[0]
+		index, _ := p.workerIndex(chosen.Worker)
+		room, exempt, worst := p.free[index], 0, 0
+		var victims []Running
+		for _, r := range pool.Workers[index].Running {
+			if slices.ContainsFunc(chosen.Victims, func(v Victim) bool { return v.Job == r.Job }) {
+				victims = append(victims, r)
+				room = room.Plus(gain(r, chosen.Stop))
+				worst = max(worst, places[r.Team])
+				assert.Assert(t, r.Class != v1.JobClass_JOB_CLASS_URGENT)
+				if r.Preemptions >= MaxPreemptions {
+					exempt++
+				}
+			}
+		}
+		assert.Assert(t, chosen.Size.Fits(room))
+		for _, r := range victims {
+			assert.Assert(t, !chosen.Size.Fits(room.Minus(gain(r, chosen.Stop))), "%s isn't needed", r.Job)
+		}
+		if exempt == 0 {
+			assert.Assert(t, worst <= fewestPlaces(p, places), "teams further above their share suffice")
+		}
+	})
+}
+
+// fewestPlaces returns the lowest place so that stopping all jobs of teams up to it makes room on
+// some worker, without victims that were preempted often.
+func fewestPlaces(p *poolCycle, places []int) int {
+	job := p.pool.Buckets[0].Jobs[0]
+	size := shapeOf(job, p.pool.Buckets[0].Ratio)
+	for place := range places {
+		for _, w := range p.pool.Workers {
+			room := w.Free
+			for _, r := range w.Running {
+				if places[r.Team] <= place && r.Class != v1.JobClass_JOB_CLASS_URGENT && r.Preemptions < MaxPreemptions && p.mayPreempt(0, r.Team) {
+					room = room.Plus(r.Size)
+				}
+			}
+			if w.Limit > 0 && size.declared.Fits(w.Capacity) && size.on(w.Capacity).Fits(room) {
+				return place
+			}
+		}
+	}
+	return len(places)
+}
