--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -34,6 +34,8 @@
 	succeeded int
 	level     int
 	until     time.Time
+	// suspended is the time until which the worker gets no starts because it doesn't answer.
+	suspended time.Time
 	// probing is set while a retry after a quarantine is under way.
 	probing bool
 }
@@ -154,6 +156,11 @@
 	}
 }
 
+// Suspend keeps starts from a worker that doesn't answer. It says nothing about its starts.
+func (h *Health) Suspend(name string, now time.Time, span time.Duration) {
+	h.worker(name, now).suspended = now.Add(span)
+}
+
 // Limit returns the number of starts that the worker may get in this cycle: none in quarantine,
 // one as a retry or while the worker has failed starts and not proven itself since.
 func (h *Health) Limit(name string, now time.Time) int {
@@ -161,7 +168,7 @@
 	switch {
 	case w == nil:
 		return unlimited
-	case now.Before(w.until) || w.probing:
+	case now.Before(w.until) || now.Before(w.suspended) || w.probing:
 		return 0
 	case w.level > 0, len(w.failed) > 0 && !h.proven(w):
 		return 1
@@ -175,10 +182,12 @@
 	return w != nil && (now.Before(w.until) || w.probing)
 }
 
-// Ended clears a retry whose job ended without saying anything about the worker.
-func (h *Health) Ended(name, job string) {
+// Ended clears a retry whose attempt ended without saying anything about the worker.
+func (h *Health) Ended(name string) {
 	if w := h.workers[name]; w != nil {
 		w.probing = false
 	}
-	delete(h.jobs, job)
 }
+
+// Forget drops the memory of a job that has ended.
+func (h *Health) Forget(job string) { delete(h.jobs, job) }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -90,6 +90,16 @@
 	return names
 }
 
+// Waits reports whether jobs of the class wait in the pool.
+func (q *Queue) Waits(pool string, class v1.JobClass) bool {
+	for at, l := range q.pools[pool] {
+		if at.Class == class && (len(l.jobs) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // lanes returns the lanes of the pool, in order of team and class, each in order of age.
 func (q *Queue) lanes(pool string) []Lane {
 	var names []Lane
--- /dev/null
+++ b/internal/standin/workersvc/service.go
@@ -0,0 +1,271 @@
+// Package workersvc is a fake of the platform's WorkerService: tasks under leases that report their
+// usage with a lag and can be checkpointed, throttled and stopped, with a switch for each fault.
+// A Service is both a handler for connect and, in tests, a client.
+package workersvc
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/structs"
+)
+
+// Service runs tasks on all workers. Nothing happens in the background: a call settles what has
+// happened to its tasks since the last one.
+type Service struct {
+	now      func() time.Time
+	settings Settings
+
+	mu     sync.Mutex
+	faults map[string]Faults
+	// jobs holds the newest attempt of each job, started or fenced.
+	jobs map[string]*task
+	// workers lists the tasks of each worker, ended ones included until they are replaced or old.
+	workers map[string]map[string]*task
+	starts  map[string][]uint32
+	// completed counts the attempts of a job that ran to their end.
+	completed map[string]int
+}
+
+var _ turmericyokev1connect.WorkerServiceHandler = (*Service)(nil)
+var _ turmericyokev1connect.WorkerServiceClient = (*Service)(nil)
+
+// Settings are the same for all workers.
+type Settings struct {
+	// UsageLag is the age of reported usage.
+	UsageLag time.Duration
+	// KeepEnded is the time for which ended tasks are reported.
+	KeepEnded time.Duration
+}
+
+// DefaultSettings reports usage with a lag of 2 s and ended tasks for ten minutes.
+func DefaultSettings() Settings {
+	return Settings{UsageLag: 2 * time.Second, KeepEnded: 10 * time.Minute}
+}
+
+// Faults are the switches of one worker.
+type Faults struct {
+	// FailStarts makes the worker fail all that it starts.
+	FailStarts bool
+	// Dead ends all tasks at once, and calls go unanswered.
+	Dead bool
+	// Paused leaves calls unanswered while tasks run on until their leases lapse.
+	Paused bool
+	// Slow delays answers; the effect is immediate.
+	Slow time.Duration
+	// LoseAnswers makes calls fail after they took effect.
+	LoseAnswers bool
+	// IgnoreCheckpoint and IgnoreThrottle make the tasks of the worker ignore these actions.
+	IgnoreCheckpoint bool
+	IgnoreThrottle   bool
+}
+
+// Behaviour of one task is read from its spec as JSON; an empty spec runs until it is stopped.
+type Behaviour struct {
+	// RunFor is the time that the task needs without throttling; 0 is for ever.
+	RunFor structs.Duration `json:"runFor,omitempty"`
+	// UsageFactor is the usage as part of the declared size; 0 counts as 1.
+	UsageFactor float64 `json:"usageFactor,omitempty"`
+	// CheckpointTime is the time that a checkpoint takes.
+	CheckpointTime structs.Duration `json:"checkpointTime,omitempty"`
+	// Fail ends the task as failed, and FailStart fails its start on every worker.
+	Fail      bool `json:"fail,omitempty"`
+	FailStart bool `json:"failStart,omitempty"`
+}
+
+// Encode returns the spec of the behaviour.
+func (b Behaviour) Encode() []byte {
+	// The struct holds only plain values, which always encode.
+	data, _ := json.Marshal(b)
+	return data
+}
+
+// New returns a service without tasks. now is the clock.
+func New(settings Settings, now func() time.Time) *Service {
+	return &Service{
+		now: now, settings: settings, faults: map[string]Faults{}, jobs: map[string]*task{},
+		workers: map[string]map[string]*task{}, starts: map[string][]uint32{}, completed: map[string]int{},
+	}
+}
+
+// SetFaults replaces the switches of a worker.
+func (s *Service) SetFaults(worker string, faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[worker] = faults
+	if !faults.Dead {
+		return
+	}
+	for _, t := range s.workers[worker] {
+		t.settle(s.now())
+		t.finish(s.now(), v1.JobOutcome_JOB_OUTCOME_PREEMPTED)
+	}
+}
+
+// Starts returns the attempts of a job that were started, in order.
+func (s *Service) Starts(job string) []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]uint32(nil), s.starts[job]...)
+}
+
+// Completions returns how often a job ran to its end.
+func (s *Service) Completions(job string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, tasks := range s.workers {
+		if t := tasks[job]; t != nil {
+			t.settle(s.now())
+		}
+	}
+	return s.completed[job]
+}
+
+// Running returns the worker that runs the job now, if any.
+func (s *Service) Running(job string) (worker string, attempt uint32, running bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.jobs[job]
+	if t == nil {
+		return "", 0, false
+	}
+	t.settle(s.now())
+	return t.worker, t.attempt, !t.ended
+}
+
+// Start implements WorkerService. A start that the worker fails is answered with started unset. An
+// attempt that was started before is refused with AlreadyExists, one that was fenced with Aborted.
+func (s *Service) Start(ctx context.Context, request *v1.StartTaskRequest) (*v1.StartTaskResponse, error) {
+	var response *v1.StartTaskResponse
+	err := s.serve(ctx, request.GetWorker(), func(faults Faults) error {
+		var err error
+		response, err = s.start(request, faults)
+		return err
+	})
+	return response, err
+}
+
+func (s *Service) start(request *v1.StartTaskRequest, faults Faults) (*v1.StartTaskResponse, error) {
+	known := s.jobs[request.GetJob()]
+	if known != nil && known.attempt == request.GetAttempt() && !known.fenced {
+		return nil, connect.NewError(connect.CodeAlreadyExists, errStarted)
+	}
+	if known != nil && known.attempt >= request.GetAttempt() {
+		return nil, connect.NewError(connect.CodeAborted, errFenced)
+	}
+	t := newTask(request, s.now())
+	t.onCompleted = func() { s.completed[t.job]++ }
+	if known != nil {
+		known.settle(s.now())
+		known.finish(s.now(), v1.JobOutcome_JOB_OUTCOME_PREEMPTED)
+		t.progress = known.saved
+		t.saved = known.saved
+	}
+	s.put(t)
+	s.starts[t.job] = append(s.starts[t.job], t.attempt)
+	if faults.FailStarts || t.behaviour.FailStart {
+		t.finish(s.now(), v1.JobOutcome_JOB_OUTCOME_WORKER_FAILED)
+		return &v1.StartTaskResponse{Detail: "the worker failed the start"}, nil
+	}
+	return &v1.StartTaskResponse{Started: true}, nil
+}
+
+func (s *Service) put(t *task) {
+	s.jobs[t.job] = t
+	if s.workers[t.worker] == nil {
+		s.workers[t.worker] = map[string]*task{}
+	}
+	s.workers[t.worker][t.job] = t
+}
+
+// Control implements WorkerService. A stop is done when the attempt no longer runs and can't be
+// started any more; a renewal ends throttling.
+func (s *Service) Control(ctx context.Context, request *v1.ControlTaskRequest) (*v1.ControlTaskResponse, error) {
+	response := &v1.ControlTaskResponse{}
+	err := s.serve(ctx, request.GetWorker(), func(faults Faults) error {
+		response.Done = s.control(request, faults)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+func (s *Service) control(request *v1.ControlTaskRequest, faults Faults) bool {
+	now := s.now()
+	t := s.jobs[request.GetJob()]
+	if t == nil || t.attempt < request.GetAttempt() {
+		if request.GetAction() == v1.TaskAction_TASK_ACTION_STOP {
+			s.fence(request, t)
+			return true
+		}
+		return false
+	}
+	if t.attempt > request.GetAttempt() {
+		return request.GetAction() == v1.TaskAction_TASK_ACTION_STOP
+	}
+	t.settle(now)
+	return t.apply(request, faults, now)
+}
+
+// fence keeps an attempt that wasn't started from ever starting.
+func (s *Service) fence(request *v1.ControlTaskRequest, known *task) {
+	fenced := &task{worker: request.GetWorker(), job: request.GetJob(), attempt: request.GetAttempt(), fenced: true, ended: true}
+	if known != nil {
+		fenced.saved = known.saved
+	}
+	s.jobs[fenced.job] = fenced
+}
+
+// Report implements WorkerService. Workers that don't answer are left out.
+func (s *Service) Report(_ context.Context, request *v1.ReportRequest) (*v1.ReportResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	response := &v1.ReportResponse{}
+	for _, worker := range request.GetWorkers() {
+		if s.faults[worker].Dead || s.faults[worker].Paused {
+			continue
+		}
+		for job, t := range s.workers[worker] {
+			t.settle(now)
+			if t.ended && now.Sub(t.endedAt) > s.settings.KeepEnded {
+				delete(s.workers[worker], job)
+				continue
+			}
+			response.Tasks = append(response.Tasks, t.report(now, s.settings.UsageLag))
+		}
+	}
+	return response, nil
+}
+
+// serve runs one call under the faults of the worker.
+func (s *Service) serve(ctx context.Context, worker string, call func(Faults) error) error {
+	s.mu.Lock()
+	faults := s.faults[worker]
+	if faults.Dead || faults.Paused {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+	err := call(faults)
+	s.mu.Unlock()
+	if faults.Slow > 0 {
+		select {
+		case <-time.After(faults.Slow):
+		case <-ctx.Done():
+			return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+	}
+	if faults.LoseAnswers {
+		return connect.NewError(connect.CodeUnavailable, errAnswerLost)
+	}
+	return err
+}
