Explain refusals and export the audit trail

Cause: operators must say why a request was refused, and keep records before they expire. Conclusion: a refusal can be explained for as long as the log keeps it, and an export checked later.

--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,125 @@
+// Package audit exports the records of the log before they expire, and checks such exports. The
+// lines of an export form a hash chain, so that a changed, missing or added line shows.
+package audit
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/logreader"
+	"turmericyoke/internal/refusal"
+)
+
+// maxLineBytes bounds one line of an export; a change set of the largest document fits.
+const maxLineBytes = 32 << 20
+
+// Line is one record of an export.
+type Line struct {
+	Stream string `json:"stream"`
+	Offset int64  `json:"offset"`
+	// Missing is the number of records before this one that the log no longer keeps.
+	Missing int64 `json:"missing,omitempty"`
+	// Record is the decoded record, for people; Data is what the chain covers.
+	Record json.RawMessage `json:"record,omitempty"`
+	Data   []byte          `json:"data"`
+	// Chain is the SHA-256 over the previous line's chain, the offset and the data.
+	Chain string `json:"chain"`
+}
+
+// Export writes the records of the stream after an offset as JSON lines. It returns the number of
+// records. A gap in the offsets is written into the line after it.
+func Export(ctx context.Context, log logreader.Log, stream string, after int64, out io.Writer) (int, error) {
+	encoder := json.NewEncoder(out)
+	var chain []byte
+	count := 0
+	err := logreader.Each(ctx, log, stream, after, func(record *v1.LogRecord, missing int64) error {
+		chain = link(chain, record.GetOffset(), record.GetData())
+		line := Line{
+			Stream: stream, Offset: record.GetOffset(), Missing: missing,
+			Record: decode(stream, record.GetData()), Data: record.GetData(), Chain: hex.EncodeToString(chain),
+		}
+		if err := encoder.Encode(line); err != nil {
+			return fault.Wrap(fault.Internal, err, "export can't be written")
+		}
+		count++
+		return nil
+	})
+	return count, err
+}
+
+// decode returns the record as JSON, or nil when it can't be decoded: the data is exported anyway.
+func decode(stream string, data []byte) json.RawMessage {
+	var message proto.Message = &v1.Record{}
+	if stream == refusal.Stream {
+		message = &v1.RefusalBatch{}
+	}
+	if proto.Unmarshal(data, message) != nil {
+		return nil
+	}
+	text, err := protojson.Marshal(message)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// link returns the next hash of the chain.
+func link(previous []byte, offset int64, data []byte) []byte {
+	digest := sha256.New()
+	digest.Write(previous)
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], uint64(offset))
+	digest.Write(number[:])
+	digest.Write(data)
+	return digest.Sum(nil)
+}
+
+// Report is the result of a check.
+type Report struct {
+	Lines int `json:"lines"`
+	// Missing is the number of records that the log no longer kept when the export was made.
+	Missing     int64 `json:"missing"`
+	FirstOffset int64 `json:"firstOffset"`
+	LastOffset  int64 `json:"lastOffset"`
+}
+
+// Verify checks the chain and the offsets of an export.
+func Verify(in io.Reader) (Report, error) {
+	report := Report{}
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLineBytes)
+	var chain []byte
+	for scanner.Scan() {
+		var line Line
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			return report, fault.Wrap(fault.RecordCorrupt, err, "line %d can't be decoded", report.Lines+1)
+		}
+		chain = link(chain, line.Offset, line.Data)
+		if hex.EncodeToString(chain) != line.Chain {
+			return report, fault.New(fault.RecordCorrupt, "line %d, offset %d: the hash chain is broken", report.Lines+1, line.Offset)
+		}
+		if report.Lines > 0 && line.Offset != report.LastOffset+1+line.Missing {
+			return report, fault.New(fault.RecordCorrupt, "line %d, offset %d: undeclared gap", report.Lines+1, line.Offset)
+		}
+		if report.Lines == 0 {
+			report.FirstOffset = line.Offset
+		}
+		report.Lines++
+		report.Missing += line.Missing
+		report.LastOffset = line.Offset
+	}
+	if err := scanner.Err(); err != nil {
+		return report, fault.Wrap(fault.RecordCorrupt, err, "export can't be read")
+	}
+	return report, nil
+}
--- /dev/null
+++ b/internal/cli/record.go
@@ -0,0 +1,217 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"turmericyoke/internal/audit"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/proposer"
+	"turmericyoke/internal/refusal"
+	"turmericyoke/internal/structs"
+)
+
+func newAudit(opts *options) *cobra.Command {
+	audit := &cobra.Command{
+		Use:   "audit",
+		Short: "Show the settled proposals that the controller still keeps",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var verdicts []structs.VerdictStatus
+			if err := query(cmd, opts, "verdicts", nil, &verdicts); err != nil {
+				return err
+			}
+			text := table{header: []string{"OFFSET", "TIME", "PAYLOAD", "SUBJECT", "AUTHOR", "VERDICT", "DETAIL"}}
+			for _, verdict := range verdicts {
+				text.rows = append(text.rows, []string{
+					strconv.FormatInt(verdict.Offset, 10), millis(verdict.TimeUnixMS), verdict.Payload,
+					verdict.Subject, verdict.Author, verdictText(verdict), verdict.Detail,
+				})
+			}
+			return write(cmd.OutOrStdout(), opts.format, verdicts, text)
+		},
+	}
+	audit.AddCommand(newAuditExport(opts), newAuditVerify(opts))
+	return audit
+}
+
+func verdictText(verdict structs.VerdictStatus) string {
+	if verdict.Accepted {
+		return "accepted"
+	}
+	return verdict.Kind
+}
+
+func newAuditExport(opts *options) *cobra.Command {
+	var stream string
+	var after int64
+	cmd := &cobra.Command{
+		Use:   "export",
+		Short: "Write the kept records as JSON lines with a hash chain",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+			defer cancel()
+			log, err := opts.logClient()
+			if err != nil {
+				return err
+			}
+			out := bufio.NewWriter(cmd.OutOrStdout())
+			count, err := audit.Export(ctx, log, stream, after, out)
+			if err := errors.Join(err, out.Flush()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.ErrOrStderr(), "exported: %d records\n", count)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&stream, "stream", proposer.Stream, "fleet or refusals")
+	cmd.Flags().Int64Var(&after, "after", 0, "offset after which the export starts")
+	return cmd
+}
+
+func newAuditVerify(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "verify FILE",
+		Short: "Check the hash chain and the offsets of an export",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			file, err := os.Open(args[0])
+			if err != nil {
+				return usageError{err}
+			}
+			defer file.Close()
+			report, err := audit.Verify(file)
+			if err != nil {
+				return err
+			}
+			text := table{header: []string{"LINES", "FIRST OFFSET", "LAST OFFSET", "MISSING"}, rows: [][]string{{
+				strconv.Itoa(report.Lines), strconv.FormatInt(report.FirstOffset, 10),
+				strconv.FormatInt(report.LastOffset, 10), strconv.FormatInt(report.Missing, 10),
+			}}}
+			return write(cmd.OutOrStdout(), opts.format, report, text)
+		},
+	}
+}
+
+// refusalRow is one entry of the record of refusals.
+type refusalRow struct {
+	Gateway       string `json:"gateway"`
+	Team          string `json:"team"`
+	KeyID         string `json:"keyId"`
+	Pool          string `json:"pool"`
+	Rule          string `json:"rule"`
+	ConfigVersion uint64 `json:"configVersion"`
+	Count         uint64 `json:"count"`
+	First         string `json:"first"`
+	Last          string `json:"last"`
+	// Free and Needed are the units or slots of one refusal of the entry.
+	Free   uint64 `json:"free"`
+	Needed uint64 `json:"needed"`
+	Detail string `json:"detail,omitempty"`
+	// Coarse is set when the entry merges keys, pools or versions.
+	Coarse bool `json:"coarse,omitempty"`
+}
+
+func newRow(found refusal.Found) refusalRow {
+	e := found.Entry
+	return refusalRow{
+		Gateway: found.Gateway, Team: e.GetTeam(), KeyID: e.GetKeyId(), Pool: e.GetPool(), Rule: e.GetRule(),
+		ConfigVersion: e.GetConfigVersion(), Count: e.GetCount(),
+		First: millis(e.GetFirstUnixMs()), Last: millis(e.GetLastUnixMs()),
+		Free: e.GetSampleFree(), Needed: e.GetSampleNeeded(), Detail: e.GetSampleDetail(), Coarse: e.GetCoarse(),
+	}
+}
+
+func refusalTable(rows []refusalRow) table {
+	text := table{header: []string{"GATEWAY", "TEAM", "KEY", "POOL", "RULE", "VERSION", "COUNT", "FIRST", "LAST", "FREE", "NEEDED", "DETAIL"}}
+	for _, row := range rows {
+		text.rows = append(text.rows, []string{
+			row.Gateway, row.Team, row.KeyID, row.Pool, row.Rule, strconv.FormatUint(row.ConfigVersion, 10),
+			strconv.FormatUint(row.Count, 10), row.First, row.Last,
+			strconv.FormatUint(row.Free, 10), strconv.FormatUint(row.Needed, 10), row.Detail,
+		})
+	}
+	return text
+}
+
+// readRefusals reads the whole kept record.
+func readRefusals(cmd *cobra.Command, opts *options) (*refusal.Reader, error) {
+	ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
+	defer cancel()
+	log, err := opts.logClient()
+	if err != nil {
+		return nil, err
+	}
+	reader := refusal.NewReader()
+	expired, err := refusal.ReadAll(ctx, log, reader)
+	if err != nil {
+		return nil, err
+	}
+	if expired > 0 {
+		fmt.Fprintf(cmd.ErrOrStderr(), "%d records of refusals have expired\n", expired)
+	}
+	return reader, nil
+}
+
+func newRefusals(opts *options) *cobra.Command {
+	var filter refusal.Filter
+	var since time.Duration
+	cmd := &cobra.Command{
+		Use:   "refusals",
+		Short: "Show refusals by team, rule and time",
+		Args:  exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			reader, err := readRefusals(cmd, opts)
+			if err != nil {
+				return err
+			}
+			if since > 0 {
+				filter.From = time.Now().Add(-since)
+			}
+			rows := []refusalRow{}
+			for _, found := range reader.Find(filter) {
+				rows = append(rows, newRow(found))
+			}
+			return write(cmd.OutOrStdout(), opts.format, rows, refusalTable(rows))
+		},
+	}
+	cmd.Flags().StringVar(&filter.Team, "team", "", "only this team")
+	cmd.Flags().StringVar(&filter.Rule, "rule", "", "only this rule, such as team_limit")
+	cmd.Flags().DurationVar(&since, "since", 0, "only refusals of this last span")
+	return cmd
+}
+
+func newExplain(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REFUSAL-ID",
+		Short: "Say why a request was refused",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			reader, err := readRefusals(cmd, opts)
+			if err != nil {
+				return err
+			}
+			explanation, explainErr := reader.Explain(args[0])
+			if explainErr != nil {
+				return explainErr
+			}
+			if len(explanation.Entries) == 0 {
+				return fault.New(fault.RequestInvalid, "refusal %s isn't on record: it is not appended yet, has expired, or is one of %d lost ones",
+					args[0], explanation.Missing)
+			}
+			rows := []refusalRow{}
+			for _, entry := range explanation.Entries {
+				rows = append(rows, newRow(refusal.Found{Gateway: explanation.Gateway, Entry: entry}))
+			}
+			return write(cmd.OutOrStdout(), opts.format, rows, refusalTable(rows))
+		},
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/structs"
@@ -21,6 +22,8 @@
 	author      string
 	timeout     time.Duration
 	tls         transport.TLS
+	// log is the address of the platform's log, which keeps refusals and the audit trail.
+	log string
 }
 
 // tokenVariable is the environment variable with the operator's token. A flag would show the token
@@ -31,14 +34,31 @@
 	if len(o.controllers) == 0 {
 		return nil, usageError{errors.New("no controller is named: use --controller IP:port")}
 	}
+	link, err := o.link()
+	if err != nil {
+		return nil, err
+	}
+	return adminclient.NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
+}
+
+// link returns the transport that the flags ask for.
+func (o *options) link() (*transport.Transport, error) {
 	if errs := o.tls.Check("--cert, --key, --ca"); len(errs) > 0 {
 		return nil, usageError{errors.Join(errs...)}
 	}
-	link, err := transport.New(o.tls)
+	return transport.New(o.tls)
+}
+
+// logClient returns a client of the platform's log.
+func (o *options) logClient() (turmericyokev1connect.LogServiceClient, error) {
+	if o.log == "" {
+		return nil, usageError{errors.New("no log is named: use --log IP:port")}
+	}
+	link, err := o.link()
 	if err != nil {
 		return nil, err
 	}
-	return adminclient.NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
+	return turmericyokev1connect.NewLogServiceClient(link.Client(), link.URL(o.log)), nil
 }
 
 // defaultTimeout bounds one command, the wait for returned rights and for the roll-out included.
@@ -56,6 +76,7 @@
 	}
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&opts.controllers, "controller", nil, "IP:port of a controller; may be repeated")
+	flags.StringVar(&opts.log, "log", "", "IP:port of the platform's log, for refusals and exports")
 	flags.StringVarP(&opts.format, "output", "o", formatTable, "table, json or yaml")
 	flags.StringVar(&opts.author, "author", "", "operator's name for the audit trail")
 	flags.StringVar(&opts.tls.CertFile, "cert", "", "file with the operator's certificate")
@@ -67,6 +88,7 @@
 	root.AddCommand(
 		newValidate(), newDiff(opts), newApply(opts), newStatus(opts),
 		newHosts(opts), newTeams(opts), newWave(opts), newKey(opts), newAudit(opts),
+		newExplain(opts), newRefusals(opts),
 	)
 	return root
 }
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -105,35 +105,6 @@
 	}
 }
 
-func newAudit(opts *options) *cobra.Command {
-	return &cobra.Command{
-		Use:   "audit",
-		Short: "Show the settled proposals that the controller still keeps",
-		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var verdicts []structs.VerdictStatus
-			if err := query(cmd, opts, "verdicts", nil, &verdicts); err != nil {
-				return err
-			}
-			text := table{header: []string{"OFFSET", "TIME", "PAYLOAD", "SUBJECT", "AUTHOR", "VERDICT", "DETAIL"}}
-			for _, verdict := range verdicts {
-				text.rows = append(text.rows, []string{
-					strconv.FormatInt(verdict.Offset, 10), millis(verdict.TimeUnixMS), verdict.Payload,
-					verdict.Subject, verdict.Author, verdictText(verdict), verdict.Detail,
-				})
-			}
-			return write(cmd.OutOrStdout(), opts.format, verdicts, text)
-		},
-	}
-}
-
-func verdictText(verdict structs.VerdictStatus) string {
-	if verdict.Accepted {
-		return "accepted"
-	}
-	return verdict.Kind
-}
-
 // query reads a section, for the optional name in args.
 func query(cmd *cobra.Command, opts *options, section string, args []string, out any) error {
 	ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
--- /dev/null
+++ b/internal/refusal/stream.go
@@ -0,0 +1,56 @@
+package refusal
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/logreader"
+)
+
+// Stream is the log's stream of refusal batches.
+const Stream = "refusals"
+
+// Log takes appends; connect's LogServiceClient implements it.
+type Log interface {
+	Append(context.Context, *v1.AppendRequest) (*v1.AppendResponse, error)
+}
+
+// LogAppender appends batches to the refusals stream.
+type LogAppender struct{ Log Log }
+
+// AppendRefusals implements Appender.
+func (a LogAppender) AppendRefusals(ctx context.Context, batch *v1.RefusalBatch) error {
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "refusal batch can't be encoded")
+	}
+	request := &v1.AppendRequest{Stream: Stream, Records: [][]byte{data}}
+	if _, err := a.Log.Append(ctx, request); err != nil {
+		return fault.Wrap(fault.LogUnavailable, err, "refusal batch may not be appended")
+	}
+	return nil
+}
+
+// ReadAll folds all kept records of the refusals stream. It returns the number of records that the
+// log no longer keeps: their refusals can't be explained.
+func ReadAll(ctx context.Context, log logreader.Log, reader *Reader) (expired int64, err error) {
+	err = logreader.Each(ctx, log, Stream, 0, func(record *v1.LogRecord, missing int64) error {
+		expired += missing
+		return foldRecord(reader, record)
+	})
+	return expired, err
+}
+
+func foldRecord(reader *Reader, record *v1.LogRecord) error {
+	batch := &v1.RefusalBatch{}
+	if err := proto.Unmarshal(record.GetData(), batch); err != nil {
+		return fault.Wrap(fault.RecordCorrupt, err, "refusal batch at offset %d", record.GetOffset())
+	}
+	if err := reader.Fold(batch); err != nil {
+		return err
+	}
+	return nil
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -38,4 +38,3 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
