Keep slots busy and shares near under skewed arrivals

Cause: a model of three gateways on a fake clock showed that requests are shorter than the interval of the exchange. Change: the answer to a forwarded request tells the peer's free slots and rights; the gateway that accepted a request counts it as running; counts of peers are smoothed; free slots of peers are left to teams further below their share that wait elsewhere; ownership follows each report.

--- a/internal/gateway/choose/choose.go
+++ b/internal/gateway/choose/choose.go
@@ -27,7 +27,7 @@
 // Peers picks gateways to forward to. Each method returns nil when none fits.
 type Peers interface {
 	// WithSlot picks a peer of the zone that reports a free slot of the pool.
-	WithSlot(pool string) *pipe.Peer
+	WithSlot(pool, team string) *pipe.Peer
 	// WithRight picks a peer of the zone that reports a free right of the team, or else holds some.
 	WithRight(team, pool string) *pipe.Peer
 	// AboveShare picks a peer of the zone whose slots serve teams that are further above their
@@ -128,7 +128,7 @@
 	if r.Hops >= maxHops || r.CrossedZone {
 		return nil
 	}
-	peer := c.peers.WithSlot(r.PoolName)
+	peer := c.peers.WithSlot(r.PoolName, r.Team)
 	if peer == nil {
 		peer = c.peers.Spill(r.PoolName)
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -50,7 +50,7 @@
 	// Learn is called with each report that was taken, and when the exchange that brought it was
 	// sent; sentAt is zero for reports that came with a call of the peer.
 	Learn func(load *v1.GatewayLoad, sentAt time.Time)
-	// Changed is called after each round with the gateways that own slots.
+	// Changed is called after each round and report with the gateways that own slots.
 	Changed func(members []string)
 	Now     func() time.Time
 }
@@ -172,6 +172,7 @@
 		e.config.Lease.Heard(load.GetGateway(), load.GetIncarnation())
 	}
 	e.config.Learn(load, sentAt)
+	e.config.Changed(e.config.Peers.Members())
 }
 
 func (e *Exchange) receivedFrom(name string) uint64 {
--- a/internal/gateway/exchange/peers.go
+++ b/internal/gateway/exchange/peers.go
@@ -36,8 +36,10 @@
 	rights map[string]int
 	// barred holds what the peer refused since its last report.
 	barred map[poolTeam]bool
-	// queuedThere counts the requests that were forwarded to wait at the peer since its last report.
-	queuedThere int
+	// running is the smoothed number of running requests.
+	running map[poolTeam]float64
+	// sent counts the forwarded requests in progress that may wait in the peer's queue.
+	sent map[poolTeam]int
 }
 
 // zoneReport is what another zone of the region reports.
@@ -45,6 +47,7 @@
 	load    *v1.GatewayLoad
 	heardAt time.Time
 	slots   map[string]int
+	running map[poolTeam]float64
 }
 
 // Peers is the table of other gateways.
@@ -54,7 +57,7 @@
 	now        func() time.Time
 
 	// elsewhere is rebuilt after each report and read for each pick of the queue.
-	elsewhere atomic.Pointer[map[poolTeam]uint64]
+	elsewhere atomic.Pointer[map[poolTeam]float64]
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -64,7 +67,7 @@
 	// remote are the joined gateways of the other zones of the region.
 	remote map[string][]structs.GatewayEntry
 	// local is what this gateway itself ran at the last exchange.
-	local map[poolTeam]uint64
+	local map[poolTeam]float64
 	// draining is set while this gateway leaves.
 	draining bool
 }
@@ -78,9 +81,9 @@
 		peers:    map[string]*peer{},
 		zones:    map[string]*zoneReport{},
 		remote:   map[string][]structs.GatewayEntry{},
-		local:    map[poolTeam]uint64{},
+		local:    map[poolTeam]float64{},
 	}
-	p.elsewhere.Store(&map[poolTeam]uint64{})
+	p.elsewhere.Store(&map[poolTeam]float64{})
 	return p
 }
 
@@ -107,7 +110,7 @@
 // keepPeer returns the peer for entry, with its last report unless it has restarted.
 func keepPeer(old *peer, entry structs.GatewayEntry) *peer {
 	if old == nil || old.entry.Incarnation != entry.Incarnation {
-		old = &peer{}
+		old = &peer{sent: map[poolTeam]int{}}
 	}
 	next := *old
 	next.entry = entry
@@ -128,12 +131,12 @@
 	if known.load != nil && load.GetSeq() <= known.load.GetSeq() {
 		return false
 	}
+	known.running = smooth(known.running, load)
 	known.load = load
 	known.heardAt = p.now()
 	known.slots = freeSlots(load)
 	known.rights = freeRights(load)
 	known.barred = map[poolTeam]bool{}
-	known.queuedThere = 0
 	p.rebuild()
 	return true
 }
@@ -142,7 +145,13 @@
 	if !slices.Contains(p.region, load.GetZone()) {
 		return false
 	}
-	p.zones[load.GetZone()] = &zoneReport{load: load, heardAt: p.now(), slots: freeSlots(load)}
+	report, ok := p.zones[load.GetZone()]
+	if !ok {
+		report = &zoneReport{}
+		p.zones[load.GetZone()] = report
+	}
+	report.running = smooth(report.running, load)
+	report.load, report.heardAt, report.slots = load, p.now(), freeSlots(load)
 	p.rebuild()
 	return true
 }
@@ -172,30 +181,56 @@
 	defer p.mu.Unlock()
 	clear(p.local)
 	for _, load := range loads {
-		p.local[poolTeam{load.Pool, load.Team}] = load.Running
+		p.local[poolTeam{load.Pool, load.Team}] = float64(load.Running)
 	}
 }
 
 // rebuild sums the reports that are still in use.
 func (p *Peers) rebuild() {
-	sums := map[poolTeam]uint64{}
+	sums := map[poolTeam]float64{}
 	for _, known := range p.peers {
 		if p.audible(known) {
-			addTeams(sums, known.load)
+			addTeams(sums, known.running)
 		}
 	}
 	for _, report := range p.zones {
 		if p.now().Sub(report.heardAt) < zoneSilence {
-			addTeams(sums, report.load)
+			addTeams(sums, report.running)
 		}
 	}
 	p.elsewhere.Store(&sums)
 }
 
-func addTeams(sums map[poolTeam]uint64, load *v1.GatewayLoad) {
+func addTeams(sums, running map[poolTeam]float64) {
+	for subject, count := range running {
+		sums[subject] += count
+	}
+}
+
+// newestWeight is the weight of the newest report in the smoothed counts. Requests are shorter than
+// the interval of the exchange; if all gateways acted on the newest count alone, they would all
+// serve the same team at once, and all turn away from it after the next exchange.
+const newestWeight = 0.5
+
+// forgotten is the smoothed count below which a team isn't kept.
+const forgotten = 0.05
+
+// smooth returns the smoothed counts after a new report; the first one, with before nil, counts as it is.
+func smooth(before map[poolTeam]float64, load *v1.GatewayLoad) map[poolTeam]float64 {
+	after := make(map[poolTeam]float64, len(load.GetTeams()))
+	weight := newestWeight
+	if before == nil {
+		weight = 1
+	}
+	for subject, count := range before {
+		if rest := count * (1 - weight); rest > forgotten {
+			after[subject] = rest
+		}
+	}
 	for _, team := range load.GetTeams() {
-		sums[poolTeam{team.GetPool(), team.GetTeam()}] += min(team.GetRunning(), maxReported)
+		after[poolTeam{team.GetPool(), team.GetTeam()}] += weight * float64(min(team.GetRunning(), maxReported))
 	}
+	return after
 }
 
 // audible reports whether the peer was heard recently.
@@ -204,7 +239,7 @@
 }
 
 // RunningElsewhere implements queue.Elsewhere.
-func (p *Peers) RunningElsewhere(pool, team string) uint64 {
+func (p *Peers) RunningElsewhere(pool, team string) float64 {
 	return (*p.elsewhere.Load())[poolTeam{pool, team}]
 }
 
--- a/internal/gateway/exchange/pick.go
+++ b/internal/gateway/exchange/pick.go
@@ -8,9 +8,9 @@
 	"turmericyoke/internal/gateway/pipe"
 )
 
-// queuedShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
-// there between two of its reports. More would only move the queue from one gateway to another.
-const queuedShare = 4
+// sentShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
+// there at a time. More would only move the queue from one gateway to another.
+const sentShare = 4
 
 // candidates returns the audible peers that fit, in order of name so that picks are reproducible.
 func (p *Peers) candidates(fits func(*peer) bool) []*peer {
@@ -38,14 +38,38 @@
 	return first
 }
 
+// othersFirst reports whether another gateway has requests waiting of a team that is further below
+// its share, so that free slots of peers are left to it.
+func (p *Peers) othersFirst(subject poolTeam) bool {
+	mine, share := p.usage(subject), p.share(subject.team)
+	for _, known := range p.peers {
+		if !p.audible(known) {
+			continue
+		}
+		for _, load := range known.load.GetTeams() {
+			other := poolTeam{load.GetPool(), load.GetTeam()}
+			if load.GetQueued() == 0 || other.pool != subject.pool || other.team == subject.team {
+				continue
+			}
+			if (p.usage(other)+1)*share < mine*p.share(other.team) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (known *peer) target() *pipe.Peer {
 	return &pipe.Peer{Name: known.entry.Name, Address: known.entry.Address}
 }
 
 // WithSlot implements choose.Peers.
-func (p *Peers) WithSlot(pool string) *pipe.Peer {
+func (p *Peers) WithSlot(pool, team string) *pipe.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.othersFirst(poolTeam{pool, team}) {
+		return nil
+	}
 	room := func(known *peer) int { return known.slots[pool] }
 	best := p.betterOfTwo(p.candidates(func(known *peer) bool { return room(known) > 0 }), room)
 	if best == nil {
@@ -71,7 +95,29 @@
 		return nil
 	}
 	best.rights[team]--
-	return best.target()
+	return best.send(subject)
+}
+
+// send returns the peer as the target of a request that may wait there.
+func (known *peer) send(subject poolTeam) *pipe.Peer {
+	known.sent[subject]++
+	target := known.target()
+	target.Waits = true
+	return target
+}
+
+// Ended notes that a forwarded request is no longer in progress.
+func (p *Peers) Ended(target *pipe.Peer, pool, team string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[target.Name]
+	if !target.Waits || !ok {
+		return
+	}
+	subject := poolTeam{pool, team}
+	if known.sent[subject]--; known.sent[subject] <= 0 {
+		delete(known.sent, subject)
+	}
 }
 
 // holder picks a peer that holds rights of a team of which this gateway holds none. All rights of
@@ -88,11 +134,17 @@
 	}), held)
 }
 
-// mayQueue counts one more request that is sent to wait at the peer.
+// mayQueue reports whether one more request may be sent to wait at the peer.
 func (known *peer) mayQueue(pool string) bool {
+	sent := 0
+	for subject, count := range known.sent {
+		if subject.pool == pool {
+			sent += count
+		}
+	}
 	for _, load := range known.load.GetPools() {
 		if load.GetPool() == pool {
-			return known.queuedThere < max(int(min(load.GetOwnedSlots(), maxReported))/queuedShare, 1)
+			return sent < max(int(min(load.GetOwnedSlots(), maxReported))/sentShare, 1)
 		}
 	}
 	return false
@@ -111,9 +163,8 @@
 	if best == nil {
 		return nil
 	}
-	best.queuedThere++
 	best.rights[team]--
-	return best.target()
+	return best.send(subject)
 }
 
 // excess counts the slots of the peer that run teams which stay at or above the usage of the
@@ -135,16 +186,16 @@
 }
 
 // usage is what the team runs in the pool across the region; at least what one report says.
-func (p *Peers) usage(subject poolTeam) uint64 {
+func (p *Peers) usage(subject poolTeam) float64 {
 	return p.local[subject] + (*p.elsewhere.Load())[subject]
 }
 
-func (p *Peers) share(team string) uint64 {
+func (p *Peers) share(team string) float64 {
 	declared, ok := p.snapshot.Team(team)
 	if !ok || declared.Share < 1 {
 		return 1
 	}
-	return uint64(declared.Share)
+	return float64(declared.Share)
 }
 
 // Spill implements choose.Peers.
@@ -185,19 +236,44 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if target.CrossesZone {
-		for _, report := range p.zones {
-			if report.load.GetGateway() == target.Name {
-				report.slots[pool] = 0
-			}
-		}
+		p.closeZone(target.Name, pool)
 		return
 	}
 	known, ok := p.peers[target.Name]
 	if !ok || known.load == nil {
 		return
 	}
-	known.barred[poolTeam{pool, team}] = true
 	if target.RightHeld {
 		known.slots[pool] = 0
+		return
+	}
+	known.barred[poolTeam{pool, team}] = true
+}
+
+// closeZone stops spill to the zone of the gateway until its next report.
+func (p *Peers) closeZone(gateway, pool string) {
+	for zone, report := range p.zones {
+		for _, entry := range p.remote[zone] {
+			if entry.Name == gateway {
+				report.slots[pool] = 0
+			}
+		}
+	}
+}
+
+// Told takes what a peer had free when it ended a forwarded request. Requests are shorter than the
+// interval of the exchange, so without it slots that became free at the peer would stay idle until
+// its next report.
+func (p *Peers) Told(target *pipe.Peer, pool, team string, slots, rights uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.peers[target.Name]
+	if !ok || known.load == nil {
+		return
+	}
+	known.slots[pool] = int(min(slots, maxReported))
+	known.rights[team] = int(min(rights, maxReported))
+	if slots > 0 && rights > 0 {
+		delete(known.barred, poolTeam{pool, team})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	g.queue = queue.New(config.Queue, chooser, g.peers, config.Now)
 	g.account = account.New(config.Sink, config.Registry, config.Now)
 	clients := peerclient.NewPool(config.HTTP)
-	forwarder := peerclient.NewForwarder(clients, g.peers, config.Now)
+	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.Kick, config.Now)
 	chain := pipe.NewChain(g.account,
 		authenticate.New(config.Store, config.Now),
 		route.New(config.Store),
@@ -94,7 +94,7 @@
 	)
 	g.server = server.New(server.Config{
 		Incarnation: config.Incarnation, Limits: config.Server, Chain: chain, Recorder: g.account,
-		Draining: g.draining.Load, Now: config.Now,
+		Room: g.room, Draining: g.draining.Load, Now: config.Now,
 	})
 	g.exchange = g.newExchange(clients)
 	config.Store.OnChange(g.adopt)
@@ -110,6 +110,10 @@
 	})
 }
 
+func (g *Gateway) room(pool, team string) (slots, rights uint64) {
+	return uint64(g.table.Room(pool).Free), g.config.Rights.Free(team)
+}
+
 func (g *Gateway) adopt(snapshot *fleet.Snapshot) {
 	g.peers.Adopt(snapshot)
 	g.table.Adopt(snapshot)
--- a/internal/gateway/peerclient/forward.go
+++ b/internal/gateway/peerclient/forward.go
@@ -16,21 +16,28 @@
 	"turmericyoke/internal/gateway/pipe"
 )
 
-// Barrer notes peers that didn't run a request.
-type Barrer interface {
+// Reports takes what forwarded requests show about peers.
+type Reports interface {
+	// Refused notes that the peer didn't run a request.
 	Refused(peer *pipe.Peer, pool, team string)
+	// Told notes the slots and rights that the peer had free when a request ended.
+	Told(peer *pipe.Peer, pool, team string, slots, rights uint64)
+	// Ended notes that a forwarded request is no longer in progress.
+	Ended(peer *pipe.Peer, pool, team string)
 }
 
 // Forwarder runs requests through other gateways. It implements dispatch.Forwarder.
 type Forwarder struct {
-	Barrer
+	Reports
 	pool *Pool
-	now  func() time.Time
+	// freed is called when the peer has room for more requests of the pool.
+	freed func(pool string)
+	now   func() time.Time
 }
 
 // NewForwarder returns a forwarder over the clients of pool.
-func NewForwarder(pool *Pool, barrer Barrer, now func() time.Time) *Forwarder {
-	return &Forwarder{Barrer: barrer, pool: pool, now: now}
+func NewForwarder(pool *Pool, reports Reports, freed func(pool string), now func() time.Time) *Forwarder {
+	return &Forwarder{Reports: reports, pool: pool, freed: freed, now: now}
 }
 
 // Forward implements dispatch.Forwarder. The call itself is never repeated: it's a POST without an
@@ -38,6 +45,7 @@
 func (f *Forwarder) Forward(ctx context.Context, peer *pipe.Peer, r *pipe.Request) dispatch.Forwarded {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	defer f.Ended(peer, r.PoolName, r.Team)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -46,6 +54,10 @@
 	if err != nil {
 		return lost(peer, err, connected.Load())
 	}
+	f.Told(peer, r.PoolName, r.Team, response.GetFreeSlots(), response.GetFreeRights())
+	if response.GetFreeSlots() > 0 {
+		f.freed(r.PoolName)
+	}
 	return settle(r.Out, response)
 }
 
--- a/internal/gateway/pipe/request.go
+++ b/internal/gateway/pipe/request.go
@@ -133,6 +133,8 @@
 	CrossesZone bool
 	// RightHeld is set when the sender keeps the right and asks only for a slot.
 	RightHeld bool
+	// Waits is set when the request may wait in the peer's queue.
+	Waits bool
 }
 
 // Slot is one free slot of an endpoint that this gateway has taken.
--- a/internal/gateway/queue/line.go
+++ b/internal/gateway/queue/line.go
@@ -23,10 +23,10 @@
 type line struct {
 	team  string
 	share uint64
-	// running counts requests of the team that this gateway's slots run.
+	// running counts requests of the team that this gateway accepted and placed, here or at a peer.
 	running uint64
 	// elsewhere counts requests of the team that the rest of the fleet reports as running.
-	elsewhere   uint64
+	elsewhere   float64
 	waiting     uint64
 	first, last *waiter
 	// blocked is set while a scan has found no place for the first request.
@@ -71,12 +71,12 @@
 }
 
 // usage is what the team runs across the fleet, as far as it is known.
-func (l *line) usage() uint64 { return l.running + l.elsewhere }
+func (l *line) usage() float64 { return float64(l.running) + l.elsewhere }
 
 // below reports whether l is served before other: its usage is lower in proportion to its share,
 // or equal and its first request is older.
 func (l *line) below(other *line) bool {
-	mine, theirs := l.usage()*other.share, other.usage()*l.share
+	mine, theirs := l.usage()*float64(other.share), other.usage()*float64(l.share)
 	if mine != theirs {
 		return mine < theirs
 	}
@@ -85,8 +85,8 @@
 
 // above reports whether l is further above its share than other when waiting requests count as well.
 func (l *line) above(other *line) bool {
-	mine := (l.usage() + l.waiting) * other.share
-	theirs := (other.usage() + other.waiting) * l.share
+	mine := (l.usage() + float64(l.waiting)) * float64(other.share)
+	theirs := (other.usage() + float64(other.waiting)) * float64(l.share)
 	if mine != theirs {
 		return mine > theirs
 	}
--- a/internal/gateway/queue/pool.go
+++ b/internal/gateway/queue/pool.go
@@ -133,9 +133,10 @@
 	return true
 }
 
-// count notes a request that runs on a slot of this gateway; a forwarded one is counted by the peer.
+// count notes a placed request. The gateway that accepted a request counts it, wherever it runs:
+// so the count of what it forwarded is exact and doesn't lag behind by an exchange.
 func (p *poolQueue) count(l *line, r *pipe.Request) {
-	if r.Placement.Slot != nil {
+	if !r.Forwarded {
 		l.running++
 	}
 }
@@ -151,7 +152,7 @@
 	return verdict
 }
 
-// ended notes the end of a request that ran on a slot of this gateway.
+// ended notes the end of a request that this gateway accepted.
 func (p *poolQueue) ended(team string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/queue/queue.go
+++ b/internal/gateway/queue/queue.go
@@ -36,7 +36,7 @@
 
 // Elsewhere knows what the rest of the fleet runs.
 type Elsewhere interface {
-	RunningElsewhere(pool, team string) uint64
+	RunningElsewhere(pool, team string) float64
 }
 
 // Limits bound the queue.
@@ -163,7 +163,7 @@
 // Ended notes that a placed request no longer runs. The caller gives its slot back afterwards,
 // so that the next request is picked by usage without it.
 func (q *Queue) Ended(r *pipe.Request) {
-	if r.Placement.Slot != nil {
+	if !r.Forwarded {
 		q.pool(r.PoolName).ended(r.Team)
 	}
 }
--- a/internal/gateway/server/forward.go
+++ b/internal/gateway/server/forward.go
@@ -18,7 +18,9 @@
 	defer fasthttp.ReleaseResponse(out)
 	r := s.received(ctx, message, in, out)
 	s.config.Chain.Run(r)
-	return response(r), nil
+	answer := response(r)
+	answer.FreeSlots, answer.FreeRights = s.config.Room(r.PoolName, r.Team)
+	return answer, nil
 }
 
 func (s *Server) received(ctx context.Context, message *v1.ForwardRequest, in *fasthttp.Request, out *fasthttp.Response) *pipe.Request {
