--- a/internal/gateway/exchange/pick.go
+++ b/internal/gateway/exchange/pick.go
@@ -10,7 +10,7 @@
 
 // sentShare is the part of a peer's slots, as a divisor, for which requests may be sent to wait
 // there at a time. More would only move the queue from one gateway to another.
-const sentShare = 2
+const sentShare = 4
 
 // candidates returns the audible peers that fit, in order of name so that picks are reproducible.
 func (p *Peers) candidates(fits func(*peer) bool) []*peer {
@@ -38,14 +38,38 @@
 	return first
 }
 
+// othersFirst reports whether another gateway has requests waiting of a team that is further below
+// its share, so that free slots of peers are left to it.
+func (p *Peers) othersFirst(subject poolTeam) bool {
+	mine, share := p.usage(subject), p.share(subject.team)
+	for _, known := range p.peers {
+		if !p.audible(known) {
+			continue
+		}
+		for _, load := range known.load.GetTeams() {
+			other := poolTeam{load.GetPool(), load.GetTeam()}
+			if load.GetQueued() == 0 || other.pool != subject.pool || other.team == subject.team {
+				continue
+			}
+			if (p.usage(other)+1)*share < mine*p.share(other.team) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (known *peer) target() *pipe.Peer {
 	return &pipe.Peer{Name: known.entry.Name, Address: known.entry.Address}
 }
 
 // WithSlot implements choose.Peers.
-func (p *Peers) WithSlot(pool string) *pipe.Peer {
+func (p *Peers) WithSlot(pool, team string) *pipe.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.othersFirst(poolTeam{pool, team}) {
+		return nil
+	}
 	room := func(known *peer) int { return known.slots[pool] }
 	best := p.betterOfTwo(p.candidates(func(known *peer) bool { return room(known) > 0 }), room)
 	if best == nil {
@@ -96,15 +120,6 @@
 	}
 }
 
-// sentFor counts the requests of the team that wait at peers.
-func (p *Peers) sentFor(subject poolTeam) uint64 {
-	total := 0
-	for _, known := range p.peers {
-		total += known.sent[subject]
-	}
-	return uint64(total)
-}
-
 // holder picks a peer that holds rights of a team of which this gateway holds none. All rights of
 // the team may be in use; the request then waits where the next one becomes free.
 func (p *Peers) holder(subject poolTeam) *peer {
@@ -155,7 +170,7 @@
 // excess counts the slots of the peer that run teams which stay at or above the usage of the
 // subject's team when one slot changes over to it.
 func (p *Peers) excess(known *peer, subject poolTeam) int {
-	mine := p.usage(subject) + p.sentFor(subject) + 1
+	mine := p.usage(subject) + 1
 	share := p.share(subject.team)
 	count := 0
 	for _, load := range known.load.GetTeams() {
@@ -171,16 +186,16 @@
 }
 
 // usage is what the team runs in the pool across the region; at least what one report says.
-func (p *Peers) usage(subject poolTeam) uint64 {
+func (p *Peers) usage(subject poolTeam) float64 {
 	return p.local[subject] + (*p.elsewhere.Load())[subject]
 }
 
-func (p *Peers) share(team string) uint64 {
+func (p *Peers) share(team string) float64 {
 	declared, ok := p.snapshot.Team(team)
 	if !ok || declared.Share < 1 {
 		return 1
 	}
-	return uint64(declared.Share)
+	return float64(declared.Share)
 }
 
 // Spill implements choose.Peers.
