Fix the seeds of more property tests

Cause: three packages drew a new seed in each run. Change: they import fixedseed. Figures: the packages pass. Conclusion: their verdict is the same in every run.

--- a/internal/gateway/endpoints/owner_test.go
+++ b/internal/gateway/endpoints/owner_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/gateway/fleet"
 	"turmericyoke/internal/structs"
 )
--- a/internal/gateway/queue/queue_test.go
+++ b/internal/gateway/queue/queue_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"turmericyoke/internal/fault"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/gateway/pipe"
 )
 
--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	_ "turmericyoke/internal/fixedseed"
 )
 
 // Guards against sums of usage that drift from the running jobs, and against snapshots that change
