--- a/internal/controller/snapshot/snapshot.go
+++ b/internal/controller/snapshot/snapshot.go
@@ -13,7 +13,6 @@
 	"turmericyoke/internal/controller/rank"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
-	"turmericyoke/internal/follower"
 )
 
 // Rules of when a snapshot is due.
@@ -138,7 +137,7 @@
 func (l *Loop) read(ctx context.Context, after int64) (*v1.ReadResponse, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := l.Log.Read(call, &v1.ReadRequest{Stream: follower.SnapshotStream, AfterOffset: after, MaxRecords: 1})
+	response, err := l.Log.Read(call, &v1.ReadRequest{Stream: fold.SnapshotStream, AfterOffset: after, MaxRecords: 1})
 	if err != nil {
 		return nil, fault.Wrap(fault.LogUnavailable, err, "snapshots can't be read")
 	}
@@ -170,7 +169,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := l.Log.Append(call, &v1.AppendRequest{Stream: follower.SnapshotStream, Records: [][]byte{raw}}); err != nil {
+	if _, err := l.Log.Append(call, &v1.AppendRequest{Stream: fold.SnapshotStream, Records: [][]byte{raw}}); err != nil {
 		return fault.Wrap(fault.LogUnavailable, err, "chunk %d of %d wasn't appended", chunk.GetIndex(), chunk.GetCount())
 	}
 	return nil
--- a/internal/fold/record.go
+++ b/internal/fold/record.go
@@ -10,6 +10,14 @@
 	"turmericyoke/internal/structs"
 )
 
+// Streams of the log.
+const (
+	// FleetStream holds the proposals.
+	FleetStream = "fleet"
+	// SnapshotStream holds chunks of snapshots; only starting controllers read it.
+	SnapshotStream = "snapshots"
+)
+
 // Schema is the newest record format that this version reads, and the one that it writes.
 const Schema = 1
 
--- a/internal/fold/view.go
+++ b/internal/fold/view.go
@@ -1,8 +1,6 @@
 package fold
 
 import (
-	"maps"
-
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fold/inventory"
 	"turmericyoke/internal/structs"
@@ -18,7 +16,7 @@
 		Gateways:  s.gateways(),
 	}
 	view.Unallotted = s.unallotted()
-	view.SurrenderTargets = s.surrenderTargets()
+	view.SurrenderTargets = s.Escrow.SurrenderTargets()
 	return view
 }
 
@@ -44,10 +42,7 @@
 	members := s.Escrow.Members(v1.Role_ROLE_GATEWAY)
 	entries := make([]structs.GatewayEntry, 0, len(members))
 	for _, member := range members {
-		entries = append(entries, structs.GatewayEntry{
-			Name: member.Name, Incarnation: member.Incarnation, Zone: member.Zone, Address: member.Address,
-			Suspected: member.Suspected, Rights: maps.Clone(member.Rights), LastSeq: member.LastSeq,
-		})
+		entries = append(entries, member.Entry())
 	}
 	return entries
 }
@@ -62,15 +57,3 @@
 	}
 	return units
 }
-
-// surrenderTargeter is the optional accessor of the escrow section for its surrender targets.
-type surrenderTargeter interface {
-	SurrenderTargets() map[string]uint64
-}
-
-func (s *State) surrenderTargets() map[string]uint64 {
-	if section, ok := any(s.Escrow).(surrenderTargeter); ok {
-		return maps.Clone(section.SurrenderTargets())
-	}
-	return nil
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,12 +15,6 @@
 	"turmericyoke/internal/proposer"
 )
 
-// Streams of the log.
-const (
-	FleetStream    = proposer.Stream
-	SnapshotStream = "snapshots"
-)
-
 // Log is the platform's log; connect's LogServiceClient implements it.
 type Log interface {
 	Read(context.Context, *v1.ReadRequest) (*v1.ReadResponse, error)
--- a/internal/follower/load.go
+++ b/internal/follower/load.go
@@ -29,7 +29,7 @@
 
 // loadFromLog takes the newest snapshot whose tail is still kept, or starts with the first record.
 func (f *Follower) loadFromLog(ctx context.Context) bool {
-	bounds, err := f.readLog(ctx, FleetStream, beyondHead, 1, 0)
+	bounds, err := f.readLog(ctx, fold.FleetStream, beyondHead, 1, 0)
 	if err != nil {
 		f.report(fault.Wrap(fault.LogUnavailable, err, "log can't be read"))
 		return false
@@ -48,7 +48,7 @@
 
 // newestSnapshot returns the newest whole snapshot on the log, or nil.
 func (f *Follower) newestSnapshot(ctx context.Context) *fold.State {
-	bounds, err := f.readLog(ctx, SnapshotStream, beyondHead, 1, 0)
+	bounds, err := f.readLog(ctx, fold.SnapshotStream, beyondHead, 1, 0)
 	if err != nil {
 		return nil
 	}
@@ -67,7 +67,7 @@
 	var assembler fold.Assembler
 	var newest *fold.State
 	for after < head {
-		response, err := f.readLog(ctx, SnapshotStream, after, firstWindow, 0)
+		response, err := f.readLog(ctx, fold.SnapshotStream, after, firstWindow, 0)
 		if err != nil || len(response.GetRecords()) == 0 {
 			return newest
 		}
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -8,12 +8,13 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/fold"
 )
 
 // Times and sizes of reads of the log.
 const (
-	// pollWait is the wait of one long poll. It also bounds the resolution of the freshness, which
-	// counts from the start of a read.
+	// pollWait is the wait of one long poll. The freshness counts from the start of a read, so that
+	// on a quiet log it grows to twice this span.
 	pollWait = 2 * time.Second
 	// readTimeout is what a read may take beyond its wait; a slower log counts as down.
 	readTimeout = 5 * time.Second
@@ -46,7 +47,7 @@
 // pollLog does one long poll, and returns false when the next one should wait.
 func (f *Follower) pollLog(ctx context.Context) bool {
 	start := time.Now()
-	response, err := f.readLog(ctx, FleetStream, f.Offset(), pageRecords, pollWait)
+	response, err := f.readLog(ctx, fold.FleetStream, f.Offset(), pageRecords, pollWait)
 	if err != nil {
 		f.report(fault.Wrap(fault.LogUnavailable, err, "log can't be read"))
 		return false
--- a/internal/proposer/settle.go
+++ b/internal/proposer/settle.go
@@ -11,11 +11,9 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/fold"
 )
 
-// Stream is the stream of the log that proposals go to.
-const Stream = "fleet"
-
 // Times of one append.
 const (
 	// callTimeout bounds one call of the log; a slow log answers within seconds.
@@ -69,7 +67,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &v1.AppendRequest{Stream: Stream}
+	request := &v1.AppendRequest{Stream: fold.FleetStream}
 	for _, i := range s.open {
 		request.Records = append(request.Records, s.batch[i].raw)
 	}
@@ -107,7 +105,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := s.proposer.log.Read(call, &v1.ReadRequest{Stream: Stream, AfterOffset: math.MaxInt64 - 1})
+	response, err := s.proposer.log.Read(call, &v1.ReadRequest{Stream: fold.FleetStream, AfterOffset: math.MaxInt64 - 1})
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/standin/fleetdoc/fleetdoc.go
@@ -0,0 +1,79 @@
+// Package fleetdoc makes documents of any size for tests, benchmarks and the demo.
+package fleetdoc
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"turmericyoke/internal/document"
+	"turmericyoke/internal/structs"
+)
+
+// Size is the size of a fleet.
+type Size struct {
+	Hosts int
+	Teams int
+	Pools int
+	Zones int
+}
+
+// Design is the fleet that decisions are measured at.
+var Design = Size{Hosts: 2800, Teams: 160, Pools: 25, Zones: 15}
+
+// Sizes of one host and its endpoint.
+const (
+	hostsPerRack = 4
+	slots        = 8
+	connections  = 64
+	cpuMilli     = 64000
+	memoryMiB    = 128 << 10
+)
+
+// New returns a valid document. Equal sizes give equal documents.
+func New(size Size) *structs.Document {
+	doc := &structs.Document{
+		Policy: structs.Policy{
+			BufferCost: 1, MoveCost: 1, ShareNearness: 1, TargetUtilisation: 0.7, FailureBuffer: 1,
+			MoveDwell: structs.Duration(time.Minute), MinStay: structs.Duration(10 * time.Minute),
+		},
+	}
+	for i := range size.Zones {
+		doc.Zones = append(doc.Zones, structs.Zone{Name: zone(i), Region: fmt.Sprintf("region-%d", i/3)})
+	}
+	for i := range size.Pools {
+		doc.Pools = append(doc.Pools, structs.Pool{Name: pool(i), Spare: i == 0, MinAvailable: size.Hosts / size.Pools / 2})
+	}
+	for i := range size.Hosts {
+		doc.Hosts = append(doc.Hosts, host(i, size))
+	}
+	for i := range size.Teams {
+		name := fmt.Sprintf("team-%03d", i)
+		doc.Teams = append(doc.Teams, structs.Team{Name: name, Share: 1 + i%5, UpperLimit: uint64(100 + 10*i)})
+		doc.Keys = append(doc.Keys, structs.Key{ID: fmt.Sprintf("key-%03d", i), Team: name, Hash: Hash(name)})
+	}
+	document.Normalize(doc)
+	return doc
+}
+
+// Hash returns the hash of a key's secret.
+func Hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+func pool(i int) string { return fmt.Sprintf("pool-%02d", i) }
+
+func host(i int, size Size) structs.Host {
+	rack := i / hostsPerRack
+	return structs.Host{
+		Name: fmt.Sprintf("host-%04d", i), Zone: zone(rack % size.Zones), Rack: fmt.Sprintf("rack-%03d", rack),
+		Pool: pool(i % size.Pools), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256),
+		Slots: slots, Connections: connections,
+		Capacity: structs.Resources{CPUMilli: cpuMilli, MemoryMiB: memoryMiB},
+		Labels:   map[string]string{"generation": fmt.Sprintf("g%d", i%3)},
+	}
+}
