--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,7 @@
 		Room: g.room, Draining: g.draining.Load, Now: config.Now,
 	})
 	g.exchange = g.newExchange(clients)
+	g.registerGauges()
 	config.Store.OnChange(g.adopt)
 	return g
 }
@@ -104,7 +105,7 @@
 func (g *Gateway) newExchange(clients *peerclient.Pool) *exchange.Exchange {
 	return exchange.New(exchange.Config{
 		Self: g.config.Name, Incarnation: g.config.Incarnation, Zone: g.config.Zone,
-		Peers: g.peers, Load: g.load, Client: clients.Peer,
+		Peers: g.peers, Load: g.load, Client: clients.Exchange,
 		Lease: g.config.Lease, Pending: g.config.Pending,
 		Learn: g.learn, Changed: g.setMembers, Now: g.config.Now,
 	})
@@ -194,7 +195,8 @@
 // PeerHandler returns the HTTP handler of the service for other gateways.
 func (g *Gateway) PeerHandler() (string, http.Handler) {
 	limit := max(g.config.Server.BodyBytes, g.config.Endpoints.AnswerBytes) + forwardEnvelope
-	return turmericyokev1connect.NewPeerServiceHandler(peerService{g.exchange, g.server}, connect.WithReadMaxBytes(limit))
+	return turmericyokev1connect.NewPeerServiceHandler(peerService{g.exchange, g.server},
+		connect.WithReadMaxBytes(limit), connect.WithCompressMinBytes(peerclient.CompressAbove))
 }
 
 // load returns the report for other gateways. Only what isn't zero is told.
--- a/internal/gateway/peerclient/peerclient.go
+++ b/internal/gateway/peerclient/peerclient.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 )
 
@@ -31,30 +33,52 @@
 	}}
 }
 
-// Pool keeps one client for each peer address.
+// CompressAbove is the size of a message from which compression saves bytes, in bytes.
+const CompressAbove = 200
+
+// Pool keeps the clients for each peer address.
 type Pool struct {
 	http *http.Client
 
 	mu      sync.Mutex
-	clients map[string]turmericyokev1connect.PeerServiceClient
+	clients map[string]clients
+}
+
+// clients call one peer. Reports of load are compressed, since their names repeat and the bytes of
+// the exchange are bounded; forwarded requests aren't, since that would cost them time.
+type clients struct {
+	forward, exchange turmericyokev1connect.PeerServiceClient
 }
 
 // NewPool returns a pool that calls through client.
 func NewPool(client *http.Client) *Pool {
-	return &Pool{http: client, clients: map[string]turmericyokev1connect.PeerServiceClient{}}
+	return &Pool{http: client, clients: map[string]clients{}}
 }
 
-// Peer returns the client for the gateway at address.
+// Peer returns the client that forwards requests to the gateway at address.
 func (p *Pool) Peer(address string) turmericyokev1connect.PeerServiceClient {
+	return p.at(address).forward
+}
+
+// Exchange returns the client for the exchange with the gateway at address.
+func (p *Pool) Exchange(address string) turmericyokev1connect.PeerServiceClient {
+	return p.at(address).exchange
+}
+
+func (p *Pool) at(address string) clients {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if client, ok := p.clients[address]; ok {
-		return client
+	if known, ok := p.clients[address]; ok {
+		return known
 	}
 	if len(p.clients) >= maxPeers {
 		clear(p.clients)
 	}
-	client := turmericyokev1connect.NewPeerServiceClient(p.http, "http://"+address)
-	p.clients[address] = client
-	return client
+	url := "http://" + address
+	added := clients{
+		forward:  turmericyokev1connect.NewPeerServiceClient(p.http, url, connect.WithAcceptCompression("gzip", nil, nil)),
+		exchange: turmericyokev1connect.NewPeerServiceClient(p.http, url, connect.WithSendGzip(), connect.WithCompressMinBytes(CompressAbove)),
+	}
+	p.clients[address] = added
+	return added
 }
--- a/internal/gateway/server/cancel.go
+++ b/internal/gateway/server/cancel.go
@@ -29,8 +29,9 @@
 
 func newWatcher() *watcher { return &watcher{watched: map[*call]struct{}{}} }
 
-func (w *watcher) watch(parent context.Context, conn net.Conn) *call {
-	ctx, cancel := context.WithCancel(parent)
+// watch begins to look at conn. The contexts have no common parent, whose lock all requests would share.
+func (w *watcher) watch(conn net.Conn) *call {
+	ctx, cancel := context.WithCancel(context.Background())
 	c := &call{Context: ctx, cancel: cancel, conn: conn}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -46,6 +47,15 @@
 	c.cancel()
 }
 
+// cancelAll cancels all requests in progress.
+func (w *watcher) cancelAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.watched {
+		c.cancel()
+	}
+}
+
 // run looks at all connections at each interval, until ctx ends.
 func (w *watcher) run(ctx context.Context) error {
 	ticker := time.NewTicker(watchInterval)
--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -53,14 +53,11 @@
 	watcher  *watcher
 	numbers  atomic.Uint64
 	buffered atomic.Int64
-	ctx      context.Context
-	stop     context.CancelFunc
 }
 
 // New returns a server.
 func New(config Config) *Server {
 	s := &Server{config: config, watcher: newWatcher()}
-	s.ctx, s.stop = context.WithCancel(context.Background())
 	limits := config.Limits
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -96,7 +93,7 @@
 // Shutdown stops accepting and waits for the requests in progress until ctx ends. Those that are
 // still in progress then are cancelled.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.stop()
+	defer s.watcher.cancelAll()
 	return s.http.ShutdownWithContext(ctx)
 }
 
@@ -113,7 +110,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	r := &pipe.Request{Arrived: s.config.Now(), In: &ctx.Request, Out: &ctx.Response}
 	r.ID, r.Number = s.NextID()
-	call := s.watcher.watch(s.ctx, ctx.Conn())
+	call := s.watcher.watch(ctx.Conn())
 	defer s.watcher.done(call)
 	r.Ctx = call
 	size, err := s.readBody(ctx)
