Run the platform's stand-ins as one process

Cause: the demo and the tests of the whole path need the platform in one process. Change: command standin serves log, hosts with endpoints, workers and the fault switches.

--- a/internal/cli/record.go
+++ b/internal/cli/record.go
@@ -13,7 +13,7 @@
 
 	"turmericyoke/internal/audit"
 	"turmericyoke/internal/fault"
-	"turmericyoke/internal/proposer"
+	"turmericyoke/internal/fold"
 	"turmericyoke/internal/refusal"
 	"turmericyoke/internal/structs"
 )
@@ -72,7 +72,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&stream, "stream", proposer.Stream, "fleet or refusals")
+	cmd.Flags().StringVar(&stream, "stream", fold.FleetStream, "fleet or refusals")
 	cmd.Flags().Int64Var(&after, "after", 0, "offset after which the export starts")
 	return cmd
 }
--- a/internal/gateway/choose/choose_test.go
+++ b/internal/gateway/choose/choose_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"turmericyoke/internal/fault"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/gateway/endpoints"
 	"turmericyoke/internal/gateway/pipe"
 	"turmericyoke/internal/gateway/queue"
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"turmericyoke/internal/standin/hostsvc"
 	"turmericyoke/internal/standin/logsvc"
 )
 
@@ -32,9 +34,27 @@
 			return
 		}
 		p.log.Set(func(f *logsvc.Faults) { f.LoseAnswers = count })
+	case "host-dead":
+		p.hosts.SetDead(hostsvc.OnHost(query.Get("host")), on)
+	case "rack-dead":
+		p.hosts.SetDead(hostsvc.OnRack(query.Get("rack")), on)
+	case "zone-cut-off":
+		p.hosts.SetCutOff(hostsvc.OnZone(query.Get("zone")), on)
+	case "host-list-frozen":
+		p.hosts.FreezeList(on)
 	default:
 		http.Error(w, "unknown switch", http.StatusNotFound)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// counts are what the platform has seen.
+type counts struct {
+	Hosts hostsvc.Counts `json:"hosts"`
+}
+
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(counts{Hosts: p.hosts.Counts()})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,7 +11,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/standin/hostsvc"
 	"turmericyoke/internal/standin/logsvc"
+	"turmericyoke/internal/standin/workersvc"
 	"turmericyoke/internal/structs"
 )
 
@@ -37,6 +39,8 @@
 type Platform struct {
 	options   Options
 	log       *logsvc.Log
+	hosts     *hostsvc.Service
+	workers   *workersvc.Service
 	endpoints *endpoints
 }
 
@@ -44,14 +48,36 @@
 func New(options Options, hosts []structs.Host) *Platform {
 	p := &Platform{options: options, log: logsvc.New(), endpoints: newEndpoints(hosts, options.WorkTime)}
 	p.log.SetRate(options.AppendsPerSecond)
+	p.hosts = hostsvc.New(hostsvc.Options{
+		ListLag:    options.ListLag,
+		RebootTime: options.RebootTime,
+		AssignTime: options.AssignTime,
+		Running: func(host string) (running, busySlots uint64) {
+			requests := p.endpoints.running(host)
+			return requests, requests
+		},
+		Changed: func(host hostsvc.Host) { p.endpoints.set(host.Name, host.Up, host.Draining) },
+	}, hostList(hosts))
+	p.workers = workersvc.New(workersvc.DefaultSettings(), time.Now)
 	return p
 }
 
+func hostList(hosts []structs.Host) []hostsvc.Host {
+	list := make([]hostsvc.Host, 0, len(hosts))
+	for _, host := range hosts {
+		list = append(list, hostsvc.Host{Name: host.Name, Zone: host.Zone, Rack: host.Rack, Pool: host.Pool})
+	}
+	return list
+}
+
 // Handler serves all services and the fault switches.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(turmericyokev1connect.NewLogServiceHandler(p.log))
+	mux.Handle(p.hosts.Handler())
+	mux.Handle(turmericyokev1connect.NewWorkerServiceHandler(p.workers))
 	mux.HandleFunc("POST /faults/{switch}", p.setFault)
+	mux.HandleFunc("GET /counts", p.serveCounts)
 	return mux
 }
 
