Fix the seed of the fold's property test and keep the proposer's stream name

Cause: the test drew a new seed in each run, and other packages use proposer.Stream. Conclusion: the verdict of the test command doesn't change between runs.

--- a/internal/fold/fold_test.go
+++ b/internal/fold/fold_test.go
@@ -13,6 +13,7 @@
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/document"
 	"turmericyoke/internal/fault"
+	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/standin/fleetdoc"
 	"turmericyoke/internal/structs"
 	"turmericyoke/internal/viewdelta"
--- a/internal/proposer/settle.go
+++ b/internal/proposer/settle.go
@@ -14,6 +14,9 @@
 	"turmericyoke/internal/fold"
 )
 
+// Stream is the stream of the log that proposals go to.
+const Stream = fold.FleetStream
+
 // Times of one append.
 const (
 	// callTimeout bounds one call of the log; a slow log answers within seconds.
@@ -67,7 +70,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &v1.AppendRequest{Stream: fold.FleetStream}
+	request := &v1.AppendRequest{Stream: Stream}
 	for _, i := range s.open {
 		request.Records = append(request.Records, s.batch[i].raw)
 	}
@@ -105,7 +108,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := s.proposer.log.Read(call, &v1.ReadRequest{Stream: fold.FleetStream, AfterOffset: math.MaxInt64 - 1})
+	response, err := s.proposer.log.Read(call, &v1.ReadRequest{Stream: Stream, AfterOffset: math.MaxInt64 - 1})
 	if err != nil {
 		return false
 	}
