Test that a start without answer is fenced

Cause: a fault put in on trial in the fence of an unanswered start survived all tests. Change: a test pauses the worker of a start, and expects the next attempt elsewhere within 3 s of the answer and the old attempt refused. Conclusion: the suspension of a silent worker and the immediate renewal of a lease that was taken over aren't caught by a test yet.

--- a/internal/controller/schedule/schedule_test.go
+++ b/internal/controller/schedule/schedule_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
@@ -203,6 +204,25 @@
 	})
 }
 
+// Guards against a start without an answer that holds its job until a lease would have lapsed, and
+// against an attempt that starts after it was given up.
+func TestStartWithoutAnswerIsFenced(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.workers.SetFaults("w00", workersvc.Faults{Paused: true})
+		f.control(0)
+		f.submit(t, "job", "a", standard, 1000, workersvc.Behaviour{})
+		time.Sleep(DefaultSettings().StartTimeout + 500*time.Millisecond)
+		f.workers.SetFaults("w00", workersvc.Faults{})
+		until(t, 3*time.Second, func() bool { return f.running("job") })
+		worker, attempt, _ := f.workers.Running("job")
+		assert.Equal(t, worker, "w01")
+		assert.Equal(t, attempt, uint32(2))
+		_, err := f.workers.Start(t.Context(), &v1.StartTaskRequest{Worker: "w00", Job: "job", Attempt: 1})
+		assert.Equal(t, connect.CodeOf(err), connect.CodeAborted)
+	})
+}
+
 // Guards against cancellations that hold up urgent work, and against cancelled jobs that run on.
 func TestCancelWave(t *testing.T) {
 	bubble(t, func(t *testing.T) {
