--- a/internal/controller/schedule/call.go
+++ b/internal/controller/schedule/call.go
@@ -79,7 +79,10 @@
 	defer cancel()
 	if r.start != nil {
 		response, err := l.Workers.Start(ctx, r.start)
-		l.note(func(now time.Time) { r.started(response, err, now) })
+		l.note(func(now time.Time) {
+			r.started(response, err, now)
+			l.attend(r.task)
+		})
 		return
 	}
 	response, err := l.Workers.Control(ctx, r.control)
@@ -87,7 +90,10 @@
 		r.settle(ctx, l)
 		return
 	}
-	l.note(func(now time.Time) { r.controlled(l, response, err, now) })
+	l.note(func(now time.Time) {
+		r.controlled(l, response, err, now)
+		l.attend(r.task)
+	})
 }
 
 // note changes the state of the loop with the answer of a call.
@@ -163,6 +169,7 @@
 func (r *request) settle(ctx context.Context, l *Loop) {
 	response, err := l.Workers.Report(ctx, &v1.ReportRequest{Workers: []string{r.worker}})
 	l.note(func(now time.Time) {
+		defer l.attend(r.task)
 		r.answered(now)
 		if err != nil {
 			return
--- a/internal/controller/schedule/deps.go
+++ b/internal/controller/schedule/deps.go
@@ -122,6 +122,8 @@
 	leaseMargin = 2 * time.Second
 	// retryEvery is the time between two tries of a call.
 	retryEvery = 200 * time.Millisecond
+	// sweepEvery is the time between two looks at all tasks, a small part of the lease.
+	sweepEvery = time.Second
 	// hostsEvery is the time between two readings of the hosts.
 	hostsEvery = 500 * time.Millisecond
 )
--- a/internal/controller/schedule/loop.go
+++ b/internal/controller/schedule/loop.go
@@ -42,6 +42,10 @@
 	rank   int
 	joined bool
 	tasks  map[string]*task
+	// busy are the tasks that need a look in each step. The others only have their leases renewed
+	// and are looked at in each sweep.
+	busy  map[string]*task
+	swept time.Time
 	// planned is when the pool was planned last, and stalled since when a lower rank left a plan undone.
 	planned time.Time
 	stalled time.Time
@@ -110,9 +114,7 @@
 		if !pool.joined {
 			continue
 		}
-		for _, t := range pool.tasks {
-			l.tend(ctx, calls, pool, t, now)
-		}
+		l.tendPool(ctx, calls, pool, now)
 	}
 	l.plan(now)
 }
@@ -126,7 +128,7 @@
 func (l *Loop) pool(name string) *poolState {
 	pool := l.pools[name]
 	if pool == nil {
-		pool = &poolState{tasks: map[string]*task{}}
+		pool = &poolState{tasks: map[string]*task{}, busy: map[string]*task{}}
 		l.pools[name] = pool
 	}
 	return pool
--- a/internal/controller/schedule/outbox.go
+++ b/internal/controller/schedule/outbox.go
@@ -109,6 +109,7 @@
 	for _, pool := range l.pools {
 		if t := pool.tasks[p.job]; t != nil && !p.start {
 			t.proposed = false
+			l.attend(t)
 		}
 	}
 }
--- a/internal/controller/schedule/plan.go
+++ b/internal/controller/schedule/plan.go
@@ -152,6 +152,7 @@
 	}
 	for _, t := range victims {
 		t.begin(reasonPreempt, now)
+		l.attend(t)
 		t.leave.stop = p.Stop
 		t.leave.forJob = p.For.Job
 		t.tried = time.Time{}
--- a/internal/controller/schedule/report.go
+++ b/internal/controller/schedule/report.go
@@ -55,6 +55,7 @@
 	}
 	if report.GetEnded() {
 		t.end(report.GetOutcome(), now)
+		l.attend(t)
 		return
 	}
 	if report.GetUsage() == nil {
--- a/internal/controller/schedule/sync.go
+++ b/internal/controller/schedule/sync.go
@@ -108,6 +108,7 @@
 		if t := pool.tasks[id]; t != nil {
 			l.source.Health.Ended(t.job.Worker)
 			delete(pool.tasks, id)
+			delete(pool.busy, id)
 			pool.stalled = time.Time{}
 		}
 	}
@@ -141,11 +142,13 @@
 	known := pool.tasks[job.ID]
 	if known != nil && known.job.Attempt == job.Attempt {
 		known.job = job
+		l.attend(known)
 		return
 	}
 	pool.stalled = time.Time{}
 	// A lease that another controller gave may begin now.
 	pool.tasks[job.ID] = &task{job: job, seen: now, own: own, leased: now, mayLease: now}
+	l.attend(pool.tasks[job.ID])
 }
 
 // syncTeams reads the free units, without those of starts that are proposed.
--- a/internal/controller/schedule/tend.go
+++ b/internal/controller/schedule/tend.go
@@ -9,6 +9,37 @@
 	v1 "turmericyoke/api/turmericyoke/v1"
 )
 
+// tendPool looks at the busy tasks of a pool, and in a sweep at all of them.
+func (l *Loop) tendPool(ctx context.Context, calls *errgroup.Group, pool *poolState, now time.Time) {
+	tasks := pool.busy
+	if now.Sub(pool.swept) >= sweepEvery {
+		pool.swept = now
+		tasks = pool.tasks
+	}
+	for id, t := range tasks {
+		l.tend(ctx, calls, pool, t, now)
+		if t.quiet() {
+			delete(pool.busy, id)
+		} else {
+			pool.busy[id] = t
+		}
+	}
+}
+
+// quiet reports whether the task only needs renewals of its lease.
+func (t *task) quiet() bool {
+	return t.confirmed && !t.ended && !t.calling && !t.restore && t.throttledFor == "" &&
+		t.leave.reason == reasonNone && !t.job.CancelRequested
+}
+
+// attend lets the next step look at a task whose state has changed.
+func (l *Loop) attend(t *task) {
+	pool := l.pool(t.job.Pool)
+	if pool.tasks[t.job.ID] == t {
+		pool.busy[t.job.ID] = t
+	}
+}
+
 // tend carries on one task: it decides whether it has to leave and sends the next call or proposal.
 func (l *Loop) tend(ctx context.Context, calls *errgroup.Group, pool *poolState, t *task, now time.Time) {
 	if pool.rank >= actingRanks {
