--- a/internal/gateway/dispatch/outcome.go
+++ b/internal/gateway/dispatch/outcome.go
@@ -57,7 +57,7 @@
 		}
 		return notRun(fault.EndpointUnavailable, "the endpoint is busy").teaches(endpoints.LessonBusy)
 	}
-	if out.Header.ContentLength() == identityLength && !out.SkipBody {
+	if out.Header.ContentLength() == identityLength && hasBody(out) {
 		return unknown(fault.ResponseTruncated, true, "the answer has no length, so its end can't be told from a lost connection")
 	}
 	res := result{outcome: pipe.OutcomeDone, ended: true}
@@ -70,6 +70,12 @@
 // identityLength is what fasthttp returns for an answer that ends with its connection.
 const identityLength = -2
 
+// hasBody reports whether the answer may have a body (RFC 9110, section 6.4.1).
+func hasBody(out *fasthttp.Response) bool {
+	status := out.StatusCode()
+	return !out.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 func isSet(out *fasthttp.Response, name string) bool { return string(out.Header.Peek(name)) == "1" }
 
 func judgeError(report pipe.Report) result {
--- a/internal/gateway/exchange/peers.go
+++ b/internal/gateway/exchange/peers.go
@@ -17,8 +17,12 @@
 
 // Silences after which reports aren't used any more.
 const (
-	// peerSilence is three of the longest exchange intervals: one lost exchange doesn't move slots.
-	peerSilence = 3 * MaxInterval
+	// A peer may miss silentGaps of its usual reports, so that one lost exchange doesn't move slots.
+	// minSilence keeps a pause of the process from moving them, and maxSilence bounds the time for
+	// which the slots of a lost gateway are idle.
+	silentGaps = 4
+	minSilence = 1500 * time.Millisecond
+	maxSilence = 3 * MaxInterval
 	// zoneSilence is five exchanges with another zone.
 	zoneSilence = 5 * zoneInterval
 )
@@ -31,6 +35,8 @@
 	entry   structs.GatewayEntry
 	load    *v1.GatewayLoad
 	heardAt time.Time
+	// gap is the time between the last two reports.
+	gap time.Duration
 	// slots and rights are what the peer reported as free, less what was forwarded since.
 	slots  map[string]int
 	rights map[string]int
@@ -132,6 +138,10 @@
 		return false
 	}
 	known.running = smooth(known.running, load)
+	known.gap = maxSilence
+	if known.load != nil {
+		known.gap = p.now().Sub(known.heardAt)
+	}
 	known.load = load
 	known.heardAt = p.now()
 	known.slots = freeSlots(load)
@@ -235,7 +245,8 @@
 
 // audible reports whether the peer was heard recently.
 func (p *Peers) audible(known *peer) bool {
-	return known.load != nil && p.now().Sub(known.heardAt) < peerSilence
+	silence := min(max(silentGaps*known.gap, minSilence), maxSilence)
+	return known.load != nil && p.now().Sub(known.heardAt) < silence
 }
 
 // RunningElsewhere implements queue.Elsewhere.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -66,6 +66,24 @@
 	assert.Equal(t, e.Stats().MostRuns, 1)
 }
 
+// Guards a gateway that leaves: what waits there is handed over to a peer.
+func TestDrainingGatewayHandsOver(t *testing.T) {
+	b := newBed(t)
+	e := b.addEndpoint("desk", endpointsvc.Config{})
+	leaves := b.addGateway("z1", map[string]uint64{"a": 100}, nil)
+	b.addGateway("z1", nil, nil)
+	b.publish()
+	b.settle(t.Context())
+	leaves.Drain()
+	leaves.AwaitMembers(t.Context(), 1)
+	for range 10 {
+		got := call(t, leaves, "POST", "/v1/pools/desk/x", "body")
+		assert.Equal(t, got.outcome, "done")
+		assert.Equal(t, e.Runs(got.id), 1)
+	}
+	assert.Equal(t, leaves.rights.Free("a"), uint64(100))
+}
+
 // Guards against two runs of a forwarded request, and against false claims about its run, when the
 // connection between the gateways breaks at any byte of the call.
 func TestForwardCutAtEachByte(t *testing.T) {
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/fault"
@@ -86,6 +87,23 @@
 	}
 }
 
+// Guards answers that have no body, and so no length, against being taken for cut ones.
+func TestAnswersWithoutBody(t *testing.T) {
+	status := 200
+	b := newBed(t)
+	b.addEndpoint("desk", endpointsvc.Config{Body: []byte("12345"), OnRun: func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(status) }})
+	n := b.addGateway("z1", map[string]uint64{"a": 10}, nil)
+	b.publish()
+	for _, status = range []int{200, 204, 304, 404} {
+		for _, method := range []string{"HEAD", "GET", "POST"} {
+			got := call(t, n, method, "/v1/pools/desk/x", "")
+			assert.Equal(t, got.outcome, "done", "%s %d", method, status)
+			assert.Equal(t, got.status, status)
+			assert.Equal(t, got.body == "12345", method != "HEAD" && status != 204 && status != 304)
+		}
+	}
+}
+
 // Guards the retry of idempotent requests: on another endpoint, and not for others.
 func TestRetryGoesToAnotherEndpoint(t *testing.T) {
 	for _, c := range []struct {
