Bound the wait of forwarded requests and the time to take an answer

Cause: a forwarded request could wait at the peer for a whole queue time after it had waited for most of one; a caller that doesn't read its answer held its memory without a bound. Change: a forwarded request carries the time that it may still wait; the setting timeouts.write bounds the sending of answers. Add tests of a kept connection that the endpoint closed, and of leaving endpoints that a peer reports. Conclusion: waits are bounded by the gateway that accepted the request.

--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -89,7 +89,8 @@
 		Server: server.Limits{
 			HeaderBytes: config.Limits.HeaderBytes, BodyBytes: config.Limits.BodyBytes,
 			BufferedBytes: config.Limits.BufferedBytes, Connections: config.Limits.Connections,
-			ReadTimeout: config.Timeouts.Read.Duration(), IdleTimeout: config.Timeouts.Idle.Duration(),
+			ReadTimeout: config.Timeouts.Read.Duration(), WriteTimeout: config.Timeouts.Write.Duration(),
+			IdleTimeout: config.Timeouts.Idle.Duration(),
 		},
 		Admit: admit.Limits{BodyBytes: config.Limits.BodyBytes, QueueWait: config.Timeouts.QueueWait.Duration()},
 		Queue: queue.Limits{Waiting: config.Limits.QueueWaiting, Bytes: config.Limits.QueueBytes},
--- a/internal/gateway/admit/admit.go
+++ b/internal/gateway/admit/admit.go
@@ -77,7 +77,10 @@
 	if !r.Deadline.After(now) {
 		return fault.New(fault.QueueTimeout, "the deadline of the request has passed")
 	}
-	r.QueueDeadline = now.Add(f.limits.QueueWait)
+	wait := now.Add(f.limits.QueueWait)
+	if !r.Forwarded || r.QueueDeadline.After(wait) {
+		r.QueueDeadline = wait
+	}
 	if r.QueueDeadline.After(r.Deadline) {
 		r.QueueDeadline = r.Deadline
 	}
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -11,7 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/gateway/peerclient"
 	"turmericyoke/internal/standin/endpointsvc"
+	"turmericyoke/internal/structs"
 )
 
 // settle waits until the gateways have heard each other. It blocks on their own exchange.
@@ -66,6 +69,28 @@
 	assert.Equal(t, e.Stats().MostRuns, 1)
 }
 
+// Guards endpoints that a peer knows to be leaving against new work, and that the news is passed on.
+func TestLeavingIsLearnedFromPeers(t *testing.T) {
+	b := newBed(t)
+	leaving := b.addEndpoint("desk", endpointsvc.Config{Slots: 9})
+	b.addEndpoint("desk", endpointsvc.Config{})
+	n := b.addGateway("z1", map[string]uint64{"a": 100}, nil)
+	address := b.view.Gateways[0].Address
+	b.view.Gateways = append(b.view.Gateways, structs.GatewayEntry{Name: "peer", Incarnation: "peer-1", Zone: "z1", Address: "127.0.0.1:1"})
+	b.publish()
+	client := peerclient.NewPool(peerclient.NewHTTPClient()).Exchange(address)
+	response, err := client.Exchange(t.Context(), &v1.ExchangeRequest{Load: &v1.GatewayLoad{
+		Gateway: "peer", Incarnation: "peer-1", Zone: "z1", Seq: 1, Draining: true,
+		Leaving: []*v1.LeavingEndpoint{{Endpoint: "h0", HostEpoch: 1}},
+	}})
+	assert.NilError(t, err)
+	assert.Equal(t, response.GetLoad().GetLeaving()[0].GetEndpoint(), "h0")
+	for range 5 {
+		assert.Equal(t, call(t, n, "POST", "/v1/pools/desk/x", "").outcome, "done")
+	}
+	assert.Equal(t, leaving.Stats().Runs, 0)
+}
+
 // Guards a gateway that leaves: what waits there is handed over to a peer.
 func TestDrainingGatewayHandsOver(t *testing.T) {
 	b := newBed(t)
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/netpeek"
 	"turmericyoke/internal/standin/endpointsvc"
 )
 
@@ -158,6 +160,28 @@
 	assert.Equal(t, e.Stats().Accepted, 2)
 }
 
+// Guards against unknown outcomes for requests that meet a connection which the endpoint had closed
+// while it was idle: nothing was sent on it, so another one is used.
+func TestKeptConnectionClosedByEndpoint(t *testing.T) {
+	b := newBed(t)
+	e := b.addEndpoint("desk", endpointsvc.Config{Slots: 1, IdleTimeout: time.Millisecond})
+	var kept net.Conn
+	n := b.addGateway("z1", map[string]uint64{"a": 1}, func(address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		kept = conn
+		return conn, err
+	})
+	b.publish()
+	for range 3 {
+		assert.Equal(t, call(t, n, "POST", "/v1/pools/desk/x", "body").outcome, "done")
+		for netpeek.Look(kept) != netpeek.Closed {
+			runtime.Gosched()
+		}
+	}
+	assert.Equal(t, e.Stats().MostRuns, 1)
+	assert.Equal(t, e.Stats().Accepted, 3)
+}
+
 // Guards against answers of other requests, also when such an answer says that nothing ran.
 func TestForeignAnswersAreNotTrusted(t *testing.T) {
 	for _, faults := range []endpointsvc.Faults{{Crossed: true}, {Anonymous: true}} {
--- a/internal/gateway/peerclient/forward.go
+++ b/internal/gateway/peerclient/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -78,11 +79,11 @@
 }
 
 func (f *Forwarder) request(peer *pipe.Peer, r *pipe.Request) *v1.ForwardRequest {
-	left := max(r.Deadline.Sub(f.now()).Milliseconds(), 1)
+	now := f.now()
 	message := &v1.ForwardRequest{
 		Pool: r.PoolName, Team: r.Team, KeyId: r.KeyID,
 		Method: string(r.In.Header.Method()), Path: r.Path, Body: r.In.Body(),
-		TimeoutMs: uint32(min(left, 1<<31)), Idempotent: r.Idempotent,
+		TimeoutMs: millis(r.Deadline.Sub(now)), QueueMs: millis(r.QueueDeadline.Sub(now)), Idempotent: r.Idempotent,
 		RightHeld: peer.RightHeld, CrossedZone: r.CrossedZone || peer.CrossesZone, Hops: r.Hops + 1,
 	}
 	for name, value := range r.In.Header.All() {
@@ -91,6 +92,11 @@
 	return message
 }
 
+// millis returns span in milliseconds, at least 1.
+func millis(span time.Duration) uint32 {
+	return uint32(min(max(span.Milliseconds(), 1), math.MaxUint32))
+}
+
 // settle takes the peer's answer. An answer without a known outcome proves nothing.
 func settle(out *fasthttp.Response, response *v1.ForwardResponse) dispatch.Forwarded {
 	switch response.GetOutcome() {
--- a/internal/gateway/server/forward.go
+++ b/internal/gateway/server/forward.go
@@ -36,12 +36,13 @@
 		Arrived: now, Ctx: ctx, In: in, Out: out,
 		PoolName: message.GetPool(), Path: message.GetPath(),
 		Team: message.GetTeam(), KeyID: message.GetKeyId(),
-		Idempotent:  message.GetIdempotent(),
-		Deadline:    now.Add(time.Duration(message.GetTimeoutMs()) * time.Millisecond),
-		Forwarded:   true,
-		RightHeld:   message.GetRightHeld(),
-		CrossedZone: message.GetCrossedZone(),
-		Hops:        max(message.GetHops(), 1),
+		Idempotent:    message.GetIdempotent(),
+		Deadline:      now.Add(time.Duration(message.GetTimeoutMs()) * time.Millisecond),
+		QueueDeadline: now.Add(time.Duration(message.GetQueueMs()) * time.Millisecond),
+		Forwarded:     true,
+		RightHeld:     message.GetRightHeld(),
+		CrossedZone:   message.GetCrossedZone(),
+		Hops:          max(message.GetHops(), 1),
 	}
 }
 
--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -27,6 +27,8 @@
 	Connections int
 	// ReadTimeout bounds the time to receive a request.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds the time in which the caller takes its answer.
+	WriteTimeout time.Duration
 	// IdleTimeout closes kept connections.
 	IdleTimeout time.Duration
 }
@@ -67,6 +69,7 @@
 		Concurrency:           limits.Connections,
 		ReadTimeout:           limits.ReadTimeout,
 		IdleTimeout:           limits.IdleTimeout,
+		WriteTimeout:          limits.WriteTimeout,
 		StreamRequestBody:     true,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,9 +47,11 @@
 	QueueWait structs.Duration `yaml:"queueWait"`
 	// Connect bounds a new connection to an endpoint.
 	Connect structs.Duration `yaml:"connect"`
-	// Read bounds the time to receive a request, and Idle the time between requests of a connection.
-	Read structs.Duration `yaml:"read"`
-	Idle structs.Duration `yaml:"idle"`
+	// Read bounds the time to receive a request, Write that to send its answer, and Idle the time
+	// between requests of a connection.
+	Read  structs.Duration `yaml:"read"`
+	Write structs.Duration `yaml:"write"`
+	Idle  structs.Duration `yaml:"idle"`
 	// Drain is the time that the load balancer needs to notice that the gateway isn't ready.
 	Drain structs.Duration `yaml:"drain"`
 	// Shutdown bounds the wait for requests in progress; at least the longest permitted run.
@@ -67,6 +69,7 @@
 			QueueWait: structs.Duration(10 * time.Second),
 			Connect:   structs.Duration(time.Second),
 			Read:      structs.Duration(10 * time.Second),
+			Write:     structs.Duration(30 * time.Second),
 			Idle:      structs.Duration(30 * time.Second),
 			Drain:     structs.Duration(5 * time.Second),
 			Shutdown:  structs.Duration(structs.DefaultMaxRunTime + 5*time.Second),
@@ -127,6 +130,7 @@
 		{"timeouts.queueWait", int64(g.Timeouts.QueueWait)},
 		{"timeouts.connect", int64(g.Timeouts.Connect)},
 		{"timeouts.read", int64(g.Timeouts.Read)},
+		{"timeouts.write", int64(g.Timeouts.Write)},
 		{"timeouts.idle", int64(g.Timeouts.Idle)},
 		{"timeouts.drain", int64(g.Timeouts.Drain)},
 		{"timeouts.shutdown", int64(g.Timeouts.Shutdown)},
--- a/internal/standin/endpointsvc/endpointsvc.go
+++ b/internal/standin/endpointsvc/endpointsvc.go
@@ -40,6 +40,8 @@
 	Slots, Connections int
 	// Work is the time that each run takes.
 	Work time.Duration
+	// IdleTimeout closes kept connections, if above 0.
+	IdleTimeout time.Duration
 	// Body is the answer's body; without one the answer repeats the request's body.
 	Body []byte
 	// OnRun is called at the start of each run with its request.
@@ -81,7 +83,7 @@
 	}
 	e := &Endpoint{config: config, slots: make(chan struct{}, config.Slots), runs: map[string]int{}}
 	e.server = &fasthttp.Server{
-		Handler: e.handle, Concurrency: config.Connections,
+		Handler: e.handle, Concurrency: config.Connections, IdleTimeout: config.IdleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: silent{},
 	}
 	return e
