Keep connections without a request out of the refusals

Cause: a connection that a load balancer opened ahead and left idle ended in a refusal of kind request_invalid after the read timeout. Change: an error of the connection before a whole header isn't recorded; a header that can't be parsed still is. Conclusion: refusals on record are refused requests.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -76,6 +77,10 @@
 	assert.Equal(t, chunked(t, n, large), "")
 	assert.Equal(t, call(t, n, "POST", "/v1/pools/desk/x", "", "X-Deadline-Ms", "soon").kind, string(fault.RequestInvalid))
 	assert.Equal(t, n.sink.Count(fault.RequestTooLarge), uint64(3))
+	raw(t, n, "GET /v1/po")
+	assert.Equal(t, raw(t, n, "no request line\r\n\r\n"), string(fault.RequestInvalid))
+	// One comes from the deadline above; half a request line is no request on record.
+	assert.Equal(t, n.sink.Count(fault.RequestInvalid), uint64(2))
 	assert.Equal(t, e.Stats().Runs, 2)
 }
 
@@ -90,6 +95,21 @@
 	return string(out.Header.Peek("X-Refusal-Kind"))
 }
 
+// raw sends text and no more, and returns the kind of the refusal.
+func raw(t *testing.T, n *node, text string) string {
+	conn, err := net.Dial("tcp", n.address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, text)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	var out fasthttp.Response
+	if err := out.Read(bufio.NewReader(conn)); err != nil {
+		return ""
+	}
+	return string(out.Header.Peek("X-Refusal-Kind"))
+}
+
 // Guards keys that fail closed, teams without a limit, requests without a key, and the lease.
 func TestAdmission(t *testing.T) {
 	b := newBed(t)
--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -147,7 +148,16 @@
 		kind = fault.RequestTooLarge
 	}
 	r.Refuse(fault.New(kind, "the request can't be read: %v", err))
-	s.config.Recorder.Record(r)
+	if !incomplete(err) {
+		s.config.Recorder.Record(r)
+	}
 	finish(r)
 	ctx.Response.SetConnectionClose()
 }
+
+// incomplete reports whether the connection ended before a whole header arrived. Then nobody made a
+// request: load balancers open connections ahead and leave them idle.
+func incomplete(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
