Test that a caller who leaves ends the run at a peer

Cause: the end of a run for a caller who left was only tested on one gateway. Change: the test also runs with a request that was forwarded to the gateway with the only right. Conclusion: cancellation passes through forwarding.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -19,27 +19,34 @@
 	"turmericyoke/internal/structs"
 )
 
-// Guards against work that goes on for a caller who has left, and against its right and slot being lost.
+// Guards against work that goes on for a caller who has left, and against its right and slot being
+// lost, on the gateway that accepted the request and on the peer that runs it.
 func TestCallerLeaves(t *testing.T) {
-	b := newBed(t)
-	started, closed := make(chan struct{}), make(chan struct{})
-	e := b.addEndpoint("desk", endpointsvc.Config{
-		Slots: 1, Work: time.Hour,
-		OnRun:    func(*fasthttp.RequestCtx) { started <- struct{}{} },
-		OnClosed: func() { closed <- struct{}{} },
-	})
-	n := b.addGateway("z1", map[string]uint64{"a": 1}, nil)
-	b.publish()
-	for range 2 {
-		conn, err := net.Dial("tcp", n.address)
-		assert.NilError(t, err)
-		_, err = fmt.Fprintf(conn, "POST /v1/pools/desk/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", secret)
-		assert.NilError(t, err)
-		<-started
-		assert.NilError(t, conn.Close())
-		<-closed
+	for gateways := 1; gateways <= 2; gateways++ {
+		b := newBed(t)
+		started, closed := make(chan struct{}), make(chan struct{})
+		e := b.addEndpoint("desk", endpointsvc.Config{
+			Slots: 8, Work: time.Hour,
+			OnRun:    func(*fasthttp.RequestCtx) { started <- struct{}{} },
+			OnClosed: func() { closed <- struct{}{} },
+		})
+		for range gateways {
+			b.addGateway("z1", map[string]uint64{}, nil)
+		}
+		b.nodes[gateways-1].rights.free["a"] = 1
+		b.publish()
+		b.settle(t.Context())
+		for range 2 {
+			conn, err := net.Dial("tcp", b.nodes[0].address)
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(conn, "POST /v1/pools/desk/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", secret)
+			assert.NilError(t, err)
+			<-started
+			assert.NilError(t, conn.Close())
+			<-closed
+		}
+		assert.Equal(t, e.Stats().Peak, 1)
 	}
-	assert.Equal(t, e.Stats().Peak, 1)
 }
 
 // Guards the endpoint against the caller's key and hop-by-hop headers.
