--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/netpeek"
 	"turmericyoke/internal/standin/endpointsvc"
 )
 
@@ -86,6 +89,23 @@
 	}
 }
 
+// Guards answers that have no body, and so no length, against being taken for cut ones.
+func TestAnswersWithoutBody(t *testing.T) {
+	status := 200
+	b := newBed(t)
+	b.addEndpoint("desk", endpointsvc.Config{Body: []byte("12345"), OnRun: func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(status) }})
+	n := b.addGateway("z1", map[string]uint64{"a": 10}, nil)
+	b.publish()
+	for _, status = range []int{200, 204, 304, 404} {
+		for _, method := range []string{"HEAD", "GET", "POST"} {
+			got := call(t, n, method, "/v1/pools/desk/x", "")
+			assert.Equal(t, got.outcome, "done", "%s %d", method, status)
+			assert.Equal(t, got.status, status)
+			assert.Equal(t, got.body == "12345", method != "HEAD" && status != 204 && status != 304)
+		}
+	}
+}
+
 // Guards the retry of idempotent requests: on another endpoint, and not for others.
 func TestRetryGoesToAnotherEndpoint(t *testing.T) {
 	for _, c := range []struct {
@@ -140,6 +160,28 @@
 	assert.Equal(t, e.Stats().Accepted, 2)
 }
 
+// Guards against unknown outcomes for requests that meet a connection which the endpoint had closed
+// while it was idle: nothing was sent on it, so another one is used.
+func TestKeptConnectionClosedByEndpoint(t *testing.T) {
+	b := newBed(t)
+	e := b.addEndpoint("desk", endpointsvc.Config{Slots: 1, IdleTimeout: time.Millisecond})
+	var kept net.Conn
+	n := b.addGateway("z1", map[string]uint64{"a": 1}, func(address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		kept = conn
+		return conn, err
+	})
+	b.publish()
+	for range 3 {
+		assert.Equal(t, call(t, n, "POST", "/v1/pools/desk/x", "body").outcome, "done")
+		for netpeek.Look(kept) != netpeek.Closed {
+			runtime.Gosched()
+		}
+	}
+	assert.Equal(t, e.Stats().MostRuns, 1)
+	assert.Equal(t, e.Stats().Accepted, 3)
+}
+
 // Guards against answers of other requests, also when such an answer says that nothing ran.
 func TestForeignAnswersAreNotTrusted(t *testing.T) {
 	for _, faults := range []endpointsvc.Faults{{Crossed: true}, {Anonymous: true}} {
