Run waves, host health and moves as control loops

Cause: nothing asked for grants, carried out stops or reported failed hosts. Change: a stop machine that acts on the fold's state and the host's own answer alone, loops for hosts, waves and moves, the planner's first version, and a stand-in of the platform's HostService with a switch for each fault. Each host epoch has two call epochs, so that late calls of an earlier stop are refused. Conclusion: a stop survives the loss of its controller at each step.

--- /dev/null
+++ b/internal/controller/hosts/zones.go
@@ -0,0 +1,68 @@
+package hosts
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/fleet"
+)
+
+// silentFor is how long a zone must be silent before waves are paused; one slow pass isn't enough.
+const silentFor = 10 * time.Second
+
+// pauseForZones pauses the waves of pools that have hosts in a zone that doesn't answer. Their
+// budgets count those hosts as available although nobody knows whether they are.
+func (l *Loop) pauseForZones(ctx context.Context, silent map[string]bool, waves map[string][]string) {
+	now := l.deps.Clock()
+	for zone := range l.silent {
+		if !silent[zone] {
+			delete(l.silent, zone)
+		}
+	}
+	for zone := range silent {
+		if _, known := l.silent[zone]; !known {
+			l.silent[zone] = now
+		}
+	}
+	for _, pool := range sortedPools(waves) {
+		delay, ranked := l.deps.Delay(fleet.Subject(pool))
+		zone := l.silentZoneOf(pool, now.Add(-silentFor-delay))
+		if !ranked || zone == "" {
+			continue
+		}
+		for _, wave := range waves[pool] {
+			l.pause(ctx, wave, fmt.Sprintf("no host of zone %s answers: it may be lost or cut off", zone))
+		}
+	}
+}
+
+// silentZoneOf returns a zone with hosts of the pool that has been silent since before the time.
+func (l *Loop) silentZoneOf(pool string, before time.Time) string {
+	found := ""
+	for _, h := range l.health {
+		since, silent := l.silent[h.host.Zone]
+		if h.host.Pool == pool && silent && !since.After(before) && (found == "" || h.host.Zone < found) {
+			found = h.host.Zone
+		}
+	}
+	return found
+}
+
+func (l *Loop) pause(ctx context.Context, wave, reason string) {
+	control := &v1.WaveControl{Wave: wave, Action: v1.WaveAction_WAVE_ACTION_PAUSE, Author: "controller", Reason: reason}
+	if err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}); err != nil {
+		l.deps.Log.Warnf("event=wave_pause_not_accepted wave=%s error=%q", wave, err)
+	}
+}
+
+func sortedPools(waves map[string][]string) []string {
+	pools := make([]string, 0, len(waves))
+	for pool := range waves {
+		pools = append(pools, pool)
+	}
+	slices.Sort(pools)
+	return pools
+}
--- /dev/null
+++ b/internal/controller/wave/choose.go
@@ -0,0 +1,157 @@
+// Package wave runs maintenance waves: it asks for grants, carries granted hosts through their
+// planned stop, and pauses a wave that can't go on.
+package wave
+
+import (
+	"sort"
+
+	"turmericyoke/internal/fold/inventory"
+)
+
+// Candidate is a host that a wave may stop next.
+type Candidate struct {
+	Wave string
+	Host inventory.Host
+}
+
+// Choose returns the hosts that the wave may stop now, best first, at most as many as it has room
+// for, without those that skip names. It is pure; the fold checks each grant again. All candidates
+// are in one availability zone, and each is on the rack with the fewest hosts stopped so far.
+func Choose(state *inventory.State, wave *inventory.Wave, skip func(host string) bool) []Candidate {
+	room := wave.Room()
+	if room == 0 || wave.Pending == 0 {
+		return nil
+	}
+	plan := newPlan(state, wave, skip)
+	var best []Candidate
+	for _, zone := range plan.zones() {
+		chosen := plan.choose(zone, room)
+		if len(chosen) > len(best) {
+			best = chosen
+		}
+		if len(best) == room {
+			break
+		}
+	}
+	return best
+}
+
+// plan is one choice over an unchanged state.
+type plan struct {
+	state *inventory.State
+	wave  *inventory.Wave
+	// pending holds the hosts that serve and are due, by zone and then rack, sorted by name.
+	pending map[string]map[string][]inventory.Host
+	counts  map[string]int
+	// stopped counts the wave's stopped hosts by rack.
+	stopped map[string]int
+	zone    string
+}
+
+func newPlan(state *inventory.State, wave *inventory.Wave, skip func(host string) bool) *plan {
+	p := &plan{
+		state: state, wave: wave, counts: map[string]int{}, stopped: map[string]int{},
+		pending: map[string]map[string][]inventory.Host{},
+	}
+	for _, name := range wave.Stopped {
+		host, _ := state.Host(name)
+		p.zone = host.Zone
+		p.stopped[host.Rack]++
+	}
+	for name, step := range wave.Hosts {
+		host, _ := state.Host(name)
+		if step == inventory.StepPending && host.Phase == inventory.PhaseServing && !skip(name) {
+			p.add(host)
+		}
+	}
+	for _, racks := range p.pending {
+		for _, hosts := range racks {
+			sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+		}
+	}
+	return p
+}
+
+func (p *plan) add(host inventory.Host) {
+	racks := p.pending[host.Zone]
+	if racks == nil {
+		racks = map[string][]inventory.Host{}
+		p.pending[host.Zone] = racks
+	}
+	racks[host.Rack] = append(racks[host.Rack], host)
+	p.counts[host.Zone]++
+}
+
+// zones returns the zone in which hosts are stopped now, or all zones, the one with most to do first.
+func (p *plan) zones() []string {
+	if p.zone != "" {
+		return []string{p.zone}
+	}
+	zones := make([]string, 0, len(p.counts))
+	for zone := range p.counts {
+		zones = append(zones, zone)
+	}
+	sort.Slice(zones, func(i, j int) bool {
+		if p.counts[zones[i]] != p.counts[zones[j]] {
+			return p.counts[zones[i]] > p.counts[zones[j]]
+		}
+		return zones[i] < zones[j]
+	})
+	return zones
+}
+
+// choose takes hosts of the zone, one rack after the other, while rack and budgets permit.
+func (p *plan) choose(zone string, room int) []Candidate {
+	racks := p.racks(zone)
+	budgets := map[string]*inventory.Budget{}
+	var chosen []Candidate
+	for round := 0; round < p.wave.Spec.MaxPerRack; round++ {
+		for _, rack := range racks {
+			if p.stopped[rack] > round || len(chosen) == room {
+				continue
+			}
+			if host, found := p.take(budgets, p.pending[zone][rack], chosen); found {
+				chosen = append(chosen, Candidate{Wave: p.wave.Spec.Name, Host: host})
+			}
+		}
+	}
+	return chosen
+}
+
+func (p *plan) racks(zone string) []string {
+	racks := make([]string, 0, len(p.pending[zone]))
+	for rack := range p.pending[zone] {
+		racks = append(racks, rack)
+	}
+	sort.Strings(racks)
+	return racks
+}
+
+// take returns the first host of the rack that isn't chosen and whose pool's budget permits it.
+func (p *plan) take(budgets map[string]*inventory.Budget, hosts []inventory.Host, chosen []Candidate) (inventory.Host, bool) {
+	for _, host := range hosts {
+		if isChosen(chosen, host.Name) {
+			continue
+		}
+		budget := budgets[host.Pool]
+		if budget == nil {
+			fresh, _ := p.state.Budget(host.Pool)
+			budget = &fresh
+			budgets[host.Pool] = budget
+		}
+		if budget.Permits(host.Zone) {
+			budget.Spend(host.Zone)
+			return host, true
+		}
+	}
+	return inventory.Host{}, false
+}
+
+func isChosen(chosen []Candidate, name string) bool {
+	for _, candidate := range chosen {
+		if candidate.Host.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/wave/grant.go
@@ -0,0 +1,79 @@
+package wave
+
+import (
+	"context"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/fleet"
+	"turmericyoke/internal/fault"
+)
+
+// advance asks for grants of one running wave, or pauses the wave when it has stalled.
+func (l *Loop) advance(ctx context.Context, snap snapshot, wave waveView) {
+	name := wave.spec.Name
+	candidates := snap.candidates[name]
+	if wave.stopped > 0 || !snap.reachable {
+		delete(l.idle, name)
+	}
+	if !snap.reachable {
+		return
+	}
+	l.pauseStalled(ctx, wave)
+	if len(candidates) == 0 || !l.turn(wave, candidates[0].Host.Name) {
+		return
+	}
+	for _, candidate := range candidates {
+		if !l.grant(ctx, candidate) {
+			return
+		}
+	}
+}
+
+// turn reports whether this controller's rank lets it ask for grants: the first candidate has to
+// have waited for the delay of the rank.
+func (l *Loop) turn(wave waveView, first string) bool {
+	name := wave.spec.Name
+	delay, ranked := l.deps.Delay(fleet.Subject(wave.spec.Pool))
+	now := l.deps.Clock()
+	if l.due[name].name != first {
+		l.due[name] = dueHost{name: first, since: now}
+	}
+	return ranked && now.Sub(l.due[name].since) >= delay
+}
+
+// grant probes the host, whose boot count goes into the grant, and proposes the grant. It returns
+// false when no further grant should be asked for in this pass.
+func (l *Loop) grant(ctx context.Context, candidate Candidate) bool {
+	boots, ok := l.bootCount(ctx, candidate)
+	if !ok {
+		l.unwell[candidate.Host.Name] = l.deps.Clock().Add(unwellFor)
+		return true
+	}
+	host := candidate.Host
+	grant := &v1.Grant{
+		Wave: candidate.Wave, Host: host.Name, HostEpoch: host.Epoch, BootCount: boots, Reason: "maintenance wave " + candidate.Wave,
+	}
+	err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_Grant{Grant: grant}})
+	if err == nil {
+		l.deps.Log.Infof("event=grant wave=%s host=%s epoch=%d", candidate.Wave, host.Name, host.Epoch)
+		return true
+	}
+	l.deps.Log.Warnf("event=grant_not_accepted wave=%s host=%s error=%q", candidate.Wave, host.Name, err)
+	switch fault.KindOf(err) {
+	case fault.HostBusy, fault.HostEpochStale, fault.HostUnknown:
+		return true
+	}
+	return false
+}
+
+// bootCount asks a host before its stop. A host that doesn't answer isn't stopped.
+func (l *Loop) bootCount(ctx context.Context, candidate Candidate) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, fleet.CallTimeout)
+	defer cancel()
+	request := &v1.HostRequest{Host: candidate.Host.Name, HostEpoch: fleet.StopEpoch(candidate.Host.Epoch)}
+	answer, err := l.deps.Platform.Probe(ctx, request)
+	if err != nil || !answer.GetHealthy() {
+		return 0, false
+	}
+	return answer.GetBootCount(), true
+}
--- /dev/null
+++ b/internal/controller/wave/wave_test.go
@@ -0,0 +1,164 @@
+package wave_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fold/inventory"
+	"turmericyoke/internal/standin/hostsvc"
+)
+
+// seeds is the number of fault schedules; more find rarer interleavings.
+var seeds = flag.Int64("seeds", 3, "number of fault schedules")
+
+const rebootTime = 3 * time.Minute
+
+// Guards against a stop that hangs, repeats or interrupts work when its controller is lost at any
+// call, before or after the call took effect, and another one resumes it.
+func TestControllerKilledAtEachStep(t *testing.T) {
+	for _, after := range []bool{false, true} {
+		for at := 1; at <= 60; at++ {
+			t.Run(fmt.Sprintf("call=%d,after=%t", at, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					s := newSim(t, simFleet(4, 1, 2), rebootTime)
+					s.controllers(ctx, 3, func(c *controller) {
+						if c.rank == 0 {
+							c.dieAt, c.dieAfter = at, after
+						}
+					})
+					s.await(2*time.Hour, func() bool { return s.wave("w0").Phase != inventory.WaveRunning })
+					w := s.wave("w0")
+					assert.Equal(t, w.Phase, inventory.WaveDone, w.Reason)
+					counts := s.platform.Counts()
+					assert.Equal(t, counts.Interrupted, 0)
+					assert.Equal(t, counts.Reboots, 4, "each host reboots once")
+				})
+			})
+		}
+	}
+}
+
+// faultSchedule turns faults on and off for about two hours, from a fixed seed.
+func faultSchedule(s *sim, random *rand.Rand) {
+	zone := func() hostsvc.Match { return hostsvc.OnZone(fmt.Sprintf("z%d", random.Intn(3))) }
+	rack := func() hostsvc.Match { return hostsvc.OnRack(fmt.Sprintf("r%d", random.Intn(13))) }
+	host := func() hostsvc.Match { return hostsvc.OnHost(fmt.Sprintf("h%04d", random.Intn(50))) }
+	methods := []hostsvc.Method{
+		hostsvc.MethodDrain, hostsvc.MethodUndrain, hostsvc.MethodReboot, hostsvc.MethodAssign, hostsvc.MethodProbe, hostsvc.MethodList,
+	}
+	toggle := func(on func(bool)) {
+		on(true)
+		time.Sleep(time.Duration(random.Intn(900)+1) * time.Second)
+		on(false)
+	}
+	for range 10 {
+		time.Sleep(time.Duration(random.Intn(600)+1) * time.Second)
+		s.lose(methods[random.Intn(len(methods))], random.Intn(4))
+		switch random.Intn(8) {
+		case 0:
+			m := host()
+			toggle(func(on bool) { s.platform.SetDead(m, on) })
+		case 1:
+			m := rack()
+			toggle(func(on bool) { s.platform.SetDead(m, on) })
+		case 2:
+			m := zone()
+			toggle(func(on bool) { s.platform.SetDead(m, on) })
+		case 3:
+			m := zone()
+			toggle(func(on bool) { s.platform.SetCutOff(m, on) })
+		case 4:
+			toggle(s.setLogDown)
+		case 5:
+			m := rack()
+			toggle(func(on bool) { s.platform.SetRebootStuck(m, on) })
+		case 6:
+			toggle(func(on bool) {
+				s.platform.SetSlow(map[bool]time.Duration{true: time.Duration(random.Intn(6000)) * time.Millisecond}[on])
+			})
+		default:
+			toggle(s.platform.FreezeList)
+		}
+	}
+}
+
+func (s *sim) lose(method hostsvc.Method, count int) {
+	s.platform.LoseAnswers(method, count)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsettled = count
+}
+
+func (s *sim) setLogDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logDown = down
+}
+
+// Guards against broken budgets, interrupted requests, hosts left out of service and waves that
+// neither finish nor say why, under correlated failures, an outage of the log, lost answers, a slow
+// or partitioned platform and lost controllers, while hosts also move between pools.
+func TestWavesUnderFaults(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runUnderFaults(t, seed) })
+		})
+	}
+}
+
+func runUnderFaults(t *testing.T, seed int64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	random := rand.New(rand.NewSource(seed))
+	s := newSim(t, simFleet(50, 5, 2), rebootTime)
+	for _, pool := range s.doc.Pools {
+		s.demand[pool.Name] = float64(random.Intn(100))
+	}
+	s.controllers(ctx, 3, func(c *controller) {
+		if c.rank == 0 {
+			c.dieAt, c.dieAfter = 100+random.Intn(2000), random.Intn(2) == 0
+		}
+	})
+	faultSchedule(s, random)
+	for _, w := range s.doc.Waves {
+		phase := func() inventory.WavePhase { return s.wave(w.Name).Phase }
+		for resumed := 0; resumed < 10 && phase() != inventory.WaveDone; resumed++ {
+			s.await(4*time.Hour, func() bool { return phase() != inventory.WaveRunning })
+			if phase() == inventory.WavePaused {
+				assert.Assert(t, s.wave(w.Name).Reason != "", "wave %s is paused without a reason", w.Name)
+				_ = s.propose(&v1.Record{Payload: &v1.Record_WaveControl{WaveControl: &v1.WaveControl{Wave: w.Name, Action: v1.WaveAction_WAVE_ACTION_RESUME}}})
+			}
+		}
+		assert.Equal(t, phase(), inventory.WaveDone, "wave %s: %+v", w.Name, s.wave(w.Name))
+	}
+	assert.Equal(t, s.platform.Counts().Interrupted, 0)
+	healthy := s.await(time.Hour, func() bool { return s.allServe() == "" })
+	assert.Assert(t, healthy, s.allServe())
+}
+
+// allServe names a host that isn't in service, or whose platform and fold disagree.
+func (s *sim) allServe() string {
+	s.mu.Lock()
+	hosts := s.state.Hosts()
+	s.mu.Unlock()
+	for _, h := range hosts {
+		m, _ := s.platform.Host(h.Name)
+		if h.Phase == inventory.PhaseMoving {
+			continue
+		}
+		if h.Phase != inventory.PhaseServing || m.Draining || m.Pool != h.Pool {
+			return fmt.Sprintf("fold %+v, platform %+v", h, m)
+		}
+	}
+	return ""
+}
--- a/internal/fold/inventory/bench_test.go
+++ b/internal/fold/inventory/bench_test.go
@@ -36,7 +36,7 @@
 			s.AdoptDocument(fleet(size))
 			epoch := uint64(1)
 			for b.Loop() {
-				if err := s.Grant(structs.Envelope{Offset: 1}, &v1.Grant{Wave: "w", Host: "h00000", HostEpoch: epoch}); err != nil {
+				if err := s.Grant(structs.Envelope{Offset: 1}, &v1.Grant{Wave: "w", Host: "h00000", HostEpoch: epoch, BootCount: 1}); err != nil {
 					b.Fatal(err)
 				}
 				if err := s.HostBack(structs.Envelope{Offset: 2}, &v1.HostBack{Host: "h00000", HostEpoch: epoch}); err != nil {
--- a/internal/fold/inventory/budget.go
+++ b/internal/fold/inventory/budget.go
@@ -7,20 +7,21 @@
 
 // usage counts the hosts of one pool against its availability budget.
 type usage struct {
-	hosts       map[string]*Host
-	unavailable int
+	hosts map[string]*Host
+	// stopped holds the unavailable hosts.
+	stopped map[string]*Host
 	// zones counts unavailable hosts by availability zone.
 	zones map[string]int
 }
 
 func newUsage() *usage {
-	return &usage{hosts: map[string]*Host{}, zones: map[string]int{}}
+	return &usage{hosts: map[string]*Host{}, stopped: map[string]*Host{}, zones: map[string]int{}}
 }
 
 func (u *usage) add(host *Host) {
 	u.hosts[host.Name] = host
 	if host.Phase != PhaseServing {
-		u.unavailable++
+		u.stopped[host.Name] = host
 		u.zones[host.Zone]++
 	}
 }
@@ -28,12 +29,12 @@
 func (u *usage) remove(host *Host) {
 	delete(u.hosts, host.Name)
 	if host.Phase != PhaseServing {
-		u.unavailable--
+		delete(u.stopped, host.Name)
 		u.zones[host.Zone]--
 	}
 }
 
-func (u *usage) available() int { return len(u.hosts) - u.unavailable }
+func (u *usage) available() int { return len(u.hosts) - len(u.stopped) }
 
 // of returns the usage of the pool, which is empty for a pool without hosts.
 func (s *State) of(pool string) *usage {
@@ -94,7 +95,7 @@
 			zones[zone] = count
 		}
 	}
-	return Budget{Pool: declared, Hosts: len(used.hosts), Unavailable: used.unavailable, UnavailableByZone: zones}, true
+	return Budget{Pool: declared, Hosts: len(used.hosts), Unavailable: len(used.stopped), UnavailableByZone: zones}, true
 }
 
 // Permits reports whether one more host of the zone may stop.
--- a/internal/fold/inventory/naive_test.go
+++ b/internal/fold/inventory/naive_test.go
@@ -97,7 +97,7 @@
 
 func (n *naive) grant(p *v1.Grant) bool {
 	w, h := n.waves[p.Wave], n.find(p.Host, p.HostEpoch, PhaseServing)
-	if w == nil || h == nil || w.phase != WaveRunning || w.steps[p.Host] != StepPending {
+	if w == nil || h == nil || w.phase != WaveRunning || w.steps[p.Host] != StepPending || p.BootCount == 0 {
 		return false
 	}
 	stopped, returned, sameRack := 0, 0, 0
--- a/internal/fold/inventory/state.go
+++ b/internal/fold/inventory/state.go
@@ -3,6 +3,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 
 	"turmericyoke/internal/structs"
@@ -148,3 +150,37 @@
 	found, known := s.Fleet[host]
 	return known && found.Pool == pool && found.Phase == PhaseServing
 }
+
+// InPhase returns the granted, moving or failed hosts in order of name. It looks at unavailable
+// hosts only, and returns none for PhaseServing.
+func (s *State) InPhase(phase Phase) []Host {
+	var hosts []Host
+	for _, used := range s.usage {
+		for _, host := range used.stopped {
+			if host.Phase == phase {
+				hosts = append(hosts, *host)
+			}
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// Clone returns an independent copy of the state.
+func (s *State) Clone() *State {
+	c := New()
+	for name, host := range s.Fleet {
+		copied := *host
+		c.Fleet[name] = &copied
+	}
+	maps.Copy(c.Pools, s.Pools)
+	for name, wave := range s.Waves {
+		copied := *wave
+		copied.Hosts = maps.Clone(wave.Hosts)
+		copied.Stopped = slices.Clone(wave.Stopped)
+		c.Waves[name] = &copied
+	}
+	c.EpochFloor = s.EpochFloor
+	c.index()
+	return c
+}
--- a/internal/fold/inventory/state_test.go
+++ b/internal/fold/inventory/state_test.go
@@ -100,7 +100,7 @@
 		p := &v1.Move{Host: name, HostEpoch: epoch, From: from, To: to}
 		return func(s *State) (bool, bool) { return s.Move(env, p) == nil, model.move(p) }
 	case 2, 3, 4:
-		p := &v1.Grant{Wave: wave, Host: name, HostEpoch: epoch}
+		p := &v1.Grant{Wave: wave, Host: name, HostEpoch: epoch, BootCount: uint64(rapid.SampledFrom([]int{0, 1, 1, 1, 1, 1}).Draw(t, "boots"))}
 		return func(s *State) (bool, bool) { return s.Grant(env, p) == nil, model.grant(p) }
 	case 5:
 		p := &v1.HostDown{Host: name, HostEpoch: epoch}
--- a/internal/fold/inventory/wave.go
+++ b/internal/fold/inventory/wave.go
@@ -81,6 +81,9 @@
 	if wave.Phase != WaveRunning {
 		return fault.New(fault.WaveNotRunning, "wave %s is %s", p.GetWave(), wave.Phase)
 	}
+	if p.GetBootCount() == 0 {
+		return fault.Invalid(fault.RequestInvalid, "boot_count", "0: want the boot count that the host answered before the grant")
+	}
 	host, err := s.serving(p.GetHost(), p.GetHostEpoch())
 	if err != nil {
 		return err
