--- a/internal/controller/wave/wave_test.go
+++ b/internal/controller/wave/wave_test.go
@@ -12,8 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/wave"
 	"turmericyoke/internal/fold/inventory"
 	"turmericyoke/internal/standin/hostsvc"
+	"turmericyoke/internal/structs"
 )
 
 // seeds is the number of fault schedules; more find rarer interleavings.
@@ -48,6 +50,34 @@
 	}
 }
 
+// Guards against the same faults in a move, and against a host that is assigned twice or that the
+// fold and the platform place in different pools.
+func TestControllerKilledDuringMove(t *testing.T) {
+	for at := 1; at <= 24; at++ {
+		t.Run(fmt.Sprintf("call=%d", at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				doc := simFleet(8, 2, 2)
+				doc.Waves = nil
+				s := newSim(t, doc, rebootTime)
+				move := &v1.Move{Host: "h0000", HostEpoch: 1, From: "p0", To: "p1"}
+				assert.NilError(t, s.propose(&v1.Record{Payload: &v1.Record_Move{Move: move}}))
+				s.controllers(ctx, 3, func(c *controller) {
+					if c.rank == 0 {
+						c.dieAt, c.dieAfter = at, at%2 == 0
+					}
+				})
+				moved := func() bool { h, _ := s.host("h0000"); return h.Pool == "p1" && s.allServe() == "" }
+				assert.Assert(t, s.await(20*time.Minute, moved), s.allServe())
+				counts := s.platform.Counts()
+				assert.Equal(t, counts.Interrupted+counts.Reboots, 0)
+				assert.Equal(t, counts.Assigns, 1)
+			})
+		})
+	}
+}
+
 // faultSchedule turns faults on and off for about two hours, from a fixed seed.
 func faultSchedule(s *sim, random *rand.Rand) {
 	zone := func() hostsvc.Match { return hostsvc.OnZone(fmt.Sprintf("z%d", random.Intn(3))) }
@@ -146,6 +176,12 @@
 	assert.Assert(t, healthy, s.allServe())
 }
 
+func (s *sim) host(name string) (inventory.Host, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Host(name)
+}
+
 // allServe names a host that isn't in service, or whose platform and fold disagree.
 func (s *sim) allServe() string {
 	s.mu.Lock()
@@ -162,3 +198,57 @@
 	}
 	return ""
 }
+
+// BenchmarkRollOut reports the simulated time of one round of waves over all pools at once, each
+// with 2 hosts at a time at 50 hosts, and with 4 at 2,800.
+func BenchmarkRollOut(b *testing.B) {
+	for _, size := range []struct{ hosts, pools, parallel int }{{50, 5, 2}, {700, 7, 4}, {2800, 25, 4}} {
+		b.Run(fmt.Sprint(size.hosts), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(rollOut(b, simFleet(size.hosts, size.pools, size.parallel)), "simulated-min")
+			}
+		})
+	}
+}
+
+// rollOut steps the waves without controllers: each grant takes a drain of 60 s, a reboot of 3
+// minutes and 6 s of passes of the loop.
+func rollOut(b *testing.B, doc *structs.Document) float64 {
+	const stop = 60*time.Second + rebootTime + 6*time.Second
+	state := inventory.New()
+	state.AdoptDocument(doc)
+	back := map[string]time.Duration{}
+	now := time.Duration(0)
+	for running := true; running; now += 2 * time.Second {
+		running = false
+		for name, end := range back {
+			host, _ := state.Host(name)
+			if end <= now && state.HostBack(structs.Envelope{}, &v1.HostBack{Host: name, HostEpoch: host.Epoch}) == nil {
+				delete(back, name)
+			}
+		}
+		for _, w := range state.Waves {
+			running = running || w.Phase != inventory.WaveDone
+			for _, c := range wave.Choose(state, w, func(string) bool { return false }) {
+				grant := &v1.Grant{Wave: c.Wave, Host: c.Host.Name, HostEpoch: c.Host.Epoch, BootCount: 1}
+				if err := state.Grant(structs.Envelope{}, grant); err != nil {
+					b.Fatal(err)
+				}
+				back[c.Host.Name] = now + stop
+			}
+		}
+	}
+	return now.Minutes()
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, hosts := range []int{50, 700, 2800} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			state := inventory.New()
+			state.AdoptDocument(simFleet(hosts, 1, 4))
+			for b.Loop() {
+				wave.Choose(state, state.Waves["w0"], func(string) bool { return false })
+			}
+		})
+	}
+}
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -5,14 +5,13 @@
 	"time"
 )
 
-// windowFactor is the length of the demand window in terms of the time that demand has to last for
-// a move to help. Peaks shorter than the window show as a spread of the samples, which hosts have to
-// be held for in advance; longer ones shift the samples as a whole, which moves follow.
-const windowFactor = 2
+// windowFactor is the length of the demand window in terms of the minimum stay, so that the window
+// holds several turns of peaks that are about as long as a moved host has to stay.
+const windowFactor = 12
 
 // remember appends the demands of this moment and drops what is older than the window.
 func remember(in *Input, memory Memory) map[string][]Sample {
-	oldest := in.Now.Add(-windowFactor * in.lasting())
+	oldest := in.Now.Add(-windowFactor * in.horizon())
 	samples := make(map[string][]Sample, len(in.Pools))
 	for _, pool := range in.Pools {
 		kept := memory.Samples[pool.Name]
@@ -24,47 +23,127 @@
 	return samples
 }
 
-// demand is the distribution of the window.
+// demand is the forecast of a pool's demand over the horizon: the present level for as long as it is
+// expected to last, and for the rest the spread of the whole window. Short peaks thus count as a
+// spread that hosts have to be held for in advance, and long ones as a level that moves follow.
 type demand struct {
-	// sorted holds the samples in ascending order.
-	sorted []float64
-	// tail[i] is the sum of sorted[i:].
-	tail            []float64
-	mean, peak      float64
-	sustained, last float64
+	whole, level spread
+	// weight is the part of the horizon for which the level is expected to last.
+	weight float64
+	// held is the lowest demand of the last horizon, or 0 when the samples don't cover it.
+	held float64
+	// lasting is the highest demand that lasted for as long as a move needs to help.
+	lasting float64
 }
 
-func newDemand(samples []Sample, lasting time.Duration) demand {
-	d := demand{sorted: make([]float64, len(samples)), sustained: sustained(samples, lasting)}
-	for i, sample := range samples {
-		d.sorted[i] = sample.Demand
-		d.last = sample.Demand
-	}
-	slices.Sort(d.sorted)
-	d.tail = make([]float64, len(samples)+1)
-	for i := len(samples) - 1; i >= 0; i-- {
-		d.tail[i] = d.tail[i+1] + d.sorted[i]
-	}
-	if len(samples) > 0 {
-		d.mean = d.tail[0] / float64(len(samples))
-		d.peak = d.sorted[len(samples)-1]
-	}
+func newDemand(samples []Sample, in *Input) demand {
+	d := demand{whole: newSpread(samples), lasting: sustained(samples, in.lasting())}
+	from := levelStart(samples)
+	d.level = newSpread(samples[from:])
+	age := in.Now.Sub(samples[from].At)
+	last := lastLike(samples[:from], d.level.mean > d.whole.mean, d.whole.mean)
+	d.weight = min(1, rest(age, last, in.horizon()).Hours()/in.horizon().Hours())
+	d.held = held(samples, in.Now.Add(-in.horizon()))
 	return d
 }
 
 // unmet returns the mean demand above the capacity.
 func (d *demand) unmet(capacity float64) float64 {
-	if len(d.sorted) == 0 {
-		return 0
-	}
-	at, _ := slices.BinarySearch(d.sorted, capacity)
-	above := len(d.sorted) - at
-	return (d.tail[at] - float64(above)*capacity) / float64(len(d.sorted))
+	return d.weight*d.level.unmet(capacity) + (1-d.weight)*d.whole.unmet(capacity)
 }
 
 // idle returns the mean of the capacity that isn't asked for.
 func (d *demand) idle(capacity float64) float64 {
-	return capacity - d.mean + d.unmet(capacity)
+	mean := d.weight*d.level.mean + (1-d.weight)*d.whole.mean
+	return capacity - mean + d.unmet(capacity)
+}
+
+// rest returns how long a level of the age is expected to last on, when the last level of its kind
+// lasted for last. Levels shorter than the horizon are over before moves for them pay off. A level
+// that is older than the last one, or the first of its kind, is expected to last as long again.
+func rest(age, last, horizon time.Duration) time.Duration {
+	switch {
+	case age >= last:
+		return age
+	case last < horizon:
+		return 0
+	}
+	return last - age
+}
+
+// lastLike returns how long the demand was last on the given side of the mean, or 0 when it never
+// was. A stretch that reaches back to the first sample is as long as the samples show.
+func lastLike(samples []Sample, above bool, mean float64) time.Duration {
+	end := len(samples) - 1
+	for end >= 0 && (samples[end].Demand > mean) != above {
+		end--
+	}
+	if end < 0 {
+		return 0
+	}
+	begin := end
+	for begin > 0 && (samples[begin-1].Demand > mean) == above {
+		begin--
+	}
+	return samples[end].At.Sub(samples[begin].At)
+}
+
+// levelBand is the ratio to the mean of the present level at which a sample starts a new level.
+const levelBand = 2
+
+// levelStart returns the index of the first sample of the present level, going back from the newest.
+func levelStart(samples []Sample) int {
+	sum := 0.0
+	for i := len(samples) - 1; i >= 0; i-- {
+		mean := sum / float64(max(1, len(samples)-1-i))
+		value := samples[i].Demand
+		// One slot of difference is noise at any level.
+		apart := value > mean*levelBand+1 || value*levelBand+1 < mean
+		if i < len(samples)-1 && apart {
+			return i + 1
+		}
+		sum += value
+	}
+	return 0
+}
+
+// held returns the lowest demand since the time, or 0 when there are no samples that old.
+func held(samples []Sample, since time.Time) float64 {
+	if samples[0].At.After(since) {
+		return 0
+	}
+	lowest := samples[len(samples)-1].Demand
+	for i := len(samples) - 1; i >= 0 && !samples[i].At.Before(since); i-- {
+		lowest = min(lowest, samples[i].Demand)
+	}
+	return lowest
+}
+
+// spread is a distribution of demand.
+type spread struct {
+	// sorted holds the samples in ascending order, and tail[i] the sum of sorted[i:].
+	sorted, tail []float64
+	mean, peak   float64
+}
+
+func newSpread(samples []Sample) spread {
+	s := spread{sorted: make([]float64, len(samples)), tail: make([]float64, len(samples)+1)}
+	for i, sample := range samples {
+		s.sorted[i] = sample.Demand
+	}
+	slices.Sort(s.sorted)
+	for i := len(samples) - 1; i >= 0; i-- {
+		s.tail[i] = s.tail[i+1] + s.sorted[i]
+	}
+	s.mean = s.tail[0] / float64(len(samples))
+	s.peak = s.sorted[len(samples)-1]
+	return s
+}
+
+func (s *spread) unmet(capacity float64) float64 {
+	at, _ := slices.BinarySearch(s.sorted, capacity)
+	above := float64(len(s.sorted) - at)
+	return (s.tail[at] - above*capacity) / float64(len(s.sorted))
 }
 
 // sustained returns the highest level that the demand held for at least the span. Before the
--- a/internal/planner/fleet.go
+++ b/internal/planner/fleet.go
@@ -19,7 +19,9 @@
 // pool is a pool with its hosts and the cost of having more or fewer.
 type pool struct {
 	Pool
-	demand  demand
+	demand demand
+	// covers is the time that the samples go back.
+	covers  time.Duration
 	serving []*Host
 	// hosts counts serving and granted hosts and those on their way in.
 	hosts int
@@ -38,7 +40,9 @@
 	f := &fleet{in: in, byName: map[string]*pool{}}
 	for _, declared := range in.Pools {
 		p := &pool{Pool: declared, down: map[string]int{}, zones: map[string]int{}, racks: map[string]int{}}
-		p.demand = newDemand(samples[declared.Name], in.lasting())
+		seen := samples[declared.Name]
+		p.demand = newDemand(seen, in)
+		p.covers = in.Now.Sub(seen[0].At)
 		f.pools = append(f.pools, p)
 		f.byName[declared.Name] = p
 		f.hasSpare = f.hasSpare || declared.Spare
@@ -85,12 +89,12 @@
 	p.racks[host.Rack]++
 }
 
-// floorOf returns the hosts that the pool needs for its sustained demand, with buffers for random
+// floorOf returns the hosts that the pool needs for the demand that it has held, with buffers for random
 // failures and for the loss of a rack. The spare pool holds the rack buffer of the fleet; without a
 // spare pool, each pool holds what it would lose with its largest share of a rack.
 func (f *fleet) floorOf(p *pool) int {
 	policy := f.in.Policy
-	need := int(math.Ceil(p.demand.sustained / (p.slots * policy.TargetUtilisation)))
+	need := int(math.Ceil(p.demand.held / (p.slots * policy.TargetUtilisation)))
 	need += policy.FailureBuffer
 	if policy.RackBuffer && p.Spare {
 		need += f.largestRack
@@ -126,8 +130,8 @@
 		capacity := float64(p.hosts) * p.slots
 		plans = append(plans, PoolPlan{
 			Name: p.Name, Hosts: p.hosts, Floor: p.floor,
-			Sustained: p.demand.sustained, Peak: p.demand.peak, Mean: p.demand.mean,
-			ShortPeaks: p.demand.peak > capacity && p.demand.sustained < p.demand.peak*shortPeak,
+			Held: p.demand.held, Lasting: p.demand.lasting, Peak: p.demand.whole.peak, Mean: p.demand.whole.mean,
+			ShortPeaks: p.demand.whole.peak > capacity && p.demand.lasting < p.demand.whole.peak*shortPeak,
 		})
 	}
 	return plans
@@ -210,5 +214,13 @@
 	return moves
 }
 
-// horizon is the time for which a move pays off: a moved host stays for at least the minimum stay.
-func (f *fleet) horizon() time.Duration { return f.in.stay() }
+// informed reports whether the samples cover one horizon. A planner that has just started would take
+// whatever it sees first for the rule.
+func (f *fleet) informed() bool {
+	for _, p := range f.pools {
+		if p.covers < f.in.horizon() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,10 +72,12 @@
 	Name string
 	// Hosts counts serving and granted hosts, and those that are on their way into the pool.
 	Hosts int
-	// Floor is the number of hosts for the sustained demand at the target utilisation, with buffers.
+	// Floor is the number of hosts for the held demand at the target utilisation, with buffers.
 	Floor int
-	// Sustained is the highest demand that lasted for at least the time of a move and the dwell time.
-	Sustained float64
+	// Held is the lowest demand of the last minimum stay; the floor is computed from it.
+	Held float64
+	// Lasting is the highest demand that lasted for at least the time of a move and the dwell time.
+	Lasting float64
 	// Peak is the highest demand of the window, and Mean its mean.
 	Peak, Mean float64
 	// ShortPeaks is set when the peak asks for more than the pool has, but doesn't last long enough
@@ -128,6 +130,9 @@
 	return in.MoveTime
 }
 
+// horizon is the time for which a move pays off: a moved host stays for at least that long.
+func (in *Input) horizon() time.Duration { return max(in.stay(), in.lasting()) }
+
 // lasting is how long demand has to last for a move to help.
 func (in *Input) lasting() time.Duration { return in.dwell() + in.moveTime() }
 
@@ -136,6 +141,9 @@
 	next := Memory{Samples: remember(&in, memory)}
 	f := newFleet(&in, next.Samples)
 	plan := Plan{Pools: f.report(), Moves: f.sendHome()}
+	if !f.informed() {
+		return plan, next
+	}
 	moves, wishes := f.rebalance(memory.Wishes)
 	plan.Moves = append(plan.Moves, moves...)
 	next.Wishes = wishes
--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -137,7 +137,7 @@
 
 // gain is what one more than n hosts saves the pool over the horizon.
 func (f *fleet) gain(p *pool, n int) float64 {
-	gain := (f.cost(p, n) - f.cost(p, n+1)) * f.horizon().Hours()
+	gain := (f.cost(p, n) - f.cost(p, n+1)) * f.in.horizon().Hours()
 	if n < p.floor {
 		gain += deficitWeight
 	}
@@ -146,7 +146,7 @@
 
 // loss is what one less than n hosts costs the pool over the horizon.
 func (f *fleet) loss(p *pool, n int) float64 {
-	loss := (f.cost(p, n-1) - f.cost(p, n)) * f.horizon().Hours()
+	loss := (f.cost(p, n-1) - f.cost(p, n)) * f.in.horizon().Hours()
 	if n-1 < p.floor {
 		loss += deficitWeight
 	}
