--- a/internal/fold/escrow/document.go
+++ b/internal/fold/escrow/document.go
@@ -68,6 +68,11 @@
 	s.LongestRunMS = longestRunMS(next)
 	for _, member := range s.Processes {
 		member.LongestRunMS = max(member.LongestRunMS, s.LongestRunMS)
+		for team := range member.Wants {
+			if teams[team] == nil {
+				member.want(team, 0)
+			}
+		}
 	}
 }
 
--- a/internal/fold/escrow/naive_test.go
+++ b/internal/fold/escrow/naive_test.go
@@ -1,6 +1,8 @@
 package escrow
 
 import (
+	"maps"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/lease"
 	"turmericyoke/internal/structs"
@@ -11,24 +13,24 @@
 
 // naive keeps everything it ever read and recomputes each verdict from it.
 type naive struct {
-	limits, jobs map[string]uint64
-	targets      map[string]uint64
-	rights       map[life]map[string]uint64
-	zone         map[life]string
-	joined       map[life]bool
-	known        map[life]bool
-	suspected    map[life]bool
-	ended        map[life]bool
-	lastSeq      map[life]uint64
-	seen         map[life]int64
-	history      map[int64][]life
-	read         int64
+	limits, jobs  map[string]uint64
+	targets       map[string]uint64
+	rights, wants map[life]map[string]uint64
+	zone          map[life]string
+	joined        map[life]bool
+	known         map[life]bool
+	suspected     map[life]bool
+	ended         map[life]bool
+	lastSeq       map[life]uint64
+	seen          map[life]int64
+	history       map[int64][]life
+	read          int64
 }
 
 func newNaive() *naive {
 	return &naive{
 		limits: map[string]uint64{}, jobs: map[string]uint64{}, targets: map[string]uint64{},
-		rights: map[life]map[string]uint64{}, zone: map[life]string{}, joined: map[life]bool{}, known: map[life]bool{},
+		rights: map[life]map[string]uint64{}, wants: map[life]map[string]uint64{}, zone: map[life]string{}, joined: map[life]bool{}, known: map[life]bool{},
 		suspected: map[life]bool{}, ended: map[life]bool{}, lastSeq: map[life]uint64{}, seen: map[life]int64{},
 		history: map[int64][]life{},
 	}
@@ -132,26 +134,35 @@
 	}
 	n.joined[self], n.known[self], n.zone[self] = true, true, p.GetZone()
 	n.lastSeq[self], n.seen[self], n.rights[self] = env.Seq, env.Offset, map[string]uint64{}
+	n.wants[self] = map[string]uint64{}
 	return true
 }
 
 func (n *naive) claim(self life, list []*v1.Units) bool {
+	before := maps.Clone(n.wants[self])
 	granted := uint64(0)
+	changed := false
 	for _, claim := range list {
 		units := min(claim.GetUnits(), n.free(claim.GetTeam()))
 		n.rights[self][claim.GetTeam()] += units
 		granted += units
+		n.wants[self][claim.GetTeam()] = min(claim.GetUnits()-units, n.limits[claim.GetTeam()])
+		changed = changed || n.wants[self][claim.GetTeam()] != before[claim.GetTeam()]
+		before = maps.Clone(n.wants[self])
 	}
-	return granted > 0
+	return granted > 0 || changed
 }
 
 func (n *naive) move(from, to life, list []*v1.Units) bool {
 	sums := map[string]uint64{}
 	for _, units := range list {
+		if units.GetUnits() == 0 {
+			return false
+		}
 		sums[units.GetTeam()] += units.GetUnits()
 	}
 	for team, units := range sums {
-		if units == 0 || units > n.rights[from][team] {
+		if units > n.rights[from][team] {
 			return false
 		}
 	}
@@ -159,6 +170,7 @@
 		n.rights[from][team] -= units
 		if to.name != "" {
 			n.rights[to][team] += units
+			n.wants[to][team] -= min(n.wants[to][team], units)
 		}
 	}
 	return len(sums) > 0
--- a/internal/fold/escrow/state.go
+++ b/internal/fold/escrow/state.go
@@ -5,6 +5,7 @@
 package escrow
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -50,6 +51,9 @@
 	LastSeq     uint64            `json:"lastSeq"`
 	Suspected   bool              `json:"suspected,omitempty"`
 	Rights      map[string]uint64 `json:"rights,omitempty"`
+	// Wants is what the last claims of each team asked for and didn't get. It shows the other holders
+	// who lacks rights, so that unused ones find their way there.
+	Wants map[string]uint64 `json:"wants,omitempty"`
 	// Seen is the offset of the oldest view whose zone members the process may still use.
 	Seen int64 `json:"seen"`
 	// LongestRunMS is the longest permitted run of any document since the process joined. A
@@ -103,14 +107,10 @@
 
 // Entry returns the member as gateways see it.
 func (m Member) Entry() structs.GatewayEntry {
-	rights := make(map[string]uint64, len(m.Rights))
-	for team, units := range m.Rights {
-		rights[team] = units
-	}
 	return structs.GatewayEntry{
 		Name: m.Name, Incarnation: m.Incarnation, Zone: m.Zone, Address: m.Address,
 		Suspected: m.Suspected, LongestRunMS: m.LongestRunMS, SeenOffset: m.Seen,
-		Rights: rights, LastSeq: m.LastSeq,
+		Rights: maps.Clone(m.Rights), Wants: maps.Clone(m.Wants), LastSeq: m.LastSeq,
 	}
 }
 
@@ -132,7 +132,8 @@
 	return bound - used
 }
 
-// SurrenderTargets returns the targets of the teams under surrender; nil when there are none.
+// SurrenderTargets returns, for the teams under surrender, the bound on the rights of all holders
+// together: the target less the units of running jobs. It is nil when there are none.
 func (s *State) SurrenderTargets() map[string]uint64 {
 	var targets map[string]uint64
 	for name, account := range s.Teams {
@@ -142,7 +143,7 @@
 		if targets == nil {
 			targets = map[string]uint64{}
 		}
-		targets[name] = account.Target
+		targets[name] = account.Target - min(account.Jobs, account.Target)
 	}
 	return targets
 }
--- a/internal/fold/escrow/state_test.go
+++ b/internal/fold/escrow/state_test.go
@@ -51,7 +51,7 @@
 
 func drawUnits(t *rapid.T) []*v1.Units {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *v1.Units {
-		return &v1.Units{Team: rapid.SampledFrom(teams).Draw(t, "team"), Units: rapid.Uint64Range(1, 4).Draw(t, "units")}
+		return &v1.Units{Team: rapid.SampledFrom(teams).Draw(t, "team"), Units: rapid.Uint64Range(0, 4).Draw(t, "units")}
 	}), 1, 3).Draw(t, "list")
 }
 
@@ -217,6 +217,7 @@
 		found++
 		for _, team := range teams {
 			assert.Equal(t, member.Rights[team], model.rights[l][team])
+			assert.Equal(t, member.Wants[team], model.wants[l][team])
 		}
 	}
 	for l, joined := range model.joined {
--- a/internal/fold/escrow/units.go
+++ b/internal/fold/escrow/units.go
@@ -6,28 +6,53 @@
 	"turmericyoke/internal/structs"
 )
 
-// Claim gives unallocated units to the proposer, fewer than claimed where fewer are free.
+// Claim gives unallocated units to the proposer, fewer than claimed where fewer are free, and notes
+// what is missing as its wants. It is rejected when it changes nothing.
 func (s *State) Claim(env structs.Envelope, p *v1.Claim) *fault.Error {
 	member, err := s.holder(env.Proposer, env.Incarnation)
 	if err != nil {
 		return err
 	}
-	granted := uint64(0)
+	changed := false
 	for _, claim := range p.GetUnits() {
-		units := min(claim.GetUnits(), s.Unallocated(claim.GetTeam()))
-		if units == 0 {
+		account := s.Teams[claim.GetTeam()]
+		if account == nil {
 			continue
 		}
-		s.Teams[claim.GetTeam()].Held += units
-		member.add(claim.GetTeam(), units)
-		granted += units
+		units := min(claim.GetUnits(), s.Unallocated(claim.GetTeam()))
+		if units > 0 {
+			account.Held += units
+			member.add(claim.GetTeam(), units)
+			changed = true
+		}
+		if member.want(claim.GetTeam(), min(claim.GetUnits()-units, account.Limit)) {
+			changed = true
+		}
 	}
-	if granted == 0 {
+	if !changed {
 		return fault.New(fault.TeamLimit, "none of the claimed units is unallocated")
 	}
 	return nil
 }
 
+// want sets what the member lacks, and reports whether that is a change.
+func (m *Member) want(team string, units uint64) bool {
+	if m.Wants[team] == units {
+		return false
+	}
+	if m.Wants == nil {
+		m.Wants = map[string]uint64{}
+	}
+	m.Wants[team] = units
+	if units == 0 {
+		delete(m.Wants, team)
+	}
+	if len(m.Wants) == 0 {
+		m.Wants = nil
+	}
+	return true
+}
+
 // Return takes units back from the proposer.
 func (s *State) Return(env structs.Envelope, p *v1.Return) *fault.Error {
 	member, err := s.holder(env.Proposer, env.Incarnation)
@@ -63,6 +88,8 @@
 	for _, units := range p.GetUnits() {
 		giver.take(units.GetTeam(), units.GetUnits())
 		receiver.add(units.GetTeam(), units.GetUnits())
+		wanted := receiver.Wants[units.GetTeam()]
+		receiver.want(units.GetTeam(), wanted-min(wanted, units.GetUnits()))
 	}
 	return nil
 }
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -1,7 +1,11 @@
 // Package rights is the holder's side of the escrow of team limits.
 package rights
 
-import "turmericyoke/internal/fault"
+import (
+	"sync/atomic"
+
+	"turmericyoke/internal/fault"
+)
 
 // Source gives out rights to run one request of a team.
 type Source interface {
@@ -14,3 +18,70 @@
 	// LeaseHeld reports whether new work may be admitted.
 	LeaseHeld() bool
 }
+
+// Right is one unit in use by one request.
+type Right struct {
+	holder   *Holder
+	life     *life
+	account  *account
+	released atomic.Bool
+}
+
+// Usable reports whether the request may start now. The dispatcher asks directly before it sends
+// the request: a process that was paused since Take may have lost its lease, and its rights may
+// belong to others by now.
+func (r *Right) Usable() bool { return r.holder.usable(r.life) }
+
+// Release ends the use of the right, once the request has provably ended. Later calls do nothing.
+func (r *Right) Release() {
+	if r.released.CompareAndSwap(false, true) {
+		r.account.release()
+	}
+}
+
+// Take takes one right of the team. Errors are those of Acquire.
+func (h *Holder) Take(team string) (*Right, *fault.Error) {
+	if h.leaving.Load() {
+		return nil, fault.New(fault.ShuttingDown, "the gateway is leaving")
+	}
+	current := h.life.Load()
+	if !h.usable(current) {
+		return nil, fault.New(fault.LeaseLapsed, "the lease of %s has lapsed", h.cfg.Name)
+	}
+	held := current.account(team)
+	if held == nil {
+		return nil, fault.New(fault.TeamLimit, "team %q isn't in the document", team)
+	}
+	if !held.take() {
+		return nil, fault.New(fault.TeamLimit, "no right of team %s is free here", team)
+	}
+	return &Right{holder: h, life: current, account: held}, nil
+}
+
+// usable reports whether rights of the life may be used. The lease is read first: it is stopped
+// before the life is replaced, so a valid lease before an unreplaced life belongs to that life.
+func (h *Holder) usable(l *life) bool { return h.keeper.Valid() && h.life.Load() == l }
+
+// Acquire implements Source.
+func (h *Holder) Acquire(team string) (release func(), err *fault.Error) {
+	right, err := h.Take(team)
+	if err != nil {
+		return nil, err
+	}
+	return right.Release, nil
+}
+
+// Free implements Source. Without a lease nothing is free.
+func (h *Holder) Free(team string) uint64 {
+	current := h.life.Load()
+	if h.leaving.Load() || !h.usable(current) {
+		return 0
+	}
+	if held := current.account(team); held != nil {
+		return held.free()
+	}
+	return 0
+}
+
+// LeaseHeld implements Source.
+func (h *Holder) LeaseHeld() bool { return h.keeper.Valid() }
--- a/internal/structs/view.go
+++ b/internal/structs/view.go
@@ -45,6 +45,8 @@
 	SeenOffset int64 `json:"seenOffset,omitempty"`
 	// Rights is the number of units of each team that the gateway holds.
 	Rights map[string]uint64 `json:"rights,omitempty"`
+	// Wants is the number of units of each team that the gateway claimed and didn't get.
+	Wants map[string]uint64 `json:"wants,omitempty"`
 	// LastSeq is the highest proposal number that the fold has read from the incarnation.
 	LastSeq uint64 `json:"lastSeq"`
 }
