--- a/internal/rights/divide.go
+++ b/internal/rights/divide.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// turnSpan is how long a holder keeps a right that others wait for when there are fewer rights
-	// than holders that need one.
+	// turnSpan is how long a holder keeps a right that only the rounding of fair parts gave it while
+	// another has none, such as the one right of a limit of 1.
 	turnSpan = 10 * time.Second
 	// surplusSpan is how long a large surplus must last before it is returned, and idleSpan how long
 	// any surplus must last. They are longer than the peaks of queues, which last some seconds.
@@ -126,18 +126,32 @@
 	if needed := max(in.need, in.keep); in.held > needed {
 		return giveSpare(in, wanted, in.held-needed)
 	}
-	fair, holders := fairPart(in)
+	fair, rounded := fairPart(in)
 	if in.held > fair+fair/10 {
 		plan := giveTo(in, in.held-fair)
 		plan.holdback = in.held - fair
 		return plan
 	}
-	if holders > totalRights(in) && in.held > 0 && in.sinceGain >= turnSpan {
+	if rounded && in.held == fair && in.sinceGain >= turnSpan && largestHolder(in) {
 		return takeTurn(in)
 	}
 	return teamPlan{}
 }
 
+// largestHolder reports whether no holder has more, or as much with a lower name. Only this one gives
+// a right that the rounding of fair parts left it, so that a holder without any gets one at a time.
+func largestHolder(in teamInput) bool {
+	for _, holder := range in.holders {
+		if holder.suspected || holder.ref == in.self {
+			continue
+		}
+		if holder.holds > in.held || (holder.holds == in.held && holder.ref.Name < in.self.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // giveSpare gives a part of what is wanted: that of this holder's rights in those of all holders that
 // want none, so that not all of them give the same holder the same units.
 func giveSpare(in teamInput, wanted, spare uint64) teamPlan {
@@ -181,27 +195,21 @@
 	return teamPlan{give: min(units, receiver.wants), receiver: receiver.ref}
 }
 
-// fairPart returns the holder's part of all rights in proportion to demand, rounded up, and the
-// number of holders with demand. A demand counts up to the limit, which is as much as others see.
-func fairPart(in teamInput) (part, holders uint64) {
+// fairPart returns the holder's part of all rights in proportion to demand, rounded up, and whether
+// it was rounded. A demand counts up to the limit, which is as much as others see.
+func fairPart(in teamInput) (part uint64, rounded bool) {
 	mine := min(in.need, in.limit)
 	demands := mine
-	if mine > 0 {
-		holders++
-	}
 	for _, holder := range in.holders {
-		if holder.ref == in.self || holder.suspected {
-			continue
-		}
-		demands += min(holder.holds+holder.wants, in.limit)
-		if holder.holds+holder.wants > 0 {
-			holders++
+		if holder.ref != in.self && !holder.suspected {
+			demands += min(holder.holds+holder.wants, in.limit)
 		}
 	}
 	if demands == 0 {
-		return 0, holders
+		return 0, false
 	}
-	return (totalRights(in)*mine + demands - 1) / demands, holders
+	part = (totalRights(in)*mine + demands - 1) / demands
+	return part, part*demands > totalRights(in)*mine
 }
 
 func totalRights(in teamInput) uint64 {
--- a/internal/rights/fault_test.go
+++ b/internal/rights/fault_test.go
@@ -168,7 +168,7 @@
 		m.run(structs.DefaultMaxRunTime + 10*time.Second)
 		assert.Assert(t, m.publish(lower))
 		m.run(2 * time.Minute)
-		assert.Equal(t, m.inUse("many"), uint64(7))
+		assert.Equal(t, m.inUse()["many"], uint64(7))
 	})
 }
 
--- a/internal/rights/model_test.go
+++ b/internal/rights/model_test.go
@@ -47,11 +47,20 @@
 	// demand returns the number of new requests of a team at a node in one tick.
 	demand  func(n *node, team string) int
 	runTime func() time.Duration
-
-	records  int
+	// forward lets a gateway of the zone with a free right run a request.
+	forward bool
+	// shared replaces rights by a counter that all nodes share, as a bound for comparison.
+	shared bool
+
+	// taken is the shared counter.
+	taken map[string]uint64
+
+	records int
+	bytes   int
+	// meanUse is the mean part of all limits that ran.
+	meanUse  float64
 	admitted map[string]int
-	// refusedIdle counts tries without a right while fewer than the limit ran.
-	refused, refusedIdle int
+	refused  int
 }
 
 // node is one gateway and the endpoints that it dispatches to.
@@ -87,7 +96,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	m := &model{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: start, now: start, state: fold.New(), doc: &structs.Document{},
-		admitted: map[string]int{}, runTime: func() time.Duration { return structs.DefaultMaxRunTime },
+		admitted: map[string]int{}, taken: map[string]uint64{}, runTime: func() time.Duration { return structs.DefaultMaxRunTime },
 	}
 	m.control(&v1.Record{Payload: &v1.Record_Join{Join: &v1.Join{Zone: "z", Role: v1.Role_ROLE_CONTROLLER}}})
 	assert.Assert(t, m.publish(limits))
@@ -134,6 +143,7 @@
 	assert.NilError(m.t, err)
 	m.sent = append(m.sent, raw)
 	m.records++
+	m.bytes += len(raw)
 	m.viewStale = true
 	return verdict
 }
@@ -277,25 +287,51 @@
 			n.queue[team.Name] += n.m.demand(n, team.Name)
 		}
 		for n.queue[team.Name] > 0 {
-			right, err := n.holder.Take(team.Name)
-			if err != nil {
+			runner, right := n.place(team)
+			if right == nil {
 				n.refuse(team)
 				break
 			}
 			n.queue[team.Name]--
-			n.admitted = append(n.admitted, &request{team: team.Name, right: right})
+			runner.admitted = append(runner.admitted, &request{team: team.Name, right: right})
 		}
 	}
 }
 
+// place takes a right here or, if requests are forwarded, at a gateway of the zone.
+func (n *node) place(team structs.Team) (*node, *Right) {
+	if n.m.shared {
+		return n, n.takeShared(team)
+	}
+	if right, err := n.holder.Take(team.Name); err == nil {
+		return n, right
+	}
+	for _, peer := range n.m.nodes {
+		if n.m.forward && peer != n && peer.reaches(n) && peer.holder.Free(team.Name) > 0 {
+			if right, err := peer.holder.Take(team.Name); err == nil {
+				return peer, right
+			}
+		}
+	}
+	return nil, nil
+}
+
+func (n *node) takeShared(team structs.Team) *Right {
+	if n.m.taken[team.Name] >= team.UpperLimit {
+		return nil
+	}
+	n.m.taken[team.Name]++
+	return &Right{holder: n.holder, life: n.holder.life.Load(), account: &account{used: 1}}
+}
+
 func (n *node) refuse(team structs.Team) {
 	n.m.refused++
-	if n.m.inUse(team.Name) < team.UpperLimit {
-		n.m.refusedIdle++
-	}
+	// Each waiting request gives up after about 2 s.
 	const queueDeadline = 8
-	if n.m.rng.IntN(queueDeadline) == 0 {
-		n.queue[team.Name]--
+	for range n.queue[team.Name] {
+		if n.m.rng.IntN(queueDeadline) == 0 {
+			n.queue[team.Name]--
+		}
 	}
 }
 
@@ -309,28 +345,30 @@
 			continue
 		}
 		r.right.Release()
+		n.m.taken[r.team]--
 	}
 	n.running = kept
 }
 
-// inUse counts what truly runs on endpoints.
-func (m *model) inUse(team string) uint64 {
-	count := uint64(0)
+// inUse counts what truly runs on endpoints, by team.
+func (m *model) inUse() map[string]uint64 {
+	counts := map[string]uint64{}
 	for _, n := range m.nodes {
 		for _, r := range n.running {
-			if r.team == team && r.end.After(m.now) {
-				count++
+			if r.end.After(m.now) {
+				counts[r.team]++
 			}
 		}
 	}
-	return count
+	return counts
 }
 
 // check compares what truly runs with the accepted limits.
 func (m *model) check() {
+	counts := m.inUse()
 	for _, team := range m.doc.Teams {
-		if running := m.inUse(team.Name); running > team.UpperLimit {
-			m.t.Fatalf("%v after the start, %d requests of team %s run: the limit is %d", m.now.Sub(m.start), running, team.Name, team.UpperLimit)
+		if counts[team.Name] > team.UpperLimit {
+			m.t.Fatalf("%v after the start, %d requests of team %s run: the limit is %d", m.now.Sub(m.start), counts[team.Name], team.Name, team.UpperLimit)
 		}
 	}
 }
--- a/internal/rights/plan.go
+++ b/internal/rights/plan.go
@@ -59,7 +59,7 @@
 // plan needs the lock. It decides about all teams and says the most useful thing. Records that take
 // and records that give alternate, so that neither waits for long.
 func (h *Holder) plan(current *life, entry *structs.GatewayEntry, now time.Time) (*v1.Record, map[string]uint64) {
-	if now.Sub(h.plans.planned) < recordInterval {
+	if now.Sub(h.plans.planned) < planInterval(len(h.view.Gateways)) {
 		return nil, nil
 	}
 	h.plans.planned = now
@@ -77,6 +77,15 @@
 	return take, nil
 }
 
+// intervalPerHolder bounds the records of all holders together to 20 a second: each controller reads
+// all of them within 3 KB/s, and requests meanwhile go to a gateway of the zone that has a right.
+const intervalPerHolder = 50 * time.Millisecond
+
+// planInterval is the time between two plans of one holder.
+func planInterval(holders int) time.Duration {
+	return max(recordInterval, time.Duration(holders)*intervalPerHolder)
+}
+
 // teamDecision is the plan for one team.
 type teamDecision struct {
 	team string
