--- a/cmd/controller/run.go
+++ b/cmd/controller/run.go
@@ -16,6 +16,7 @@
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/auth"
+	"turmericyoke/internal/controller/demand"
 	"turmericyoke/internal/controller/member"
 	"turmericyoke/internal/controller/ops"
 	"turmericyoke/internal/controller/serve"
@@ -86,7 +87,7 @@
 		config: config, logger: logger, link: link, registry: telemetry.NewRegistry(),
 		parts: parts{
 			name: config.Name, incarnation: incarnation, follower: reader, proposer: writer,
-			platform: clients, logger: logger,
+			platform: clients, demand: demand.New(demandPeers(config, link, client), time.Now), logger: logger,
 		},
 		membership: &member.Membership{
 			Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: config.Address(),
@@ -118,6 +119,14 @@
 	return list
 }
 
+func demandPeers(config *config, link *transport.Transport, client *http.Client) map[string]demand.Peer {
+	peers := make(map[string]demand.Peer, len(config.Controllers))
+	for _, peer := range config.Controllers {
+		peers[peer.Name] = turmericyokev1connect.NewControllerServiceClient(client, link.URL(peer.Address))
+	}
+	return peers
+}
+
 // serve runs all parts. On shutdown, the control loops end first, then the controller leaves the
 // fleet, then the services close, and the reader and the proposer end last.
 func (p *process) serve(ctx context.Context) error {
@@ -230,7 +239,7 @@
 	reader := p.parts.follower
 	api := serve.New(serve.Config{
 		Follower: reader, Proposer: p.parts.proposer, Joined: p.membership.Joined,
-		Metrics: serve.NewMetrics(p.registry, reader),
+		Metrics: serve.NewMetrics(p.registry, reader), Demand: p.parts.demand,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(turmericyokev1connect.NewControllerServiceHandler(api,
--- a/cmd/gateway/holder.go
+++ b/cmd/gateway/holder.go
@@ -4,64 +4,87 @@
 	"context"
 	"time"
 
-	v1 "turmericyoke/api/turmericyoke/v1"
-	"turmericyoke/internal/fault"
-	"turmericyoke/internal/gateway/exchange"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/gateway/account"
+	"turmericyoke/internal/gateway/fleet"
+	"turmericyoke/internal/refusal"
 	"turmericyoke/internal/rights"
+	"turmericyoke/internal/settings"
 )
 
-// holder is the gateway's part in the escrow of limits: rights, lease and membership.
-type holder interface {
-	rights.Source
-	exchange.Lease
-	exchange.Pending
-	// Run joins, renews the lease and claims rights until ctx ends.
-	Run(ctx context.Context) error
-	// Leave returns all rights and leaves the zone.
-	Leave(ctx context.Context) error
-}
-
-// newHolder returns the holder of the process.
-func newHolder() holder { return closedHolder{} }
+// freshnessPoll is the time between two looks at how current the view is.
+const freshnessPoll = 250 * time.Millisecond
 
-// closedHolder never has a lease, so the gateway admits nothing. It stands here until the lease and
-// rights packages are wired in.
-type closedHolder struct{}
+// holder is the gateway's part in the escrow of limits together with its record of refusals.
+type holder struct {
+	*rights.Holder
+	*refusalRecord
 
-// Acquire implements rights.Source.
-func (closedHolder) Acquire(string) (func(), *fault.Error) {
-	return nil, fault.New(fault.LeaseLapsed, "the gateway has no lease")
+	store *fleet.Store
+	log   *logrus.Entry
 }
 
-// Free implements rights.Source.
-func (closedHolder) Free(string) uint64 { return 0 }
-
-// LeaseHeld implements rights.Source.
-func (closedHolder) LeaseHeld() bool { return false }
-
-// Heard implements exchange.Lease.
-func (closedHolder) Heard(string, string) {}
-
-// Renewed implements exchange.Lease.
-func (closedHolder) Renewed(string, string, time.Time) {}
-
-// MayRenew implements exchange.Lease.
-func (closedHolder) MayRenew(string, string) bool { return false }
+// newHolder returns the holder of the process.
+func newHolder(config *settings.Gateway, calls processCalls, store *fleet.Store, waiting func() map[string]uint64, log *logrus.Entry) *holder {
+	h := &holder{store: store, log: log}
+	h.Holder = rights.New(rights.Config{
+		Name: config.Name, Zone: config.Zone, Address: config.PeerAddress(),
+		Proposer: rights.Controllers{Clients: calls.controllers},
+		Peers:    rights.PeerCalls{Client: calls.peer},
+		Waiting:  waiting, Now: time.Now, Logger: log,
+	})
+	h.refusalRecord = newRefusalRecord(config.Name, h.Incarnation(), calls.log)
+	store.OnChange(func(snapshot *fleet.Snapshot) {
+		h.ViewTaken(snapshot.View, snapshot.FreshAt)
+		h.observeMembers(snapshot.View.Gateways)
+	})
+	return h
+}
 
-// Vow implements exchange.Lease.
-func (closedHolder) Vow(string, string) *v1.Vow { return nil }
+// Run joins, moves rights and records refusals until ctx ends.
+func (h *holder) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.Holder.Run(ctx) })
+	group.Go(func() error { return h.recorder.Run(ctx, h.appender, h.log) })
+	group.Go(func() error { return h.handOver(ctx) })
+	group.Go(func() error {
+		h.followFreshness(ctx)
+		return nil
+	})
+	return group.Wait()
+}
 
-// Copy implements exchange.Pending.
-func (closedHolder) Copy(string) *v1.RefusalBatch { return nil }
+// followFreshness tells the holder when the view was last known to be current.
+func (h *holder) followFreshness(ctx context.Context) {
+	ticker := time.NewTicker(freshnessPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.FreshAt(h.store.Current().FreshAt)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
-// Keep implements exchange.Pending.
-func (closedHolder) Keep(*v1.RefusalBatch) {}
+// Refuse implements account.Sink.
+func (h *holder) Refuse(r account.Refusal) string {
+	return h.recorder.Add(refusal.Refusal{
+		Team: r.Team, KeyID: r.KeyID, Pool: r.Pool, Kind: r.Rule, ConfigVersion: r.ConfigVersion,
+		Free: r.Free, Needed: r.Needed, Detail: r.Detail,
+	})
+}
 
-// Run implements holder.
-func (closedHolder) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+// processCalls are the clients of other processes.
+type processCalls struct {
+	controllers []turmericyokev1connect.ControllerServiceClient
+	peer        func(address string) turmericyokev1connect.PeerServiceClient
+	log         refusal.Log
 }
 
-// Leave implements holder.
-func (closedHolder) Leave(context.Context) error { return nil }
+var _ account.Sink = (*holder)(nil)
+var _ rights.Source = (*holder)(nil)
--- a/cmd/gateway/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -19,7 +19,7 @@
 // Guards the settings check: each broken rule is named, and nothing starts.
 func TestCheckConfig(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "gateway.yaml")
-	text := "name: g1\nzone: z1\nlisten: 127.0.0.1:1\npeerListen: 127.0.0.1:2\noperatorListen: %s\ncontrollers: [127.0.0.1:4]\n"
+	text := "name: g1\nzone: z1\nlisten: 127.0.0.1:1\npeerListen: 127.0.0.1:2\noperatorListen: %s\nlog: 127.0.0.1:5\ntls: {plaintext: true}\ncontrollers: [127.0.0.1:4]\n"
 	for operator, want := range map[string]string{"127.0.0.1:3": "", "localhost:3": "operatorListen"} {
 		assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, text, operator), 0o600))
 		cmd := command()
@@ -44,11 +44,13 @@
 	config.Name, config.Zone = "g1", "z1"
 	config.Listen, config.PeerListen, config.OperatorListen = free(t), free(t), free(t)
 	config.Controllers = []string{free(t)}
+	config.Log, config.TLS.Plaintext = free(t), true
 	config.Timeouts.Drain = structs.Duration(1)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	var out bytes.Buffer
-	p := newProcess(config, &out)
+	p, err := newProcess(config, &out)
+	assert.NilError(t, err)
 	assert.NilError(t, p.listen())
 	go func() { done <- p.run(ctx) }()
 	status := func(address, path string) int {
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -17,7 +15,6 @@
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/gateway"
-	"turmericyoke/internal/gateway/account"
 	"turmericyoke/internal/gateway/admit"
 	"turmericyoke/internal/gateway/endpoints"
 	"turmericyoke/internal/gateway/fleet"
@@ -28,6 +25,7 @@
 	"turmericyoke/internal/gateway/viewclient"
 	"turmericyoke/internal/settings"
 	"turmericyoke/internal/telemetry"
+	"turmericyoke/internal/transport"
 )
 
 // process is one running gateway with its servers.
@@ -35,9 +33,10 @@
 	config   *settings.Gateway
 	log      *logrus.Entry
 	store    *fleet.Store
-	holder   holder
+	holder   *holder
 	registry *prometheus.Registry
-	client   *http.Client
+	link     *transport.Transport
+	calls    processCalls
 	gateway  *gateway.Gateway
 	operator *operator.Handler
 
@@ -50,7 +49,10 @@
 
 // run serves until ctx ends, and then shuts down without cutting requests.
 func run(ctx context.Context, config *settings.Gateway, out io.Writer) error {
-	p := newProcess(config, out)
+	p, err := newProcess(config, out)
+	if err != nil {
+		return err
+	}
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -74,18 +76,28 @@
 	})
 	err := group.Wait()
 	p.log.Info("gateway stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
-func newProcess(config *settings.Gateway, out io.Writer) *process {
+func newProcess(config *settings.Gateway, out io.Writer) (*process, error) {
+	link, err := transport.New(config.TLS)
+	if err != nil {
+		return nil, err
+	}
 	p := &process{
 		config: config, log: telemetry.NewLogger(out, config.Name, config.Zone),
-		store: fleet.NewStore(), holder: newHolder(), registry: telemetry.NewRegistry(),
-		client: peerclient.NewHTTPClient(),
+		store: fleet.NewStore(), registry: telemetry.NewRegistry(), link: link,
 	}
-	incarnation, seed := identity(config.Name)
+	peers := peerclient.NewPool(link.PeerClient(), link.URL)
+	p.calls = newCalls(config, link, peers)
+	waiting := func() map[string]uint64 { return p.gateway.WaitingByTeam() }
+	p.holder = newHolder(config, p.calls, p.store, waiting, p.log)
 	p.gateway = gateway.New(gateway.Config{
-		Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Region: otherZones(config), Seed: seed,
+		Name: config.Name, Incarnation: p.holder.Incarnation(), Holder: p.holder.Incarnation,
+		Zone: config.Zone, Region: otherZones(config), Seed: rand.Uint64(),
 		Server: server.Limits{
 			HeaderBytes: config.Limits.HeaderBytes, BodyBytes: config.Limits.BodyBytes,
 			BufferedBytes: config.Limits.BufferedBytes, Connections: config.Limits.Connections,
@@ -98,19 +110,24 @@
 			ConnectTimeout: config.Timeouts.Connect.Duration(),
 			HeaderBytes:    config.Limits.HeaderBytes, AnswerBytes: config.Limits.AnswerBytes,
 		},
-		Store: p.store, Rights: p.holder, Sink: &account.CountingSink{}, Lease: p.holder, Pending: p.holder,
-		Registry: p.registry, HTTP: p.client, Dial: dial, Now: time.Now,
+		Store: p.store, Rights: p.holder, Sink: p.holder, Lease: p.holder, Pending: p.holder,
+		Registry: p.registry, Clients: peers, Dial: dial, Now: time.Now,
 	})
 	p.operator = operator.New(p.registry, p.ready)
-	return p
+	return p, nil
 }
 
-// identity returns a new incarnation and a seed.
-func identity(name string) (incarnation string, seed uint64) {
-	var raw [8]byte
-	// crypto/rand.Read never fails; it ends the process instead.
-	_, _ = rand.Read(raw[:])
-	return name + "-" + hex.EncodeToString(raw[:]), binary.BigEndian.Uint64(raw[:])
+// newCalls returns the clients of other processes.
+func newCalls(config *settings.Gateway, link *transport.Transport, peers *peerclient.Pool) processCalls {
+	client := link.Client()
+	calls := processCalls{
+		peer: peers.Exchange,
+		log:  turmericyokev1connect.NewLogServiceClient(client, link.URL(config.Log)),
+	}
+	for _, address := range config.Controllers {
+		calls.controllers = append(calls.controllers, turmericyokev1connect.NewControllerServiceClient(client, link.URL(address)))
+	}
+	return calls
 }
 
 func otherZones(config *settings.Gateway) []string {
@@ -134,18 +151,15 @@
 
 func (p *process) listen() error {
 	var errs [3]error
-	p.callers, errs[0] = net.Listen("tcp", p.config.Listen)
-	p.peers, errs[1] = net.Listen("tcp", p.config.PeerListen)
+	p.callers, errs[0] = p.link.ListenPublic(p.config.Listen)
+	p.peers, errs[1] = p.link.Listen(p.config.PeerListen)
 	p.operators, errs[2] = net.Listen("tcp", p.config.OperatorListen)
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(p.gateway.PeerHandler())
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	p.peerServer = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+	p.peerServer = p.link.Server(mux)
 	p.operatorServer = &http.Server{Handler: p.operator, ReadHeaderTimeout: headerTimeout}
 	return nil
 }
@@ -172,9 +186,8 @@
 
 func (p *process) sources() []viewclient.Source {
 	sources := make([]viewclient.Source, 0, len(p.config.Controllers))
-	for _, address := range p.config.Controllers {
-		client := turmericyokev1connect.NewControllerServiceClient(p.client, "http://"+address)
-		sources = append(sources, viewclient.Source{Name: address, Client: client})
+	for i, address := range p.config.Controllers {
+		sources = append(sources, viewclient.Source{Name: address, Client: p.calls.controllers[i]})
 	}
 	return sources
 }
@@ -187,12 +200,21 @@
 	wait(ctx, p.config.Timeouts.Drain.Duration())
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Shutdown.Duration())
 	defer cancel()
-	return errors.Join(
-		p.gateway.Shutdown(ctx),
-		p.peerServer.Shutdown(ctx),
-		p.holder.Leave(ctx),
-		p.operatorServer.Shutdown(ctx),
-	)
+	err := errors.Join(p.gateway.Shutdown(ctx), p.peerServer.Shutdown(ctx))
+	p.leave(ctx)
+	return errors.Join(err, p.operatorServer.Shutdown(ctx))
+}
+
+// leaveTimeout bounds the wait for the log when the gateway leaves. Without the log its rights stay
+// allotted until the other gateways reclaim them.
+const leaveTimeout = 5 * time.Second
+
+func (p *process) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := p.holder.Leave(ctx); err != nil {
+		p.log.WithError(err).WithField("event", "leave_failed").Warn("the holder's rights stay allotted until they are reclaimed")
+	}
 }
 
 func wait(ctx context.Context, span time.Duration) {
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -15,8 +17,9 @@
 )
 
 func newWave(opts *options) *cobra.Command {
-	wave := &cobra.Command{Use: "wave", Short: "Pause, resume or stop a maintenance wave"}
+	wave := &cobra.Command{Use: "wave", Short: "Show, pause, resume or stop a maintenance wave"}
 	wave.AddCommand(
+		newWaveShow(opts),
 		newWaveAction(opts, "pause", v1.WaveAction_WAVE_ACTION_PAUSE),
 		newWaveAction(opts, "resume", v1.WaveAction_WAVE_ACTION_RESUME),
 		newWaveAction(opts, "stop", v1.WaveAction_WAVE_ACTION_STOP),
@@ -24,6 +27,29 @@
 	return wave
 }
 
+func newWaveShow(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "show [WAVE]",
+		Short: "Show the progress of waves",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var waves []structs.WaveStatus
+			if err := query(cmd, opts, "waves", args, &waves); err != nil {
+				return err
+			}
+			text := table{header: []string{"WAVE", "POOL", "STATE", "BACK", "STOPPED", "WAITING", "FAILED", "REASON"}}
+			for _, wave := range waves {
+				text.rows = append(text.rows, []string{
+					wave.Name, wave.Pool, wave.State, strconv.Itoa(len(wave.Done)),
+					strings.Join(wave.Outstanding, " "), strconv.Itoa(len(wave.Waiting)),
+					strings.Join(wave.Failed, " "), wave.Reason,
+				})
+			}
+			return write(cmd.OutOrStdout(), opts.format, waves, text)
+		},
+	}
+}
+
 func newWaveAction(opts *options, name string, action v1.WaveAction) *cobra.Command {
 	var reason string
 	cmd := &cobra.Command{
--- a/internal/controller/serve/query.go
+++ b/internal/controller/serve/query.go
@@ -42,7 +42,7 @@
 	case "verdicts":
 		return encode(verdicts(state))
 	case "waves":
-		return encode(state.Inventory)
+		return encode(waves(state, name))
 	case "jobs":
 		return encode(state.Jobs)
 	default:
--- a/internal/controller/serve/serve.go
+++ b/internal/controller/serve/serve.go
@@ -36,6 +36,14 @@
 	// Joined reports whether the controller's own proposals can be accepted.
 	Joined  func() bool
 	Metrics *Metrics
+	// Demand takes and sums what gateways ask for; nil drops it.
+	Demand Demand
+}
+
+// Demand collects what gateways ask of each pool; demand.Table implements it.
+type Demand interface {
+	Report(gateway string, pools []*v1.PoolDemand)
+	Own() []*v1.PoolDemand
 }
 
 // Service implements the ControllerService.
@@ -66,6 +74,9 @@
 func (s *Service) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
 	status := s.cfg.Follower.Status()
 	status.Gateways = s.gateways.list(time.Now())
+	if s.cfg.Demand != nil {
+		status.Demand = s.cfg.Demand.Own()
+	}
 	return status, nil
 }
 
--- a/internal/controller/serve/view.go
+++ b/internal/controller/serve/view.go
@@ -28,6 +28,9 @@
 	if !s.cfg.Follower.Ready() {
 		return nil, connectError(fault.New(fault.NotReady, "the controller hasn't caught up with the log yet"))
 	}
+	if s.cfg.Demand != nil && request.GetGateway() != "" {
+		s.cfg.Demand.Report(request.GetGateway(), request.GetDemand())
+	}
 	s.gateways.took(request.GetGateway(), request.GetAfterOffset(), time.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxViewWait)
 	poll, cancel := context.WithTimeout(ctx, wait)
--- a/internal/gateway/account/account.go
+++ b/internal/gateway/account/account.go
@@ -29,9 +29,9 @@
 	At           time.Time
 }
 
-// Sink takes refusals. Refuse doesn't block.
+// Sink takes refusals. Refuse doesn't block, and returns the id under which the refusal is on record.
 type Sink interface {
-	Refuse(refusal Refusal)
+	Refuse(refusal Refusal) string
 }
 
 // Filter records ended requests. It is the last part of the chain.
@@ -75,7 +75,7 @@
 		return
 	}
 	f.refused.Add(1)
-	f.sink.Refuse(Refusal{
+	r.RefusalID = f.sink.Refuse(Refusal{
 		ID: r.ID, Number: r.Number, Team: r.Team, KeyID: r.KeyID, Pool: r.PoolName,
 		Rule: r.Fault.Kind, ConfigVersion: r.ConfigVersion,
 		Free: r.Shortage.Free, Needed: r.Shortage.Needed, Detail: r.Fault.Detail, At: f.now(),
@@ -90,7 +90,7 @@
 }
 
 // Refuse implements Sink.
-func (s *CountingSink) Refuse(refusal Refusal) {
+func (s *CountingSink) Refuse(refusal Refusal) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.counts == nil {
@@ -98,6 +98,7 @@
 	}
 	s.counts[refusal.Rule]++
 	s.last = refusal
+	return refusal.ID
 }
 
 // Count returns the refusals by rule.
--- a/internal/gateway/bed_test.go
+++ b/internal/gateway/bed_test.go
@@ -27,10 +27,19 @@
 	"turmericyoke/internal/gateway/peerclient"
 	"turmericyoke/internal/gateway/queue"
 	"turmericyoke/internal/gateway/server"
+	"turmericyoke/internal/rights"
 	"turmericyoke/internal/standin/endpointsvc"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
 )
 
+// plainPool returns clients of gateways without TLS.
+func plainPool(tb testing.TB) *peerclient.Pool {
+	link, err := transport.New(transport.TLS{Plaintext: true})
+	assert.NilError(tb, err)
+	return peerclient.NewPool(link.PeerClient(), link.URL)
+}
+
 // memoryRights holds a fixed number of rights for each team.
 type memoryRights struct {
 	mu     sync.Mutex
@@ -38,17 +47,17 @@
 	lapsed bool
 }
 
-func (m *memoryRights) Acquire(team string) (func(), *fault.Error) {
+func (m *memoryRights) Acquire(team string) (rights.Use, *fault.Error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lapsed {
-		return nil, fault.New(fault.LeaseLapsed, "no lease")
+		return rights.Use{}, fault.New(fault.LeaseLapsed, "no lease")
 	}
 	if m.free[team] == 0 {
-		return nil, fault.New(fault.TeamLimit, "no right")
+		return rights.Use{}, fault.New(fault.TeamLimit, "no right")
 	}
 	m.free[team]--
-	return func() { m.release(team) }, nil
+	return rights.Use{Release: func() { m.release(team) }}, nil
 }
 
 func (m *memoryRights) release(team string) {
@@ -78,6 +87,7 @@
 func (noLease) Vow(string, string) *v1.Vow        { return nil }
 func (noLease) Copy(string) *v1.RefusalBatch      { return nil }
 func (noLease) Keep(*v1.RefusalBatch)             {}
+func (noLease) Observe(string, string, uint64)    {}
 
 // bed is a zone of gateways and endpoints on loopback.
 type bed struct {
@@ -161,7 +171,7 @@
 		Queue:     queue.Limits{Waiting: 256, Bytes: 1 << 20},
 		Endpoints: endpoints.Limits{ConnectTimeout: time.Second, HeaderBytes: 4096, AnswerBytes: 1 << 20},
 		Store:     n.store, Rights: n.rights, Sink: n.sink, Lease: noLease{}, Pending: noLease{},
-		Registry: prometheus.NewRegistry(), HTTP: peerclient.NewHTTPClient(), Dial: dial, Now: time.Now,
+		Registry: prometheus.NewRegistry(), Clients: plainPool(b.t), Dial: dial, Now: time.Now,
 	})
 	b.start(n, zone)
 	b.nodes = append(b.nodes, n)
--- a/internal/gateway/choose/choose.go
+++ b/internal/gateway/choose/choose.go
@@ -67,19 +67,19 @@
 	if r.Forwarded && r.RightHeld {
 		return c.placeSlot(r)
 	}
-	release, err := c.rights.Acquire(r.Team)
+	use, err := c.rights.Acquire(r.Team)
 	if err != nil {
 		return c.placeWithoutRight(r, err)
 	}
 	if slot := c.slots.Take(r.PoolName, r.Avoid); slot != nil {
-		r.Placement = pipe.Placement{Slot: slot, ReleaseRight: release}
+		r.Placement = pipe.Placement{Slot: slot, Right: &use}
 		return queue.Placed
 	}
 	if peer := c.peerWithSlot(r); peer != nil {
-		r.Placement = pipe.Placement{Peer: peer, ReleaseRight: release}
+		r.Placement = pipe.Placement{Peer: peer, Right: &use}
 		return queue.Placed
 	}
-	release()
+	use.Release()
 	return c.placeWithoutSlot(r)
 }
 
--- a/internal/gateway/choose/choose_test.go
+++ b/internal/gateway/choose/choose_test.go
@@ -11,6 +11,7 @@
 	"turmericyoke/internal/gateway/endpoints"
 	"turmericyoke/internal/gateway/pipe"
 	"turmericyoke/internal/gateway/queue"
+	"turmericyoke/internal/rights"
 )
 
 // zone is a gateway's slots, its rights, and no peers.
@@ -27,12 +28,12 @@
 }
 func (z *zone) Room(string) endpoints.Room { return endpoints.Room{Owned: z.owned, Free: z.free} }
 
-func (z *zone) Acquire(string) (func(), *fault.Error) {
+func (z *zone) Acquire(string) (rights.Use, *fault.Error) {
 	if z.rights == 0 {
-		return nil, fault.New(fault.TeamLimit, "none")
+		return rights.Use{}, fault.New(fault.TeamLimit, "none")
 	}
 	z.rights--
-	return func() { z.rights++ }, nil
+	return rights.Use{Release: func() { z.rights++ }}, nil
 }
 func (z *zone) Free(string) uint64                   { return uint64(z.rights) }
 func (z *zone) LeaseHeld() bool                      { return true }
--- a/internal/gateway/dispatch/dispatch.go
+++ b/internal/gateway/dispatch/dispatch.go
@@ -116,7 +116,13 @@
 	return res
 }
 
+// send sends r to its place. The right is checked directly before: a process that was paused since
+// the placement may have lost its lease, and the right may belong to another gateway by now.
 func (f *Filter) send(r *pipe.Request) result {
+	if use := r.Placement.Right; use != nil && !use.Usable() {
+		lapsed := fault.New(fault.LeaseLapsed, "the lease lapsed before the request was sent")
+		return result{outcome: pipe.OutcomeNotRun, fault: lapsed, ended: true}
+	}
 	if r.Placement.Peer != nil {
 		return f.sendPeer(r)
 	}
@@ -145,19 +151,19 @@
 // deadline at the latest. A peer counts that deadline from when it receives the request, which a
 // slow network delays; the right then stays in use for another longest permitted run.
 func (f *Filter) releaseRight(r *pipe.Request, res result) {
-	release := r.Placement.ReleaseRight
-	if release == nil {
+	use := r.Placement.Right
+	if use == nil {
 		return
 	}
 	if res.ended {
-		release()
+		use.Release()
 		return
 	}
 	wait := r.Deadline.Sub(f.now()) + endMargin
 	if res.peerLost {
 		wait += r.Pool.RunTime()
 	}
-	time.AfterFunc(wait, release)
+	time.AfterFunc(wait, use.Release)
 }
 
 func (f *Filter) learn(slot pipe.Slot, res result) {
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -34,13 +34,17 @@
 	Copy(peer string) *v1.RefusalBatch
 	// Keep stores the batch of another gateway.
 	Keep(batch *v1.RefusalBatch)
+	// Observe notes the number of refusals that another gateway reports.
+	Observe(gateway, incarnation string, total uint64)
 }
 
 // Config is what the exchange needs.
 type Config struct {
-	// Self, Incarnation and Zone identify this gateway.
-	Self, Incarnation, Zone string
-	Peers                   *Peers
+	// Self and Zone identify this gateway.
+	Self, Zone string
+	// Incarnation returns that of the holder, which changes when the holder joins again.
+	Incarnation func() string
+	Peers       *Peers
 	// Load returns the report of this gateway, without its identity.
 	Load func() *v1.GatewayLoad
 	// Client returns the client for the gateway at the address.
@@ -170,6 +174,7 @@
 	e.mu.Unlock()
 	if load.GetZone() == e.config.Zone {
 		e.config.Lease.Heard(load.GetGateway(), load.GetIncarnation())
+		e.config.Pending.Observe(load.GetGateway(), load.GetIncarnation(), load.GetRefusedTotal())
 	}
 	e.config.Learn(load, sentAt)
 	e.config.Changed(e.config.Peers.Members())
@@ -199,7 +204,7 @@
 func (e *Exchange) load() *v1.GatewayLoad {
 	load := e.config.Load()
 	load.Gateway = e.config.Self
-	load.Incarnation = e.config.Incarnation
+	load.Incarnation = e.config.Incarnation()
 	load.Zone = e.config.Zone
 	load.Seq = e.seq.Add(1)
 	return load
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -35,6 +35,7 @@
 func (l *lease) Vow(string, string) *v1.Vow     { return nil }
 func (l *lease) Copy(string) *v1.RefusalBatch   { return nil }
 func (l *lease) Keep(*v1.RefusalBatch)          {}
+func (l *lease) Observe(string, string, uint64) {}
 
 // wire is a call to another gateway that takes a while, or none at all.
 type wire struct {
@@ -93,7 +94,7 @@
 	g.leases[name] = &lease{renewedAt: map[string]time.Time{}, vowed: map[string]bool{}}
 	g.loads[name] = &v1.GatewayLoad{}
 	g.exchanges[name] = New(Config{
-		Self: name, Incarnation: name, Zone: entry.Zone, Peers: g.peers[name],
+		Self: name, Incarnation: func() string { return name }, Zone: entry.Zone, Peers: g.peers[name],
 		Load: func() *v1.GatewayLoad { return proto.Clone(g.loads[name]).(*v1.GatewayLoad) },
 		Client: func(address string) turmericyokev1connect.PeerServiceClient {
 			return wire{to: g.exchanges[address], delay: time.Millisecond, down: &g.down}
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -36,7 +36,7 @@
 // answer. The lease counts from when that answer was sent.
 func (e *Exchange) acknowledge(request *v1.ExchangeRequest) {
 	load := request.GetLoad()
-	if !request.GetRenewed() || request.GetAnswererIncarnation() != e.config.Incarnation {
+	if !request.GetRenewed() || request.GetAnswererIncarnation() != e.config.Incarnation() {
 		return
 	}
 	e.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// Name, Incarnation and Zone identify the gateway, and Region lists the other zones of its region.
 	Name, Incarnation, Zone string
 	Region                  []string
+	// Holder returns the incarnation of the holder of rights; nil means Incarnation.
+	Holder func() string
 	// Seed starts the random choice of peers.
 	Seed uint64
 
@@ -50,10 +52,10 @@
 	Lease    exchange.Lease
 	Pending  exchange.Pending
 	Registry prometheus.Registerer
-	// HTTP calls the other gateways.
-	HTTP *http.Client
-	Dial endpoints.DialFunc
-	Now  func() time.Time
+	// Clients call the other gateways.
+	Clients *peerclient.Pool
+	Dial    endpoints.DialFunc
+	Now     func() time.Time
 }
 
 // Gateway is one gateway.
@@ -84,7 +86,7 @@
 	chooser := choose.New(g.table, config.Rights, g.peers)
 	g.queue = queue.New(config.Queue, chooser, g.peers, config.Now)
 	g.account = account.New(config.Sink, config.Registry, config.Now)
-	clients := peerclient.NewPool(config.HTTP)
+	clients := config.Clients
 	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.Kick, config.Now)
 	chain := pipe.NewChain(g.account,
 		authenticate.New(config.Store, config.Now),
@@ -104,13 +106,20 @@
 
 func (g *Gateway) newExchange(clients *peerclient.Pool) *exchange.Exchange {
 	return exchange.New(exchange.Config{
-		Self: g.config.Name, Incarnation: g.config.Incarnation, Zone: g.config.Zone,
+		Self: g.config.Name, Zone: g.config.Zone, Incarnation: g.holder,
 		Peers: g.peers, Load: g.load, Client: clients.Exchange,
 		Lease: g.config.Lease, Pending: g.config.Pending,
 		Learn: g.learn, Changed: g.setMembers, Now: g.config.Now,
 	})
 }
 
+func (g *Gateway) holder() string {
+	if g.config.Holder == nil {
+		return g.config.Incarnation
+	}
+	return g.config.Holder()
+}
+
 func (g *Gateway) room(pool, team string) (slots, rights uint64) {
 	return uint64(g.table.Room(pool).Free), g.config.Rights.Free(team)
 }
@@ -177,6 +186,32 @@
 	return err
 }
 
+// WaitingByTeam returns the queued requests of each team that has some.
+func (g *Gateway) WaitingByTeam() map[string]uint64 {
+	waiting := map[string]uint64{}
+	for _, load := range g.queue.Loads() {
+		if load.Waiting > 0 {
+			waiting[load.Team] += load.Waiting
+		}
+	}
+	return waiting
+}
+
+// Demand returns the slots that running and queued requests of each pool ask for.
+func (g *Gateway) Demand() []*v1.PoolDemand {
+	slots := map[string]uint64{}
+	for _, load := range g.queue.Loads() {
+		slots[load.Pool] += load.Running + load.Waiting
+	}
+	demand := make([]*v1.PoolDemand, 0, len(slots))
+	for pool, count := range slots {
+		if count > 0 {
+			demand = append(demand, &v1.PoolDemand{Pool: pool, Slots: count})
+		}
+	}
+	return demand
+}
+
 // Waiting returns the number of queued requests.
 func (g *Gateway) Waiting() int { return g.queue.Waiting() }
 
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -20,6 +20,7 @@
 	"turmericyoke/internal/gateway/fleet"
 	"turmericyoke/internal/gateway/pipe"
 	"turmericyoke/internal/gateway/queue"
+	"turmericyoke/internal/rights"
 	"turmericyoke/internal/structs"
 )
 
@@ -116,7 +117,7 @@
 	n.queue = queue.New(queue.Limits{Waiting: modelQueue, Bytes: 1 << 20}, n.chooser, n.peers, time.Now)
 	n.filter = dispatch.New(n.queue, n.chooser.Ended, n, n, time.Now)
 	n.exchange = exchange.New(exchange.Config{
-		Self: name, Incarnation: name, Zone: "z1", Peers: n.peers, Load: n.load,
+		Self: name, Incarnation: func() string { return name }, Zone: "z1", Peers: n.peers, Load: n.load,
 		Client: func(address string) turmericyokev1connect.PeerServiceClient { return modelWire{to: m.node(address)} },
 		Lease:  noLease{}, Pending: noLease{}, Now: time.Now,
 		Learn: func(*v1.GatewayLoad, time.Time) {}, Changed: n.SetMembers,
@@ -136,9 +137,9 @@
 // plenty has a right for everybody.
 type plenty struct{}
 
-func (plenty) Acquire(string) (func(), *fault.Error) { return func() {}, nil }
-func (plenty) Free(string) uint64                    { return 100 }
-func (plenty) LeaseHeld() bool                       { return true }
+func (plenty) Acquire(string) (rights.Use, *fault.Error) { return rights.Use{Release: func() {}}, nil }
+func (plenty) Free(string) uint64                        { return 100 }
+func (plenty) LeaseHeld() bool                           { return true }
 
 // modelWire is a call between gateways.
 type modelWire struct {
--- a/internal/gateway/peerclient/peerclient.go
+++ b/internal/gateway/peerclient/peerclient.go
@@ -4,41 +4,23 @@
 import (
 	"net/http"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 )
 
-// Health checks of connections between processes.
-const (
-	// pingAfter is the silence after which a connection is probed, and pingTimeout the wait for the
-	// answer; a lost peer then holds up requests for at most their sum.
-	pingAfter   = 2 * time.Second
-	pingTimeout = 2 * time.Second
-)
-
 // maxPeers bounds the kept clients; the design scale is 120 entry hosts.
 const maxPeers = 512
 
-// NewHTTPClient returns a client that keeps one unencrypted HTTP/2 connection to each address, so
-// that headers are compressed and calls share the connection.
-func NewHTTPClient() *http.Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		Protocols: protocols,
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}}
-}
-
 // CompressAbove is the size of a message from which compression saves bytes, in bytes.
 const CompressAbove = 200
 
 // Pool keeps the clients for each peer address.
 type Pool struct {
 	http *http.Client
+	// url returns the base URL of the process at an address.
+	url func(address string) string
 
 	mu      sync.Mutex
 	clients map[string]clients
@@ -50,9 +32,9 @@
 	forward, exchange turmericyokev1connect.PeerServiceClient
 }
 
-// NewPool returns a pool that calls through client.
-func NewPool(client *http.Client) *Pool {
-	return &Pool{http: client, clients: map[string]clients{}}
+// NewPool returns a pool that calls through client. url returns the base URL of an address.
+func NewPool(client *http.Client, url func(address string) string) *Pool {
+	return &Pool{http: client, url: url, clients: map[string]clients{}}
 }
 
 // Peer returns the client that forwards requests to the gateway at address.
@@ -74,7 +56,7 @@
 	if len(p.clients) >= maxPeers {
 		clear(p.clients)
 	}
-	url := "http://" + address
+	url := p.url(address)
 	added := clients{
 		forward:  turmericyokev1connect.NewPeerServiceClient(p.http, url, connect.WithAcceptCompression("gzip", nil, nil)),
 		exchange: turmericyokev1connect.NewPeerServiceClient(p.http, url, connect.WithSendGzip(), connect.WithCompressMinBytes(CompressAbove)),
--- a/internal/gateway/pipe/request.go
+++ b/internal/gateway/pipe/request.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/rights"
 	"turmericyoke/internal/structs"
 )
 
@@ -64,6 +65,8 @@
 	// Number rises with each request of the incarnation.
 	Number  uint64
 	Arrived time.Time
+	// RefusalID finds the account of a refused request; empty until the refusal is on record.
+	RefusalID string
 	// Ctx ends when the caller is gone or the gateway stops.
 	Ctx context.Context
 
@@ -121,8 +124,8 @@
 	Slot Slot
 	// Peer is set for a run through another gateway.
 	Peer *Peer
-	// ReleaseRight gives the right of the team back; nil when the peer or the sender has it.
-	ReleaseRight func()
+	// Right is the use of the team's right; nil when the peer or the sender has it.
+	Right *rights.Use
 }
 
 // Peer is the gateway that a request is forwarded to.
--- a/internal/rights/bench_test.go
+++ b/internal/rights/bench_test.go
@@ -115,12 +115,12 @@
 	holder := m.nodes[0].holder
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			release, err := holder.Acquire("a")
+			use, err := holder.Acquire("a")
 			if err != nil {
 				b.Error(err)
 				return
 			}
-			release()
+			use.Release()
 		}
 	})
 }
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -9,16 +9,26 @@
 
 // Source gives out rights to run one request of a team.
 type Source interface {
-	// Acquire takes one right of the team. The right stays in use until release is called, once the
-	// request has provably ended. Without a free right the error is of kind TeamLimit, without a
-	// lease of kind LeaseLapsed.
-	Acquire(team string) (release func(), err *fault.Error)
+	// Acquire takes one right of the team. Without a free right the error is of kind TeamLimit,
+	// without a lease of kind LeaseLapsed.
+	Acquire(team string) (Use, *fault.Error)
 	// Free returns the rights of the team that aren't in use.
 	Free(team string) uint64
 	// LeaseHeld reports whether new work may be admitted.
 	LeaseHeld() bool
 }
 
+// Use is the use of one right by one request.
+type Use struct {
+	// Release ends the use, once the request has provably ended. It may be called more than once.
+	Release func()
+	// StillUsable backs Usable; nil means that the right can't be lost.
+	StillUsable func() bool
+}
+
+// Usable reports whether the request may start now; see Right.Usable.
+func (u Use) Usable() bool { return u.StillUsable == nil || u.StillUsable() }
+
 // Right is one unit in use by one request.
 type Right struct {
 	holder   *Holder
@@ -63,12 +73,12 @@
 func (h *Holder) usable(l *life) bool { return h.keeper.Valid() && h.life.Load() == l }
 
 // Acquire implements Source.
-func (h *Holder) Acquire(team string) (release func(), err *fault.Error) {
+func (h *Holder) Acquire(team string) (Use, *fault.Error) {
 	right, err := h.Take(team)
 	if err != nil {
-		return nil, err
+		return Use{}, err
 	}
-	return right.Release, nil
+	return Use{Release: right.Release, StillUsable: right.Usable}, nil
 }
 
 // Free implements Source. Without a lease nothing is free.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -6,6 +6,7 @@
 
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
 )
 
 // Gateway is the settings file of the gateway.
@@ -20,6 +21,12 @@
 	Listen         string `yaml:"listen"`
 	PeerListen     string `yaml:"peerListen"`
 	OperatorListen string `yaml:"operatorListen"`
+	// PeerAdvertise is the IP:port that other gateways call; empty means PeerListen.
+	PeerAdvertise string `yaml:"peerAdvertise"`
+	// Log is the IP:port of the platform's log, for the record of refusals.
+	Log string `yaml:"log"`
+	// TLS names the certificates for callers and other processes.
+	TLS transport.TLS `yaml:"tls"`
 	// Controllers are the addresses of the zone's controllers; the first is the gateway's own.
 	Controllers []string        `yaml:"controllers"`
 	Limits      GatewayLimits   `yaml:"limits"`
@@ -93,6 +100,11 @@
 	add(CheckAddress("listen", g.Listen))
 	add(CheckAddress("peerListen", g.PeerListen))
 	add(CheckAddress("operatorListen", g.OperatorListen))
+	add(CheckAddress("log", g.Log))
+	if g.PeerAdvertise != "" {
+		add(CheckAddress("peerAdvertise", g.PeerAdvertise))
+	}
+	errs = append(errs, g.TLS.Check("tls")...)
 	if len(g.Controllers) == 0 {
 		add(fault.Invalid(fault.SettingsInvalid, "controllers", "no controller: want at least 1"))
 	}
@@ -105,6 +117,14 @@
 	return errs
 }
 
+// PeerAddress returns the IP:port that other gateways call.
+func (g *Gateway) PeerAddress() string {
+	if g.PeerAdvertise != "" {
+		return g.PeerAdvertise
+	}
+	return g.PeerListen
+}
+
 // positive is a number that must be above 0.
 type positive struct {
 	field string
--- a/internal/structs/query.go
+++ b/internal/structs/query.go
@@ -69,4 +69,6 @@
 	Done        []string `json:"done,omitempty"`
 	Outstanding []string `json:"outstanding,omitempty"`
 	Waiting     []string `json:"waiting,omitempty"`
+	// Failed are hosts that failed while the wave had stopped them.
+	Failed []string `json:"failed,omitempty"`
 }
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -21,6 +21,10 @@
 	MaxMessageBytes = 16 << 20
 	// maxIdlePerHost bounds idle connections to one process.
 	maxIdlePerHost = 4
+	// pingAfter is the silence after which a connection is probed, and pingTimeout the wait for the
+	// answer; a lost process then holds up calls for at most their sum.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // Transport makes the servers and clients of one process.
@@ -56,9 +60,19 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         t.protocols(),
 	}
 }
 
+// protocols lets clients choose HTTP/2, also without TLS.
+func (t *Transport) protocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(t.keeper == nil)
+	return protocols
+}
+
 // Listen returns a listener for other processes on address.
 func (t *Transport) Listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
@@ -78,7 +92,21 @@
 }
 
 // Client returns a client for calls of other processes. Each call brings its own deadline.
-func (t *Transport) Client() *http.Client {
+func (t *Transport) Client() *http.Client { return &http.Client{Transport: t.roundTripper()} }
+
+// PeerClient returns a client for calls of processes of the system's own. It keeps one HTTP/2
+// connection to each address, also without TLS, so that headers are compressed and calls share it.
+func (t *Transport) PeerClient() *http.Client {
+	transport := t.roundTripper()
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	if t.keeper == nil {
+		transport.Protocols = &http.Protocols{}
+		transport.Protocols.SetUnencryptedHTTP2(true)
+	}
+	return &http.Client{Transport: transport}
+}
+
+func (t *Transport) roundTripper() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -91,7 +119,7 @@
 			return t.dialTLS(ctx, dialer, network, address)
 		}
 	}
-	return &http.Client{Transport: transport}
+	return transport
 }
 
 // dialTLS reads the certificates for each connection, so that new files take effect.
