Tell the true reason to all requests that wait in vain

Cause: only the first request of a team's line is tried, and those behind it kept the reason of a missing slot although slots were free and a right was missing. Change: the reason belongs to the line and is that of the newest scan. Conclusion: the record of refusals names the rule that refused each request.

--- a/internal/gateway/queue/line.go
+++ b/internal/gateway/queue/line.go
@@ -11,8 +11,6 @@
 	line       *line
 	prev, next *waiter
 	bytes      int64
-	// last is why the newest attempt to place the request failed.
-	last Verdict
 	// shed is set when the request lost its place to another team's request.
 	shed *fault.Error
 	// ready receives one value when the request is placed or shed.
@@ -29,6 +27,9 @@
 	elsewhere   float64
 	waiting     uint64
 	first, last *waiter
+	// reason is why the newest scan found no place for the requests of the line. Those behind the
+	// first one wait for the same reason, although they aren't tried themselves.
+	reason Verdict
 	// blocked is set while a scan has found no place for the first request.
 	blocked bool
 }
--- a/internal/gateway/queue/pool.go
+++ b/internal/gateway/queue/pool.go
@@ -96,9 +96,22 @@
 	}
 	for {
 		l := p.pick()
-		if l == nil || !p.placeFirst(l) {
+		if l == nil {
 			return
 		}
+		if !p.placeFirst(l) {
+			p.noteNoSlot()
+			return
+		}
+	}
+}
+
+// noteNoSlot notes that the lines that the scan didn't block wait for a slot.
+func (p *poolQueue) noteNoSlot() {
+	for _, l := range p.lines {
+		if !l.blocked {
+			l.reason = NoSlot
+		}
 	}
 }
 
@@ -119,8 +132,8 @@
 // placeFirst places the first request of l, and reports whether others may still have a place.
 func (p *poolQueue) placeFirst(l *line) bool {
 	w := l.first
-	w.last = p.queue.placer.Place(w.request)
-	switch w.last {
+	verdict := p.queue.placer.Place(w.request)
+	switch verdict {
 	case Placed:
 		p.count(l, w.request)
 		p.leave(w)
@@ -129,7 +142,7 @@
 	case NoSlot:
 		return false
 	}
-	l.blocked = true
+	l.blocked, l.reason = true, verdict
 	return true
 }
 
--- a/internal/gateway/queue/queue.go
+++ b/internal/gateway/queue/queue.go
@@ -96,7 +96,7 @@
 		return q.enterAtOnce(p, r)
 	}
 	w := q.waiters.Get().(*waiter)
-	w.request, w.bytes, w.shed, w.last = r, int64(len(r.In.Body())), nil, NoSlot
+	w.request, w.bytes, w.shed = r, int64(len(r.In.Body())), nil
 	p.mu.Lock()
 	p.enter(w, again)
 	p.pump()
@@ -127,25 +127,26 @@
 	case <-w.ready:
 		return w.shed
 	case <-timer.C:
-		return q.withdraw(p, w, func() *fault.Error { return refusal(w.request, w.last) })
+		return q.withdraw(p, w, func(reason Verdict) *fault.Error { return refusal(w.request, reason) })
 	case <-w.request.Ctx.Done():
 		return q.withdraw(p, w, callerGone)
 	}
 }
 
 // withdraw takes w out of the queue, unless it was placed or shed at the same moment.
-func (q *Queue) withdraw(p *poolQueue, w *waiter, reason func() *fault.Error) *fault.Error {
+func (q *Queue) withdraw(p *poolQueue, w *waiter, answer func(reason Verdict) *fault.Error) *fault.Error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w.line != nil {
+		reason := w.line.reason
 		p.leave(w)
-		return reason()
+		return answer(reason)
 	}
 	<-w.ready
 	return w.shed
 }
 
-func callerGone() *fault.Error {
+func callerGone(Verdict) *fault.Error {
 	return fault.New(fault.CallerGone, "the caller left while the request waited")
 }
 
--- a/internal/gateway/queue/queue_test.go
+++ b/internal/gateway/queue/queue_test.go
@@ -168,3 +168,20 @@
 		assert.Equal(t, q.Waiting(), 0)
 	})
 }
+
+// Guards the account of requests behind the first one of their team: they wait for the same reason,
+// and an account that names free slots as missing would be false.
+func TestAllWaitingRequestsTellTheReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := &slots{free: 8, noRight: map[string]bool{"a": true}}
+		q := New(Limits{Waiting: 100, Bytes: 1 << 20}, placer, placer, time.Now)
+		const waiting = 5
+		refused := make(chan *fault.Error, waiting)
+		for range waiting {
+			go func() { refused <- q.Enter(request("a", 1), false) }()
+		}
+		for range waiting {
+			assert.Equal(t, (<-refused).Kind, fault.TeamLimit)
+		}
+	})
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,8 +7,15 @@
 directory=$(mktemp -d)
 processes=()
 cleanup() {
-  kill "${processes[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
+  # Gateways leave first, then controllers, then the platform, so that each can still leave the fleet.
+  for role in gateway controller standin; do
+    local ids=()
+    for entry in "${processes[@]}"; do
+      if [[ "$entry" == "$role"* ]]; then ids+=("${entry#*:}"); fi
+    done
+    kill "${ids[@]}" 2>/dev/null || true
+    wait "${ids[@]}" 2>/dev/null || true
+  done
   if [ "${KEEP_LOGS:-}" = "" ]; then rm -rf "$directory"; else echo "logs: $directory"; fi
 }
 trap cleanup EXIT
@@ -26,7 +33,7 @@
   local name=$1
   shift
   "$@" >"$directory/$name.log" 2>&1 &
-  processes+=($!)
+  processes+=("$name:$!")
 }
 
 export TURMERICYOKE_TOKEN=demo-token
@@ -94,13 +101,11 @@
 
 say "A maintenance wave drains, reboots and returns each host while requests go on"
 load() {
-  local served=0 other=0
   while [ ! -e "$directory/stop" ]; do
     for port in 8001 8002 8003; do
-      if [[ "$(request "$port" demo-secret-clips-1 -d tally=1 || true)" == 200\ * ]]; then served=$((served + 1)); else other=$((other + 1)); fi
+      request "$port" demo-secret-clips-1 -d tally=1 || true
     done
-  done
-  echo "$served served, $other not" >"$directory/load"
+  done | sort | uniq -c >"$directory/load"
 }
 load &
 loader=$!
@@ -112,7 +117,7 @@
 operate wave show
 touch "$directory/stop"
 wait "$loader"
-echo "requests during the wave: $(cat "$directory/load")"
+echo "requests during the wave, by answer:" && cat "$directory/load"
 echo "stand-in: $(curl -s http://127.0.0.1:7000/counts)"
 
 say "A withdrawn key is refused everywhere"
