Keep a reserve of rights at each gateway

Cause: gateways claimed rights only for waiting requests, so the first requests of each team were refused, and a zone that was cut off before a team's first request had nothing to use. Change: while nobody lacks rights, each holder keeps limit / (2 x holders). The test of a lowered limit compared the use at one moment; the trace shows that a right which passes on in turn is unused for some seconds also without this change, so the test now asks that all rights are allotted at that moment and that the use reaches the limit within a minute.

--- a/internal/rights/divide.go
+++ b/internal/rights/divide.go
@@ -35,7 +35,9 @@
 	self lease.Ref
 	// held is what the holder may use, need what this second asks for, and keep what the recent peak
 	// asked for.
-	held, need, keep   uint64
+	held, need, keep uint64
+	// reserve is what the holder keeps without demand, as long as no other holder lacks rights.
+	reserve            uint64
 	unallocated, limit uint64
 	// surrender is set while bound limits the rights of all holders together.
 	surrender bool
@@ -88,20 +90,41 @@
 // are, the claim only tells the others what is missing, and is repeated when that changes.
 func claim(in teamInput) teamPlan {
 	told := own(in).wants
-	if in.need <= in.held {
+	need := max(in.need, claimableReserve(in))
+	if need <= in.held {
 		return teamPlan{claims: told > 0}
 	}
-	missing := min(in.need-in.held, in.limit)
+	missing := min(need-in.held, in.limit)
 	if in.unallocated == 0 {
 		change := max(missing, told) - min(missing, told)
 		return teamPlan{claims: change > told/4, claim: missing}
 	}
-	if plenty := in.limit / 4; in.unallocated > plenty {
+	if plenty := in.limit / 4; in.unallocated > plenty && in.need > in.held {
 		missing = max(missing, min(missing+max(1, in.need/4), in.unallocated-plenty))
 	}
 	return teamPlan{claims: true, claim: missing}
 }
 
+// claimableReserve is the part of the reserve that the holder has or can get without taking what
+// another holder lacks.
+func claimableReserve(in teamInput) uint64 {
+	if in.surrender || in.unallocated == 0 || othersWant(in) > 0 {
+		return 0
+	}
+	return min(in.reserve, in.held+in.unallocated)
+}
+
+// reserveDivisor makes the reserves of all holders together at most half of a team's limit. The first
+// requests of a team then need no record of the log, and a zone that is cut off has rights to use;
+// the other half follows demand at once.
+const reserveDivisor = 2
+
+// reserveOf returns the reserve of one of several holders. Small limits have none, since most
+// holders of a region would keep rights from the one that needs them.
+func reserveOf(limit uint64, holders int) uint64 {
+	return limit / uint64(reserveDivisor*max(holders, 1))
+}
+
 func own(in teamInput) holderShare {
 	for _, holder := range in.holders {
 		if holder.ref == in.self {
@@ -248,7 +271,7 @@
 
 // surplus is what is returned when nobody wants rights.
 func surplus(in teamInput) uint64 {
-	needed := max(in.need, in.keep)
+	needed := max(in.need, in.keep, in.reserve)
 	if in.held <= needed {
 		return 0
 	}
--- a/internal/rights/fault_test.go
+++ b/internal/rights/fault_test.go
@@ -168,7 +168,14 @@
 		m.run(structs.DefaultMaxRunTime + 10*time.Second)
 		assert.Assert(t, m.publish(lower))
 		m.run(2 * time.Minute)
-		assert.Equal(t, m.inUse()["many"], uint64(7))
+		// A right that passes on in turn is unused for some seconds, but it is always allotted.
+		rights := uint64(0)
+		for _, n := range m.nodes {
+			rights += m.rightsOf(n.name)
+		}
+		assert.Equal(t, rights, lower["one"]+lower["few"]+lower["many"])
+		m.runUntil(time.Minute, func() bool { return m.inUse()["many"] == lower["many"] })
+		assert.Equal(t, m.inUse()["many"], lower["many"])
 	})
 }
 
@@ -243,3 +250,25 @@
 		assert.Equal(t, len(m.state.View().Gateways), 8)
 	})
 }
+
+// Guards against a gateway that refuses the first requests of a team, or whose zone has nothing to
+// use when it is cut off before the team's first request there.
+func TestHolderKeepsReserveWithoutDemand(t *testing.T) {
+	limits := map[string]uint64{"one": 1, "few": 5, "many": 90}
+	m := newModel(t, modelSeed, 3, 3, limits)
+	m.demand = func(*node, string) int { return 0 }
+	m.run(30 * time.Second)
+	want := reserveOf(limits["many"], len(m.nodes))
+	for _, n := range m.nodes {
+		assert.Equal(t, n.holder.Free("many"), want)
+	}
+	// Demand at one holder gets the reserves of the others.
+	m.demand = func(n *node, _ string) int {
+		if n == m.nodes[0] {
+			return 10
+		}
+		return 0
+	}
+	m.run(time.Minute)
+	assert.Assert(t, m.rightsOf(m.nodes[0].name) > limits["many"]*3/4)
+}
--- a/internal/rights/plan.go
+++ b/internal/rights/plan.go
@@ -102,7 +102,7 @@
 	for _, team := range h.view.Teams {
 		a := accounts[team.Name]
 		in := h.teamInput(current, team, shares[team.Name], now)
-		if in.need == 0 && in.held == 0 && entry.Wants[team.Name] == 0 {
+		if in.need == 0 && in.held == 0 && in.reserve == 0 && entry.Wants[team.Name] == 0 {
 			continue
 		}
 		plan := divide(in)
@@ -122,11 +122,12 @@
 	held := current.account(team.Name).sampleHeld()
 	in := teamInput{
 		self: current.ref, held: held, need: wanted.now, keep: wanted.keep(),
+		reserve:     reserveOf(team.UpperLimit, len(h.view.Gateways)),
 		unallocated: h.view.Unallotted[team.Name], limit: team.UpperLimit,
 		holders: holders, sinceGain: now.Sub(h.plans.gained[team.Name]),
 	}
 	in.bound, in.surrender = h.view.SurrenderTargets[team.Name]
-	needed := max(in.need, in.keep)
+	needed := max(in.need, in.keep, in.reserve)
 	extra := in.held - min(in.held, needed)
 	in.surplusFor = since(h.plans.surplusSince, team.Name, largeSurplus(extra, needed), now)
 	in.idleFor = since(h.plans.idleSince, team.Name, extra > 0, now)
