Accept jobs at the gateway and show them to operators

Cause: jobs could be placed but not submitted, and a gateway was ready before its first rights came. Change: POST /v1/pools/{pool}/jobs is answered once the job is in the log; the command line shows jobs; readiness waits for the first rights, for at most 5 s.

--- a/cmd/gateway/holder.go
+++ b/cmd/gateway/holder.go
@@ -23,13 +23,14 @@
 	*rights.Holder
 	*refusalRecord
 
-	store *fleet.Store
-	log   *logrus.Entry
+	store   *fleet.Store
+	log     *logrus.Entry
+	started time.Time
 }
 
 // newHolder returns the holder of the process.
 func newHolder(config *settings.Gateway, calls processCalls, store *fleet.Store, waiting func() map[string]uint64, log *logrus.Entry) *holder {
-	h := &holder{store: store, log: log}
+	h := &holder{store: store, log: log, started: time.Now()}
 	h.Holder = rights.New(rights.Config{
 		Name: config.Name, Zone: config.Zone, Address: config.PeerAddress(),
 		Proposer: rights.Controllers{Clients: calls.controllers},
@@ -57,6 +58,23 @@
 	return group.Wait()
 }
 
+// warmUp is the time after the start for which a gateway without any rights isn't ready: its first
+// claim is settled by then, unless the log is down.
+const warmUp = 5 * time.Second
+
+// warm reports whether the gateway has rights, or has waited long enough for them.
+func (h *holder) warm() bool {
+	if time.Since(h.started) >= warmUp {
+		return true
+	}
+	for _, team := range h.store.Current().View.Teams {
+		if h.Free(team.Name) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // followFreshness tells the holder when the view was last known to be current.
 func (h *holder) followFreshness(ctx context.Context) {
 	ticker := time.NewTicker(freshnessPoll)
--- /dev/null
+++ b/cmd/gateway/jobs.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/schedule"
+	"turmericyoke/internal/fault"
+)
+
+// jobCalls submits jobs through the controllers of the zone.
+type jobCalls struct{ calls *processCalls }
+
+// Propose implements schedule.Proposer. A call that may have reached a controller isn't repeated at
+// another one: the same submission under another envelope would count as a repeat of the job.
+func (j jobCalls) Propose(ctx context.Context, record *v1.Record) error {
+	var errs []error
+	for _, controller := range j.calls.controllers {
+		response, err := controller.Propose(ctx, &v1.ProposeRequest{Record: record})
+		switch {
+		case err == nil && response.GetAccepted():
+			return nil
+		case err == nil:
+			return fault.New(fault.Kind(response.GetKind()), "%s", response.GetDetail())
+		case connect.CodeOf(err) != connect.CodeUnavailable:
+			return fault.Wrap(fault.AppendUnsettled, err, "the job may have been accepted")
+		}
+		errs = append(errs, err)
+	}
+	return fault.Wrap(fault.AppendUnsettled, errors.Join(errs...), "no controller told the verdict")
+}
+
+// LookupJob implements schedule.Lookup.
+func (j jobCalls) LookupJob(ctx context.Context, job string) (schedule.Known, error) {
+	var errs []error
+	for _, controller := range j.calls.controllers {
+		response, err := controller.Query(ctx, &v1.QueryRequest{Section: "job", Name: job})
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		known := schedule.Known{}
+		err = json.Unmarshal(response.GetJson(), &known)
+		return known, err
+	}
+	return schedule.Known{}, fault.Wrap(fault.NotReady, errors.Join(errs...), "no controller answered")
+}
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/controller/schedule"
 	"turmericyoke/internal/gateway"
 	"turmericyoke/internal/gateway/admit"
 	"turmericyoke/internal/gateway/endpoints"
@@ -111,12 +112,17 @@
 			HeaderBytes:    config.Limits.HeaderBytes, AnswerBytes: config.Limits.AnswerBytes,
 		},
 		Store: p.store, Rights: p.holder, Sink: p.holder, Lease: p.holder, Pending: p.holder,
-		Registry: p.registry, Clients: peers, Dial: dial, Now: time.Now,
+		Registry: p.registry, Clients: peers, Submitter: p.submitter(), Dial: dial, Now: time.Now,
 	})
 	p.operator = operator.New(p.registry, p.ready)
 	return p, nil
 }
 
+func (p *process) submitter() *schedule.Submitter {
+	calls := jobCalls{&p.calls}
+	return &schedule.Submitter{Proposer: calls, Lookup: calls}
+}
+
 // newCalls returns the clients of other processes.
 func newCalls(config *settings.Gateway, link *transport.Transport, peers *peerclient.Pool) processCalls {
 	client := link.Client()
@@ -146,7 +152,7 @@
 
 // ready reports whether the load balancer may send callers here.
 func (p *process) ready() bool {
-	return p.store.Current().View.Offset > 0 && p.holder.LeaseHeld() && !p.gateway.Draining()
+	return p.store.Current().View.Offset > 0 && p.holder.LeaseHeld() && !p.gateway.Draining() && p.holder.warm()
 }
 
 func (p *process) listen() error {
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -38,12 +38,13 @@
 // NewInterceptor returns an interceptor for controllers. A proposal without an envelope comes from
 // an operator: it needs a token, and the operator's name replaces the author that the call names,
 // except for a delegate such as the console.
-// Proposals of gateways carry their envelope and are authenticated by their certificate.
+// Proposals of gateways carry their envelope, or submit a job, and are authenticated by their
+// certificate.
 func NewInterceptor(operators []settings.Operator) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			proposal, ok := request.Any().(*v1.ProposeRequest)
-			if !ok || proposal.GetRecord().GetProposer() != "" {
+			if !ok || proposal.GetRecord().GetProposer() != "" || submitsJob(proposal) {
 				return next(ctx, request)
 			}
 			token, _ := strings.CutPrefix(request.Header().Get("Authorization"), bearerPrefix)
@@ -57,6 +58,12 @@
 	})
 }
 
+// submitsJob reports whether the proposal comes from a submitter, through a gateway that checked the
+// key; the fold checks the key again.
+func submitsJob(proposal *v1.ProposeRequest) bool {
+	return proposal.GetRecord().GetJobSubmit() != nil || proposal.GetRecord().GetJobCancel() != nil
+}
+
 // authorFor returns the author for the audit trail. Only a delegate may name somebody else.
 func authorFor(operator settings.Operator, claimed string) string {
 	if operator.Delegate && claimed != "" {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -87,7 +87,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(
 		newValidate(), newDiff(opts), newApply(opts), newStatus(opts),
-		newHosts(opts), newTeams(opts), newWave(opts), newKey(opts), newAudit(opts),
+		newHosts(opts), newTeams(opts), newJobs(opts), newWave(opts), newKey(opts), newAudit(opts),
 		newExplain(opts), newRefusals(opts),
 	)
 	return root
--- a/internal/controller/serve/query.go
+++ b/internal/controller/serve/query.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/controller/schedule"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
 	"turmericyoke/internal/structs"
@@ -43,8 +44,10 @@
 		return encode(verdicts(state))
 	case "waves":
 		return encode(waves(state, name))
+	case "job":
+		return encode(schedule.Find(state.Jobs, name))
 	case "jobs":
-		return encode(state.Jobs)
+		return encode(jobList(state, name))
 	default:
 		return nil, fault.New(fault.RequestInvalid, "section %q: want document, hosts, teams, waves, jobs, holders or verdicts", section)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"turmericyoke/internal/gateway/queue"
 	"turmericyoke/internal/gateway/route"
 	"turmericyoke/internal/gateway/server"
+	"turmericyoke/internal/gateway/submit"
 	"turmericyoke/internal/rights"
 )
 
@@ -54,8 +55,10 @@
 	Registry prometheus.Registerer
 	// Clients call the other gateways.
 	Clients *peerclient.Pool
-	Dial    endpoints.DialFunc
-	Now     func() time.Time
+	// Submitter accepts jobs; nil passes their requests on to endpoints.
+	Submitter submit.Submitter
+	Dial      endpoints.DialFunc
+	Now       func() time.Time
 }
 
 // Gateway is one gateway.
@@ -88,12 +91,16 @@
 	g.account = account.New(config.Sink, config.Registry, config.Now)
 	clients := config.Clients
 	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.Kick, config.Now)
-	chain := pipe.NewChain(g.account,
+	filters := []pipe.Filter{
 		authenticate.New(config.Store, config.Now),
 		route.New(config.Store),
 		admit.New(config.Admit, config.Store, config.Rights, g.closing.Load, config.Now),
-		dispatch.New(g.queue, chooser.Ended, g.table, forwarder, config.Now),
-	)
+	}
+	if config.Submitter != nil {
+		filters = append(filters, submit.New(config.Submitter))
+	}
+	filters = append(filters, dispatch.New(g.queue, chooser.Ended, g.table, forwarder, config.Now))
+	chain := pipe.NewChain(g.account, filters...)
 	g.server = server.New(server.Config{
 		Incarnation: config.Incarnation, Limits: config.Server, Chain: chain, Recorder: g.account,
 		Room: g.room, Draining: g.draining.Load, Now: config.Now,
--- a/internal/gateway/pipe/chain.go
+++ b/internal/gateway/pipe/chain.go
@@ -2,7 +2,8 @@
 
 import "turmericyoke/internal/fault"
 
-// Filter does one job on a request. An error refuses the request and ends the chain.
+// Filter does one job on a request. An error refuses the request and ends the chain, and so does a
+// complete answer.
 type Filter interface {
 	Apply(r *Request) *fault.Error
 }
@@ -31,6 +32,9 @@
 			r.Refuse(err)
 			return
 		}
+		if r.Outcome != OutcomeUnset {
+			return
+		}
 	}
 	if r.Outcome == OutcomeUnset {
 		r.Refuse(fault.New(fault.Internal, "no filter ended the request"))
--- a/internal/structs/query.go
+++ b/internal/structs/query.go
@@ -72,3 +72,19 @@
 	// Failed are hosts that failed while the wave had stopped them.
 	Failed []string `json:"failed,omitempty"`
 }
+
+// JobStatus is the state of one job, as controllers answer the query "jobs".
+type JobStatus struct {
+	// ID is the team and the submitter's key. An ended job has only its id and state.
+	ID    string `json:"id"`
+	Team  string `json:"team,omitempty"`
+	Pool  string `json:"pool,omitempty"`
+	Class string `json:"class,omitempty"`
+	// State is waiting or running, or how the job ended.
+	State   string `json:"state"`
+	Worker  string `json:"worker,omitempty"`
+	Attempt uint32 `json:"attempt,omitempty"`
+	Units   uint64 `json:"units,omitempty"`
+	// SubmitOffset is the offset of the record that submitted the job.
+	SubmitOffset int64 `json:"submitOffset,omitempty"`
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -99,6 +99,14 @@
 wait_until 20 operate explain "$id"
 operate explain "$id"
 
+say "A job is accepted once it is in the log, and runs on a worker"
+curl -s -H 'Authorization: Bearer demo-secret-clips-1' -H 'Idempotency-Key: daily-count' \
+  -d '{"units":1,"class":"urgent","resources":{"cpuMilli":1000,"memoryMiB":512},"spec":"eyJydW5Gb3IiOiIzcyJ9"}' \
+  http://127.0.0.1:8001/v1/pools/counting/jobs && echo
+running() { operate jobs -o json | grep -q '"state": "running"'; }
+wait_until 20 running
+operate jobs
+
 say "A maintenance wave drains, reboots and returns each host while requests go on"
 load() {
   while [ ! -e "$directory/stop" ]; do
