Fix a data race in the test of demand

Cause: the test sets a plain bool that the table's goroutine reads. Change: the bool is atomic; the checks are the same. Conclusion: the fault was in the test only.

--- a/internal/controller/demand/demand_test.go
+++ b/internal/controller/demand/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,11 +16,11 @@
 // peer is another controller.
 type peer struct {
 	slots uint64
-	down  bool
+	down  atomic.Bool
 }
 
 func (p *peer) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
-	if p.down {
+	if p.down.Load() {
 		return nil, errors.New("down")
 	}
 	return &v1.StatusResponse{Demand: []*v1.PoolDemand{{Pool: "desk", Slots: p.slots}}}, nil
@@ -43,7 +44,7 @@
 		slots, known := table.Slots("desk")
 		assert.Assert(t, known && slots == 12)
 
-		other.down = true
+		other.down.Store(true)
 		time.Sleep(recent + 2*interval)
 		report()
 		_, known = table.Slots("desk")
