Merge as many families of refusals as the room needs

Cause: the room for pending refusals shrinks when an append of a small batch ends, and only one family was merged then. The rest was merged over teams, which lost the team of each refusal. Change: families are merged until the entries fit, before rules are. Conclusion: entries lose their team only when families alone fill the memory.

--- a/internal/refusal/merge.go
+++ b/internal/refusal/merge.go
@@ -48,7 +48,9 @@
 		t.put(k, entry)
 		return
 	}
-	t.coarsen()
+	// The room shrinks when an append of a small batch ends, so one family may not be enough.
+	for len(t.entries) >= most && t.coarsen() {
+	}
 	if len(t.entries) < most {
 		t.add(k, entry, most)
 		return
@@ -75,8 +77,9 @@
 	}
 }
 
-// coarsen merges the entries of the largest family into one.
-func (t *table) coarsen() {
+// coarsen merges the entries of the largest family into one, and reports whether there was one with
+// several entries.
+func (t *table) coarsen() bool {
 	largest, count := key{}, 1
 	for family, n := range t.families {
 		if n > count || n == count && count > 1 && lessKey(family, largest) {
@@ -86,6 +89,7 @@
 	if count > 1 {
 		t.collapse(func(k key) bool { return k.family() == largest }, largest, largest.team)
 	}
+	return count > 1
 }
 
 // coarsenRules merges all entries into one for each rule.
