Show refusals and nearness to share in the console

Cause: operators could read refusals on the command line only, and the page of teams had no comparison with shares. Pages filter by team, rule and span, and explain one id. The page of teams compares shares with rights held and running job units; requests in progress aren't known to controllers and are left out. Conclusion: the account of a refusal can be read where the fleet is run.

--- a/cmd/console/main.go
+++ b/cmd/console/main.go
@@ -14,9 +14,11 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/console"
+	"turmericyoke/internal/logreader"
 	"turmericyoke/internal/settings"
 	"turmericyoke/internal/telemetry"
 	"turmericyoke/internal/transport"
@@ -82,18 +84,23 @@
 	return group.Wait()
 }
 
-func newServer(config *settings.Console, link *transport.Transport, log *logrus.Entry) (*console.Server, error) {
+func newServer(config *settings.Console, link *transport.Transport, logger *logrus.Entry) (*console.Server, error) {
 	secret, err := hex.DecodeString(config.SessionSecret)
 	if err != nil {
 		return nil, err
 	}
 	client := adminclient.NewClient(link, config.Controllers, auth.WithToken(config.Token))
+	var log logreader.Log
+	if config.Log != "" {
+		log = turmericyokev1connect.NewLogServiceClient(link.Client(), link.URL(config.Log))
+	}
 	return console.New(console.Config{
+		Refusals:  log,
 		Operators: config.Operators,
 		Secret:    secret,
 		Secure:    !config.TLS.Plaintext,
 		Client:    client,
-		Log:       log,
+		Log:       logger,
 		Now:       time.Now,
 	})
 }
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/adminclient"
+	"turmericyoke/internal/logreader"
 	"turmericyoke/internal/settings"
 	"turmericyoke/internal/standin/controllersvc"
 	"turmericyoke/internal/structs"
@@ -34,6 +35,10 @@
 }
 
 func newBrowser(t *testing.T, fake *controllersvc.Controller) *browser {
+	return newBrowserWithLog(t, fake, nil)
+}
+
+func newBrowserWithLog(t *testing.T, fake *controllersvc.Controller, refusals logreader.Log) *browser {
 	t.Helper()
 	controller := httptest.NewServer(fake.Handler())
 	t.Cleanup(controller.Close)
@@ -46,6 +51,7 @@
 		Operators: []settings.Operator{{Name: "ops", TokenHash: hex.EncodeToString(digest[:])}},
 		Secret:    make([]byte, minSecretBytes),
 		Client:    adminclient.NewClient(link, []string{strings.TrimPrefix(controller.URL, "http://")}),
+		Refusals:  refusals,
 		Log:       logrus.NewEntry(logger),
 		Now:       time.Now,
 	})
--- /dev/null
+++ b/internal/console/nearness.go
@@ -0,0 +1,64 @@
+package console
+
+import (
+	"fmt"
+
+	"turmericyoke/internal/structs"
+)
+
+// teamsPage shows the teams with their nearness to share. Gateways don't report running requests to
+// controllers, so the page compares shares with rights held and with running job units only.
+type teamsPage struct {
+	Teams []teamRow
+	// Rights and Jobs are the sums over all teams.
+	Rights, Jobs uint64
+}
+
+// teamRow is one team. Parts are of the sum over all teams; "-" when the sum is 0.
+type teamRow struct {
+	structs.TeamStatus
+	SharePart, RightsPart, JobsPart string
+	// Note says what bounds the team now.
+	Note string
+}
+
+func newTeamsPage(teams []structs.TeamStatus) teamsPage {
+	var page teamsPage
+	var shares uint64
+	for _, team := range teams {
+		shares += uint64(max(team.Share, 0))
+		page.Rights += team.Held
+		page.Jobs += team.JobUnits
+	}
+	for _, team := range teams {
+		share := uint64(max(team.Share, 0))
+		page.Teams = append(page.Teams, teamRow{
+			TeamStatus: team,
+			SharePart:  part(share, shares),
+			RightsPart: part(team.Held, page.Rights),
+			JobsPart:   part(team.JobUnits, page.Jobs),
+			Note:       teamNote(team),
+		})
+	}
+	return page
+}
+
+// part formats a part of a whole in percent.
+func part(some, whole uint64) string {
+	if whole == 0 {
+		return "-"
+	}
+	const percent = 100
+	return fmt.Sprintf("%.1f%%", percent*float64(some)/float64(whole))
+}
+
+func teamNote(team structs.TeamStatus) string {
+	switch {
+	case team.SurrenderTarget != nil:
+		return fmt.Sprintf("the limit is being lowered to %d", *team.SurrenderTarget)
+	case team.Unallocated == 0:
+		return "all units are with holders and jobs"
+	default:
+		return ""
+	}
+}
--- a/internal/console/pages.go
+++ b/internal/console/pages.go
@@ -25,7 +25,8 @@
 
 func loadPages() (*pages, error) {
 	parsed, err := template.New("console").Funcs(template.FuncMap{
-		"when": func(unixMS int64) string { return time.UnixMilli(unixMS).UTC().Format(time.RFC3339) },
+		"when":    func(unixMS int64) string { return time.UnixMilli(unixMS).UTC().Format(time.RFC3339) },
+		"meaning": ruleMeaning,
 	}).ParseFS(templateFiles, "templates/*.html")
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "templates can't be parsed")
@@ -137,7 +138,7 @@
 	if _, err := r.client.Query(r.ctx, "teams", "", &teams); err != nil {
 		return err
 	}
-	s.render(r, "teams", "Teams", teams)
+	s.render(r, "teams", "Teams", newTeamsPage(teams))
 	return nil
 }
 
--- /dev/null
+++ b/internal/console/refusalpage.go
@@ -0,0 +1,197 @@
+package console
+
+import (
+	"errors"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/refusal"
+)
+
+// entriesPerPage bounds the entries of one page of refusals.
+const entriesPerPage = 100
+
+// timeInput is the format of a browser's input of date and time; the console takes it as UTC.
+const timeInput = "2006-01-02T15:04"
+
+// ruleMeanings tells operators what the rules of refusals say.
+var ruleMeanings = map[fault.Kind]string{
+	fault.KeyUnknown:          "The request had no key, or one that isn't in the document.",
+	fault.KeyFreshnessUnknown: "The gateway's configuration was older than the key's failClosedAfter.",
+	fault.PoolUnknown:         "The document has no pool of that name.",
+	fault.RequestInvalid:      "The request couldn't be understood.",
+	fault.RequestTooLarge:     "The headers or the body were larger than the gateway accepts.",
+	fault.TeamLimit:           "The team had as many units running as its limit permits.",
+	fault.LeaseLapsed:         "The gateway's lease wasn't renewed in time, so that it admitted nothing.",
+	fault.QueueFull:           "The queue was full, and the team was the furthest above its share.",
+	fault.QueueTimeout:        "No slot was free before the wait in the queue ended.",
+	fault.EndpointUnavailable: "The pool had no endpoint that could take the request.",
+	fault.ShuttingDown:        "The gateway was shutting down.",
+	fault.NotReady:            "The gateway had no configuration yet.",
+}
+
+// ruleMeaning returns the meaning of a rule, or an empty text.
+func ruleMeaning(rule string) string { return ruleMeanings[fault.Kind(rule)] }
+
+// refusalsPage lists refusals.
+type refusalsPage struct {
+	Configured bool
+	Problem    string
+	Place      refusal.Place
+	// Team, Rule, From, To and ID are what the operator typed.
+	Team, Rule, From, To string
+	Teams, Rules         []string
+	Entries              []refusal.Found
+	// Matching is the number of entries that match, and Count the refusals in them.
+	Matching int
+	Count    uint64
+	Totals   []ruleTotal
+	// Older and Newer are the queries of the neighbouring pages, or empty.
+	Older, Newer string
+}
+
+// ruleTotal is the number of refusals by one rule.
+type ruleTotal struct {
+	Rule    string
+	Meaning string
+	Count   uint64
+}
+
+func (r *request) query(name string) string {
+	return strings.TrimSpace(string(r.QueryArgs().Peek(name)))
+}
+
+// listRefusals shows the newest refusals that the filter selects.
+func (s *Server) listRefusals(r *request) error {
+	page := refusalsPage{
+		Configured: s.refusals != nil,
+		Team:       r.query("team"), Rule: r.query("rule"), From: r.query("from"), To: r.query("to"),
+	}
+	filter, err := page.filter()
+	if err != nil {
+		return err
+	}
+	if s.refusals != nil {
+		number, _ := strconv.Atoi(r.query("page"))
+		err := s.refusals.use(r.ctx, func(reader *refusal.Reader, place refusal.Place) {
+			page.Place = place
+			page.fill(reader.Find(filter), max(number, 0))
+			page.choices(reader.Find(refusal.Filter{}))
+		})
+		page.Problem = problemText(err)
+	}
+	s.render(r, "refusals", "Refusals", page)
+	return nil
+}
+
+func problemText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return "The newest refusals may be missing: " + err.Error()
+}
+
+// filter reads the typed fields.
+func (p *refusalsPage) filter() (refusal.Filter, error) {
+	from, fromErr := parseTime("from", p.From)
+	to, toErr := parseTime("to", p.To)
+	return refusal.Filter{Team: p.Team, Rule: p.Rule, From: from, To: to}, errors.Join(fromErr, toErr)
+}
+
+// parseTime reads a time in UTC; an empty text is no bound.
+func parseTime(field, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(timeInput, text)
+	if err != nil {
+		return time.Time{}, fault.Invalid(fault.RequestInvalid, field, "time %q: want YYYY-MM-DDThh:mm in UTC", text)
+	}
+	return at, nil
+}
+
+// fill takes one page of the entries, newest first.
+func (p *refusalsPage) fill(found []refusal.Found, number int) {
+	p.Matching = len(found)
+	totals := map[string]uint64{}
+	for _, entry := range found {
+		p.Count += entry.Entry.GetCount()
+		totals[entry.Entry.GetRule()] += entry.Entry.GetCount()
+	}
+	for _, rule := range sortedNames(totals) {
+		p.Totals = append(p.Totals, ruleTotal{Rule: rule, Meaning: ruleMeaning(rule), Count: totals[rule]})
+	}
+	number = min(number, max(len(found)-1, 0)/entriesPerPage)
+	last := len(found) - number*entriesPerPage
+	first := max(last-entriesPerPage, 0)
+	for i := last - 1; i >= first; i-- {
+		p.Entries = append(p.Entries, found[i])
+	}
+	if first > 0 {
+		p.Older = p.link(number + 1)
+	}
+	if number > 0 {
+		p.Newer = p.link(number - 1)
+	}
+}
+
+// choices offers the teams and rules that are on record.
+func (p *refusalsPage) choices(all []refusal.Found) {
+	teams, rules := map[string]uint64{}, map[string]uint64{}
+	for _, found := range all {
+		teams[found.Entry.GetTeam()]++
+		rules[found.Entry.GetRule()]++
+	}
+	delete(teams, "")
+	p.Teams, p.Rules = sortedNames(teams), sortedNames(rules)
+}
+
+// refusalPage is the account of one refusal.
+type refusalPage struct {
+	Configured bool
+	Problem    string
+	ID         string
+	refusal.Explanation
+	Place refusal.Place
+}
+
+// explainRefusal shows the account of the refusal with the id that its caller received.
+func (s *Server) explainRefusal(r *request) error {
+	page := refusalPage{Configured: s.refusals != nil, ID: r.query("id")}
+	if s.refusals == nil {
+		s.render(r, "refusal", "Refusal", page)
+		return nil
+	}
+	var invalid *fault.Error
+	err := s.refusals.use(r.ctx, func(reader *refusal.Reader, place refusal.Place) {
+		page.Place = place
+		page.Explanation, invalid = reader.Explain(page.ID)
+	})
+	if invalid != nil {
+		return invalid
+	}
+	page.Problem = problemText(err)
+	s.render(r, "refusal", "Refusal", page)
+	return nil
+}
+
+// link returns the query of another page of the same filter.
+func (p *refusalsPage) link(number int) string {
+	values := url.Values{}
+	for name, value := range map[string]string{"team": p.Team, "rule": p.Rule, "from": p.From, "to": p.To} {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	values.Set("page", strconv.Itoa(number))
+	return values.Encode()
+}
+
+func sortedNames(counts map[string]uint64) []string {
+	return slices.Sorted(maps.Keys(counts))
+}
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -1,5 +1,6 @@
-// Package console serves the forms with which operators drive the fleet. It keeps no state: a draft
-// lives in the operator's form and a session in a signed cookie.
+// Package console serves the forms with which operators drive the fleet. It keeps no state but a
+// bounded copy of the newest refusals: a draft lives in the operator's form and a session in a
+// signed cookie.
 package console
 
 import (
@@ -14,6 +15,7 @@
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/logreader"
 	"turmericyoke/internal/settings"
 )
 
@@ -35,8 +37,10 @@
 	Secure bool
 	// Client calls the controllers as a delegate of the operators.
 	Client *adminclient.Client
-	Log    *logrus.Entry
-	Now    func() time.Time
+	// Refusals is the log that keeps the refusals; nil when the console has no address of it.
+	Refusals logreader.Log
+	Log      *logrus.Entry
+	Now      func() time.Time
 }
 
 // Server serves the console.
@@ -44,6 +48,8 @@
 	config   Config
 	sessions sessions
 	pages    *pages
+	// refusals is nil without a log.
+	refusals *refusals
 }
 
 // New returns a console.
@@ -55,11 +61,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{
+	server := &Server{
 		config:   config,
 		sessions: sessions{secret: config.Secret, now: config.Now},
 		pages:    loaded,
-	}, nil
+	}
+	if config.Refusals != nil {
+		server.refusals = newRefusals(config.Refusals)
+	}
+	return server, nil
 }
 
 // HTTP returns the HTTP server.
@@ -140,6 +150,10 @@
 		return s.document(r)
 	case path == "/audit" && r.IsGet():
 		return s.audit(r)
+	case path == "/refusals" && r.IsGet():
+		return s.listRefusals(r)
+	case path == "/refusal" && r.IsGet():
+		return s.explainRefusal(r)
 	case path == "/edit" && r.IsPost():
 		return s.edit(r)
 	case path == "/preview" && r.IsPost():
--- /dev/null
+++ b/internal/refusal/place.go
@@ -0,0 +1,69 @@
+package refusal
+
+import (
+	"context"
+	"math"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/logreader"
+)
+
+// batchRecords bounds the records of one read.
+const batchRecords = 256
+
+// Place is how far a reader has come on the refusals stream.
+type Place struct {
+	// After is the offset of the last record that was read, and Head the newest one known.
+	After int64
+	Head  int64
+	// Skipped is the number of records that aren't read because they are older than the first one,
+	// Expired the number of those that the log dropped before they were read, and Damaged the
+	// number of those that can't be decoded.
+	Skipped int64
+	Expired int64
+	Damaged int64
+}
+
+// Recent returns the place a number of records before the head, or the oldest kept record.
+func Recent(ctx context.Context, log logreader.Log, records int64) (Place, error) {
+	bounds, err := read(ctx, log, math.MaxInt64-1)
+	if err != nil {
+		return Place{}, err
+	}
+	after := max(bounds.GetHeadOffset()-records, bounds.GetOldestOffset()-1, 0)
+	return Place{After: after, Head: bounds.GetHeadOffset(), Skipped: after}, nil
+}
+
+// ReadBatch reads the next records of the refusals stream.
+func ReadBatch(ctx context.Context, log logreader.Log, after int64) (*v1.ReadResponse, error) {
+	return read(ctx, log, after)
+}
+
+func read(ctx context.Context, log logreader.Log, after int64) (*v1.ReadResponse, error) {
+	response, err := log.Read(ctx, &v1.ReadRequest{Stream: Stream, AfterOffset: after, MaxRecords: batchRecords})
+	if err != nil {
+		return nil, fault.Wrap(fault.LogUnavailable, err, "stream %s can't be read", Stream)
+	}
+	return response, nil
+}
+
+// Take folds a batch that was read after the place, and moves on. It returns 0 at the head.
+func (p *Place) Take(reader *Reader, batch *v1.ReadResponse) int {
+	p.Head = batch.GetHeadOffset()
+	// The log answers a read of expired records with none, so the next read starts at the oldest.
+	oldest := batch.GetOldestOffset()
+	if len(batch.GetRecords()) == 0 && oldest > p.After+1 && oldest <= p.Head {
+		p.Expired += oldest - 1 - p.After
+		p.After = oldest - 1
+		return 1
+	}
+	for _, record := range batch.GetRecords() {
+		p.Expired += record.GetOffset() - p.After - 1
+		p.After = record.GetOffset()
+		if foldRecord(reader, record) != nil {
+			p.Damaged++
+		}
+	}
+	return len(batch.GetRecords())
+}
--- a/internal/refusal/reader.go
+++ b/internal/refusal/reader.go
@@ -17,10 +17,17 @@
 	// order lists the records in order of the stream, to drop the oldest.
 	order   []*record
 	entries int
+	// limit bounds entries.
+	limit int
 }
 
-// NewReader returns a reader that has read nothing.
-func NewReader() *Reader { return &Reader{incarnations: map[string]*history{}} }
+// NewReader returns a reader that has read nothing and holds up to MaxReaderEntries.
+func NewReader() *Reader { return NewReaderOf(MaxReaderEntries) }
+
+// NewReaderOf returns a reader that holds up to limit entries.
+func NewReaderOf(limit int) *Reader {
+	return &Reader{incarnations: map[string]*history{}, limit: limit}
+}
 
 // Fold takes the next batch of the stream. Batches that were appended twice count once.
 func (r *Reader) Fold(batch *v1.RefusalBatch) *fault.Error {
@@ -40,16 +47,20 @@
 		return nil
 	}
 	r.order = append(r.order, added)
-	r.entries += len(batch.GetEntries())
+	r.entries += weight(batch)
 	r.dropOldest()
 	return nil
 }
 
+// weight counts a batch as one entry more than it has, since a batch that only reports a gap takes
+// memory, too.
+func weight(batch *v1.RefusalBatch) int { return len(batch.GetEntries()) + 1 }
+
 func (r *Reader) dropOldest() {
-	for r.entries > MaxReaderEntries {
+	for r.entries > r.limit {
 		oldest := r.order[0]
 		r.order = r.order[1:]
-		r.entries -= len(oldest.batch.GetEntries())
+		r.entries -= weight(oldest.batch)
 		if oldest.history.drop(oldest) {
 			delete(r.incarnations, oldest.history.incarnation)
 		}
--- a/internal/settings/console.go
+++ b/internal/settings/console.go
@@ -19,6 +19,9 @@
 	Listen string `yaml:"listen"`
 	// Controllers are the IP:port of controllers, asked in this order.
 	Controllers []string `yaml:"controllers"`
+	// Log is the IP:port of the platform's log service, which keeps the refusals; without it the
+	// console shows none.
+	Log string `yaml:"log"`
 	// Operators may sign in.
 	Operators []Operator `yaml:"operators"`
 	// Token is the console's own token at the controllers, where it is a delegate.
@@ -37,6 +40,9 @@
 	for i, address := range c.Controllers {
 		errs = append(errs, CheckAddress(fmt.Sprintf("controllers[%d]", i), address))
 	}
+	if c.Log != "" {
+		errs = append(errs, CheckAddress("log", c.Log))
+	}
 	if raw, err := hex.DecodeString(c.SessionSecret); err != nil || len(raw) < sessionSecretBytes {
 		errs = append(errs, fault.Invalid(fault.SettingsInvalid, "sessionSecret", "want at least %d bytes in hexadecimal digits", sessionSecretBytes))
 	}
