Share the set-up of the command line's commands

Cause: five commands repeated the same set-up of a client and a time limit. Change: withClient does it; diff and apply are functions of their own. Conclusion: a command says only what it does.

--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -46,23 +46,9 @@
 		Short: "Show what a document would change; exits with 3 when there are changes",
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-			defer cancel()
-			client, err := opts.client()
-			if err != nil {
-				return err
-			}
-			publication, err := plan(ctx, cmd, client, opts.author, args[0], "")
-			if err != nil {
-				return err
-			}
-			if err := writeChanges(cmd.OutOrStdout(), opts.format, publication); err != nil {
-				return err
-			}
-			if len(publication.ChangeSet.GetChanges()) > 0 {
-				return errDifferent
-			}
-			return nil
+			return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+				return diff(ctx, cmd, client, opts, args[0])
+			})
 		},
 	}
 }
@@ -75,29 +61,13 @@
 		Short: "Publish a document; the same document twice changes nothing",
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-			defer cancel()
-			client, err := opts.client()
-			if err != nil {
-				return err
-			}
-			publication, err := plan(ctx, cmd, client, opts.author, args[0], comment)
-			if err != nil {
-				return err
-			}
-			if len(publication.ChangeSet.GetChanges()) == 0 {
-				fmt.Fprintf(cmd.OutOrStdout(), "unchanged: version %d\n", publication.Base.Version)
-				return nil
-			}
-			version, err := client.Publish(ctx, publication)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d, %d changes\n", version, len(publication.ChangeSet.GetChanges()))
-			if !wait {
-				return nil
-			}
-			return waitInForce(ctx, cmd.OutOrStdout(), client, version)
+			return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+				publication, err := plan(ctx, cmd, client, opts.author, args[0], comment)
+				if err != nil {
+					return err
+				}
+				return apply(ctx, cmd.OutOrStdout(), client, publication, wait)
+			})
 		},
 	}
 	cmd.Flags().StringVarP(&comment, "message", "m", "", "comment for the audit trail")
@@ -105,6 +75,39 @@
 	return cmd
 }
 
+// diff shows the changes, and returns errDifferent when there are some.
+func diff(ctx context.Context, cmd *cobra.Command, client *adminclient.Client, opts *options, path string) error {
+	publication, err := plan(ctx, cmd, client, opts.author, path, "")
+	if err != nil {
+		return err
+	}
+	if err := writeChanges(cmd.OutOrStdout(), opts.format, publication); err != nil {
+		return err
+	}
+	if len(publication.ChangeSet.GetChanges()) > 0 {
+		return errDifferent
+	}
+	return nil
+}
+
+// apply publishes the changes, if there are any, and waits until they are in force when asked to.
+func apply(ctx context.Context, out io.Writer, client *adminclient.Client, publication *adminclient.Publication, wait bool) error {
+	changes := len(publication.ChangeSet.GetChanges())
+	if changes == 0 {
+		fmt.Fprintf(out, "unchanged: version %d\n", publication.Base.Version)
+		return nil
+	}
+	version, err := client.Publish(ctx, publication)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "accepted: version %d, %d changes\n", version, changes)
+	if !wait {
+		return nil
+	}
+	return waitInForce(ctx, out, client, version)
+}
+
 func plan(ctx context.Context, cmd *cobra.Command, client *adminclient.Client, author, path, comment string) (*adminclient.Publication, error) {
 	next, err := readDocument(cmd, path)
 	if err != nil {
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -57,20 +57,16 @@
 		Short: "Ask the wave to " + name,
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-			defer cancel()
-			client, err := opts.client()
-			if err != nil {
-				return err
-			}
-			control := &v1.WaveControl{Wave: args[0], Action: action, Author: opts.author, Reason: reason}
-			record := &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}
-			response, err := client.Propose(ctx, opts.author, record)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "accepted: offset %d\n", response.GetOffset())
-			return nil
+			return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+				control := &v1.WaveControl{Wave: args[0], Action: action, Author: opts.author, Reason: reason}
+				record := &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}
+				response, err := client.Propose(ctx, opts.author, record)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "accepted: offset %d\n", response.GetOffset())
+				return nil
+			})
 		},
 	}
 	cmd.Flags().StringVar(&reason, "reason", "", "reason for the audit trail")
@@ -119,18 +115,14 @@
 		Short: "Delete a key from the accepted document and wait until that is in force",
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-			defer cancel()
-			client, err := opts.client()
-			if err != nil {
-				return err
-			}
-			version, err := withdraw(ctx, client, opts.author, args[0])
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d\n", version)
-			return waitInForce(ctx, cmd.OutOrStdout(), client, version)
+			return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+				version, err := withdraw(ctx, client, opts.author, args[0])
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d\n", version)
+				return waitInForce(ctx, cmd.OutOrStdout(), client, version)
+			})
 		},
 	}
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"context"
 	"errors"
 	"os"
 	"time"
@@ -41,6 +42,17 @@
 	return adminclient.NewClient(link, o.controllers, auth.WithToken(os.Getenv(tokenVariable))), nil
 }
 
+// withClient runs the command with a client of the controllers, within the time limit.
+func (o *options) withClient(cmd *cobra.Command, run func(ctx context.Context, client *adminclient.Client) error) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	defer cancel()
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	return run(ctx, client)
+}
+
 // link returns the transport that the flags ask for.
 func (o *options) link() (*transport.Transport, error) {
 	if errs := o.tls.Check("--cert, --key, --ca"); len(errs) > 0 {
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -17,14 +17,10 @@
 		Short: "Show each controller: offset, version, freshness and gateways",
 		Args:  exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-			defer cancel()
-			client, err := opts.client()
-			if err != nil {
-				return err
-			}
-			statuses := client.Statuses(ctx)
-			return write(cmd.OutOrStdout(), opts.format, statuses, statusTable(statuses))
+			return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+				statuses := client.Statuses(ctx)
+				return write(cmd.OutOrStdout(), opts.format, statuses, statusTable(statuses))
+			})
 		},
 	}
 }
@@ -107,16 +103,12 @@
 
 // query reads a section, for the optional name in args.
 func query(cmd *cobra.Command, opts *options, section string, args []string, out any) error {
-	ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
-	defer cancel()
 	name := ""
 	if len(args) > 0 {
 		name = args[0]
 	}
-	client, err := opts.client()
-	if err != nil {
+	return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
+		_, err := client.Query(ctx, section, name, out)
 		return err
-	}
-	_, err = client.Query(ctx, section, name, out)
-	return err
+	})
 }
