--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,76 +4,16 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-directory=$(mktemp -d)
-processes=()
-cleanup() {
-  # Gateways leave first, then controllers, then the platform, so that each can still leave the fleet.
-  for role in gateway controller standin; do
-    local ids=()
-    for entry in "${processes[@]}"; do
-      if [[ "$entry" == "$role"* ]]; then ids+=("${entry#*:}"); fi
-    done
-    kill "${ids[@]}" 2>/dev/null || true
-    wait "${ids[@]}" 2>/dev/null || true
-  done
-  if [ "${KEEP_LOGS:-}" = "" ]; then rm -rf "$directory"; else echo "logs: $directory"; fi
-}
-trap cleanup EXIT
-
-say() { printf '\n== %s\n' "$*"; }
-
-go build -o "$directory" ./cmd/standin ./cmd/controller ./cmd/gateway ./cmd/turmericyoke
-for zone in west centre east; do
-  cp "examples/demo/controller-$zone.yaml" "examples/demo/gateway-$zone.yaml" "$directory"
-done
-cp examples/demo/fleet.yaml "$directory/fleet.yaml"
+source scripts/processes.sh
 fleet="$directory/fleet.yaml"
+cp examples/demo/fleet.yaml "$fleet"
 
-start() {
-  local name=$1
-  shift
-  "$@" >"$directory/$name.log" 2>&1 &
-  processes+=("$name:$!")
-}
-
-export TURMERICYOKE_TOKEN=demo-token
-operate() {
-  "$directory/turmericyoke" --plaintext --log 127.0.0.1:7000 \
-    --controller 127.0.0.1:7101 --controller 127.0.0.1:7102 --controller 127.0.0.1:7103 "$@"
-}
-# request PORT KEY [curl options] prints the status and the outcome of one request.
-request() {
-  local port=$1 key=$2
-  shift 2
-  curl -s -o "$directory/answer" -w '%{http_code} %header{x-outcome} %header{x-refusal-kind}\n' \
-    -H "Authorization: Bearer $key" "$@" "http://127.0.0.1:$port/v1/pools/counting/clips"
-}
-wait_until() {
-  local tries=$1
-  shift
-  for _ in $(seq "$tries"); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.5
-  done
-  echo "timed out: $*"
-  tail -n 5 "$directory"/*.log
-  return 1
-}
-ready() { curl -sf "http://127.0.0.1:$1/readyz"; }
-
-start standin "$directory/standin" --document "$fleet" --reboot-time 2s
-for zone in west centre east; do start "controller-$zone" "$directory/controller" --config "$directory/controller-$zone.yaml"; done
-wait_until 60 ready 7201
-wait_until 60 ready 7202
-wait_until 60 ready 7203
+start_platform
 
 say "An operator applies the document; it is in force when every controller has it"
 operate validate "$fleet"
 operate apply "$fleet" --wait
-for zone in west centre east; do start "gateway-$zone" "$directory/gateway" --config "$directory/gateway-$zone.yaml"; done
-wait_until 80 ready 8201
-wait_until 80 ready 8202
-wait_until 80 ready 8203
+start_gateways
 operate status
 
 say "Two teams are served in three availability zones"
