Let operators confirm that a holder is off

Cause: the fold takes a confirmation in place of vows, but no command sent one, so zones without a quorum could not free the rights of a lost gateway. Change: turmericyoke holder show, and holder confirm-off NAME INCARNATION. The command wasn't run against a controller yet. Conclusion: the step of the design is in operators' hands.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -88,7 +88,7 @@
 	root.AddCommand(
 		newValidate(), newDiff(opts), newApply(opts), newStatus(opts),
 		newHosts(opts), newTeams(opts), newWave(opts), newKey(opts), newAudit(opts),
-		newExplain(opts), newRefusals(opts),
+		newExplain(opts), newRefusals(opts), newHolder(opts),
 	)
 	return root
 }
