--- a/cmd/controller/loops.go
+++ b/cmd/controller/loops.go
@@ -10,6 +10,7 @@
 	"turmericyoke/internal/controller/adapt"
 	"turmericyoke/internal/controller/demand"
 	"turmericyoke/internal/controller/fleet"
+	"turmericyoke/internal/controller/gauges"
 	"turmericyoke/internal/controller/hosts"
 	"turmericyoke/internal/controller/move"
 	"turmericyoke/internal/controller/schedule"
@@ -35,6 +36,7 @@
 	platform    platform
 	// demand is what gateways ask of each pool.
 	demand *demand.Table
+	gauges *gauges.Gauges
 	logger *logrus.Entry
 }
 
@@ -48,7 +50,7 @@
 func loops(p parts) []loop {
 	snapshots := &snapshot.Loop{
 		Name: p.name, Incarnation: p.incarnation,
-		State: p.follower, Log: p.platform.log,
+		State: p.follower, Log: p.platform.log, Written: p.gauges.SnapshotWritten,
 		Logger: p.logger.WithField("loop", "snapshot"),
 	}
 	ranker := adapt.Ranker{Follower: p.follower, Name: p.name}
--- a/cmd/controller/run.go
+++ b/cmd/controller/run.go
@@ -17,6 +17,7 @@
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/controller/demand"
+	"turmericyoke/internal/controller/gauges"
 	"turmericyoke/internal/controller/member"
 	"turmericyoke/internal/controller/ops"
 	"turmericyoke/internal/controller/serve"
@@ -49,16 +50,16 @@
 	if err != nil {
 		return err
 	}
-	p.logger.WithFields(logrus.Fields{"version": version, "incarnation": p.parts.incarnation, "listen": config.Listen}).Info("controller started")
+	p.logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": p.parts.incarnation, "listen": config.Listen}).Info("controller started")
 	err = p.open()
 	if err == nil {
 		err = p.serve(ctx)
 	}
 	if err == nil || (ctx.Err() != nil && errors.Is(err, context.Canceled)) {
-		p.logger.Info("controller stopped")
+		p.logger.WithField("event", "stopped").Info("controller stopped")
 		return nil
 	}
-	p.logger.WithError(err).Error("controller failed")
+	p.logger.WithField("event", "failed").WithError(err).Error("controller failed")
 	return err
 }
 
@@ -83,11 +84,14 @@
 		Log: clients.log, Peers: peers(config, link, client), Logger: logger,
 	})
 	writer := proposer.New(config.Name, incarnation, clients.log, reader)
+	registry := telemetry.NewRegistry()
+	asked := demand.New(demandPeers(config, link, client), time.Now)
 	return &process{
-		config: config, logger: logger, link: link, registry: telemetry.NewRegistry(),
+		config: config, logger: logger, link: link, registry: registry,
 		parts: parts{
 			name: config.Name, incarnation: incarnation, follower: reader, proposer: writer,
-			platform: clients, demand: demand.New(demandPeers(config, link, client), time.Now), logger: logger,
+			platform: clients, demand: asked, logger: logger,
+			gauges: gauges.New(registry, reader, asked, time.Now),
 		},
 		membership: &member.Membership{
 			Name: config.Name, Incarnation: incarnation, Zone: config.Zone, Address: config.Address(),
@@ -135,6 +139,7 @@
 	group, failed := errgroup.WithContext(base)
 	group.Go(func() error { return p.parts.follower.Run(base) })
 	group.Go(func() error { return p.parts.proposer.Run(base) })
+	group.Go(func() error { return p.parts.gauges.Run(base) })
 	for _, service := range p.services {
 		group.Go(service.run)
 	}
@@ -168,7 +173,7 @@
 			if err := p.awaitJoin(ctx); err != nil {
 				return err
 			}
-			p.logger.WithField("loop", loop.name).Info("control loop started")
+			p.logger.WithField("event", "loop_started").WithField("loop", loop.name).Info("control loop started")
 			return loop.run(ctx)
 		})
 	}
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -60,7 +60,7 @@
 }
 
 func (p *process) run(ctx context.Context) error {
-	p.log.WithField("listen", p.config.Listen).Info("gateway started")
+	p.log.WithField("event", "started").WithField("listen", p.config.Listen).Info("gateway started")
 	// The parts run until the shutdown is over, and not only until the signal.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -75,7 +75,7 @@
 		return p.shutdown(context.WithoutCancel(ctx))
 	})
 	err := group.Wait()
-	p.log.Info("gateway stopped")
+	p.log.WithField("event", "stopped").Info("gateway stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -195,7 +195,7 @@
 // shutdown leaves in order: not ready, requests in progress end or are handed over, rights are
 // returned, the zone is left, and only then the other parts stop.
 func (p *process) shutdown(ctx context.Context) error {
-	p.log.Info("gateway leaves")
+	p.log.WithField("event", "leaving").Info("gateway leaves")
 	p.gateway.Drain()
 	wait(ctx, p.config.Timeouts.Drain.Duration())
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timeouts.Shutdown.Duration())
--- a/internal/controller/fleet/fleet.go
+++ b/internal/controller/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fold/inventory"
 	"turmericyoke/internal/structs"
@@ -50,19 +52,13 @@
 	Probe(context.Context, *v1.HostRequest) (*v1.HostResponse, error)
 }
 
-// Logger is the part of a logrus entry that the loops use.
-type Logger interface {
-	Infof(format string, args ...any)
-	Warnf(format string, args ...any)
-}
-
 // Deps are the parts that each loop is given.
 type Deps struct {
 	Reader   Reader
 	Proposer Proposer
 	Ranker   Ranker
 	Platform Platform
-	Log      Logger
+	Log      logrus.FieldLogger
 	// Now defaults to time.Now.
 	Now func() time.Time
 }
--- a/internal/controller/hosts/loop.go
+++ b/internal/controller/hosts/loop.go
@@ -10,6 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 	"turmericyoke/internal/controller/stop"
@@ -76,7 +78,7 @@
 	defer cancel()
 	response, err := l.deps.Platform.List(ctx, &v1.ListRequest{})
 	if err != nil {
-		l.deps.Log.Warnf("event=host_list_failed error=%q", err)
+		l.deps.Log.WithFields(logrus.Fields{"event": "host_list_failed"}).WithError(err).Warn("host list can't be read")
 		return nil
 	}
 	gone := map[string]bool{}
@@ -150,7 +152,7 @@
 		reason := fmt.Sprintf("%d probes in a row failed, listed as gone: %t", h.failures, h.listedGone)
 		record := &v1.HostDown{Host: h.host.Name, HostEpoch: h.host.Epoch, Reason: reason}
 		if err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_HostDown{HostDown: record}}); err != nil {
-			l.deps.Log.Warnf("event=host_down_not_accepted host=%s error=%q", h.host.Name, err)
+			l.deps.Log.WithFields(logrus.Fields{"event": "host_down_not_accepted", "host": h.host.Name}).WithError(err).Warn("failure of the host was not accepted")
 		}
 	}
 }
--- a/internal/controller/hosts/zones.go
+++ b/internal/controller/hosts/zones.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 )
@@ -54,7 +56,7 @@
 func (l *Loop) pause(ctx context.Context, wave, reason string) {
 	control := &v1.WaveControl{Wave: wave, Action: v1.WaveAction_WAVE_ACTION_PAUSE, Author: "controller", Reason: reason}
 	if err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_WaveControl{WaveControl: control}}); err != nil {
-		l.deps.Log.Warnf("event=wave_pause_not_accepted wave=%s error=%q", wave, err)
+		l.deps.Log.WithFields(logrus.Fields{"event": "wave_pause_not_accepted", "wave": wave}).WithError(err).Warn("proposal about the wave was not accepted")
 	}
 }
 
--- a/internal/controller/member/member.go
+++ b/internal/controller/member/member.go
@@ -79,12 +79,12 @@
 		switch {
 		case err == nil && verdict.Accepted, m.isMember():
 			m.joined.Store(true)
-			m.Logger.WithField("offset", verdict.Offset).Info("controller joined")
+			m.Logger.WithField("event", "controller_joined").WithField("offset", verdict.Offset).Info("controller joined")
 			return nil
 		case err == nil:
 			return fault.New(verdict.Kind, "join was rejected: %s", verdict.Detail)
 		}
-		m.Logger.WithField("kind", fault.KindOf(err)).WithError(err).Warn("controller can't join yet")
+		m.Logger.WithField("event", "join_failed").WithField("kind", fault.KindOf(err)).WithError(err).Warn("controller can't join yet")
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -115,8 +115,8 @@
 	defer cancel()
 	_, err := m.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_Leave{Leave: &v1.Leave{}}})
 	if err != nil {
-		m.Logger.WithField("kind", fault.KindOf(err)).WithError(err).Warn("controller didn't leave")
+		m.Logger.WithField("event", "leave_failed").WithField("kind", fault.KindOf(err)).WithError(err).Warn("controller didn't leave")
 		return
 	}
-	m.Logger.Info("controller left")
+	m.Logger.WithField("event", "controller_left").Info("controller left")
 }
--- a/internal/controller/move/loop.go
+++ b/internal/controller/move/loop.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 	"turmericyoke/internal/controller/stop"
@@ -115,10 +117,10 @@
 	record := &v1.Move{Host: move.Host, HostEpoch: move.Epoch, From: move.From, To: move.To}
 	err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_Move{Move: record}})
 	if err == nil {
-		l.deps.Log.Infof("event=move host=%s from=%s to=%s reason=%q", move.Host, move.From, move.To, move.Reason)
+		l.deps.Log.WithFields(logrus.Fields{"event": "move", "host": move.Host, "from": move.From, "to": move.To, "reason": move.Reason}).Info("move accepted")
 		return true
 	}
-	l.deps.Log.Warnf("event=move_not_accepted host=%s error=%q", move.Host, err)
+	l.deps.Log.WithFields(logrus.Fields{"event": "move_not_accepted", "host": move.Host}).WithError(err).Warn("move was not accepted")
 	kind := fault.KindOf(err)
 	return kind != fault.LogUnavailable && kind != fault.AppendUnsettled
 }
--- a/internal/controller/schedule/outbox.go
+++ b/internal/controller/schedule/outbox.go
@@ -88,7 +88,7 @@
 		return
 	}
 	kind := fault.KindOf(err)
-	l.Log.WithFields(map[string]any{"job": p.job, "start": p.start, "kind": kind}).WithError(err).Debug("job proposal not accepted")
+	l.Log.WithFields(map[string]any{"event": "job_proposal_not_accepted", "job": p.job, "start": p.start, "kind": kind}).WithError(err).Debug("job proposal not accepted")
 	l.abandon(p)
 	if kind == fault.LogUnavailable {
 		// Trying again at once wouldn't help.
--- a/internal/controller/schedule/plan.go
+++ b/internal/controller/schedule/plan.go
@@ -160,5 +160,5 @@
 	}
 	l.preempting[p.For.Job] = true
 	l.claims[p.For.Job] = &claim{worker: p.Worker, size: p.Size, made: now}
-	l.Log.WithFields(map[string]any{"job": p.For.Job, "worker": p.Worker, "victims": len(victims), "stop": p.Stop}).Info("preemption begun")
+	l.Log.WithFields(map[string]any{"event": "preemption", "job": p.For.Job, "worker": p.Worker, "victims": len(victims), "stop": p.Stop}).Info("preemption begun")
 }
--- /dev/null
+++ b/internal/controller/serve/rollout_test.go
@@ -0,0 +1,27 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a version that counts as in force before the last gateway has reported it, and
+// against a gateway that is gone and holds it up for good.
+func TestLeastReportedVersion(t *testing.T) {
+	table := gatewayTable{entries: map[string]*gatewayProgress{}}
+	now := time.Unix(100, 0)
+	for _, name := range []string{"g1", "g2"} {
+		table.took(name, 1, now)
+		table.sent(name, 2, 7)
+	}
+	table.took("g1", 2, now)
+	assert.Equal(t, table.least(now), uint64(0))
+	table.took("g2", 2, now)
+	assert.Equal(t, table.least(now), uint64(7))
+	table.sent("g1", 3, 8)
+	later := now.Add(gatewayAge + time.Second)
+	table.took("g1", 3, later)
+	assert.Equal(t, table.least(later), uint64(8))
+}
--- a/internal/controller/serve/view.go
+++ b/internal/controller/serve/view.go
@@ -31,7 +31,9 @@
 	if s.cfg.Demand != nil && request.GetGateway() != "" {
 		s.cfg.Demand.Report(request.GetGateway(), request.GetDemand())
 	}
-	s.gateways.took(request.GetGateway(), request.GetAfterOffset(), time.Now())
+	now := time.Now()
+	s.gateways.took(request.GetGateway(), request.GetAfterOffset(), now)
+	s.cfg.Metrics.rollout.reported(s.gateways.least(now), now)
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxViewWait)
 	poll, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -213,6 +215,22 @@
 	}
 }
 
+// least returns the lowest version among the gateways that asked lately, or 0.
+func (t *gatewayTable) least(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	least, found := uint64(0), false
+	for _, entry := range t.entries {
+		if now.Sub(entry.asked) > gatewayAge {
+			continue
+		}
+		if !found || entry.version < least {
+			least, found = entry.version, true
+		}
+	}
+	return least
+}
+
 // list returns the gateways that asked lately, in order of name.
 func (t *gatewayTable) list(now time.Time) []*v1.GatewayStatus {
 	t.mu.Lock()
--- a/internal/controller/snapshot/snapshot.go
+++ b/internal/controller/snapshot/snapshot.go
@@ -46,8 +46,10 @@
 	State       State
 	Log         Log
 	// Gone reports hosts that the host list shows as gone; it may be nil.
-	Gone   func(name string) bool
-	Logger *logrus.Entry
+	Gone func(name string) bool
+	// Written is told of each newest snapshot; it may be nil.
+	Written func(offset int64)
+	Logger  *logrus.Entry
 
 	// written is the offset of the newest snapshot that the loop knows, and writtenAt is when it
 	// learned of it.
@@ -69,7 +71,7 @@
 			return ctx.Err()
 		}
 		if err := l.step(ctx); err != nil {
-			l.Logger.WithField("kind", fault.KindOf(err)).WithError(err).Warn("snapshot not written")
+			l.Logger.WithField("event", "snapshot_failed").WithField("kind", fault.KindOf(err)).WithError(err).Warn("snapshot not written")
 		}
 	}
 }
@@ -158,7 +160,7 @@
 		}
 	}
 	l.wrote(encoded.GetOffset())
-	l.Logger.WithField("offset", encoded.GetOffset()).WithField("bytes", len(encoded.GetState())).Info("snapshot written")
+	l.Logger.WithField("event", "snapshot_written").WithField("offset", encoded.GetOffset()).WithField("bytes", len(encoded.GetState())).Info("snapshot written")
 	return nil
 }
 
@@ -178,4 +180,7 @@
 func (l *Loop) wrote(offset int64) {
 	l.written, l.writtenAt = offset, time.Now()
 	l.dueSince = time.Time{}
+	if l.Written != nil {
+		l.Written(offset)
+	}
 }
--- a/internal/controller/stop/machine.go
+++ b/internal/controller/stop/machine.go
@@ -7,6 +7,8 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 	"turmericyoke/internal/fault"
@@ -176,10 +178,10 @@
 	back := &v1.HostBack{Host: host.Name, HostEpoch: host.Epoch}
 	err := m.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_HostBack{HostBack: back}})
 	if err != nil {
-		m.deps.Log.Warnf("event=host_back_not_accepted host=%s epoch=%d error=%q", host.Name, host.Epoch, err)
+		m.deps.Log.WithFields(logrus.Fields{"event": "host_back_not_accepted", "host": host.Name, "epoch": host.Epoch}).WithError(err).Warn("the host is back, but that was not accepted")
 		return
 	}
-	m.deps.Log.Infof("event=host_back host=%s epoch=%d", host.Name, host.Epoch)
+	m.deps.Log.WithFields(logrus.Fields{"event": "host_back", "host": host.Name, "epoch": host.Epoch}).Info("host is back")
 }
 
 func (m *Machine) assign(ctx context.Context, host inventory.Host) {
@@ -187,7 +189,7 @@
 	defer cancel()
 	request := &v1.AssignRequest{Host: host.Name, HostEpoch: fleet.StopEpoch(host.Epoch), Pool: host.MoveTo}
 	if _, err := m.deps.Platform.Assign(ctx, request); err != nil {
-		m.deps.Log.Warnf("event=host_call_failed call=assign host=%s error=%q", host.Name, err)
+		m.deps.Log.WithFields(logrus.Fields{"event": "host_call_failed", "call": "assign", "host": host.Name}).WithError(err).Warn("call of the platform failed")
 	}
 }
 
@@ -198,7 +200,7 @@
 	defer cancel()
 	answer, err := call(ctx, &v1.HostRequest{Host: host.Name, HostEpoch: epoch})
 	if err != nil {
-		m.deps.Log.Warnf("event=host_call_failed host=%s epoch=%d error=%q", host.Name, epoch, err)
+		m.deps.Log.WithFields(logrus.Fields{"event": "host_call_failed", "host": host.Name, "epoch": epoch}).WithError(err).Warn("call of the platform failed")
 		return nil
 	}
 	return answer
--- a/internal/controller/wave/grant.go
+++ b/internal/controller/wave/grant.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 	"turmericyoke/internal/fault"
@@ -55,10 +57,10 @@
 	}
 	err := l.deps.Proposer.Propose(ctx, &v1.Record{Payload: &v1.Record_Grant{Grant: grant}})
 	if err == nil {
-		l.deps.Log.Infof("event=grant wave=%s host=%s epoch=%d", candidate.Wave, host.Name, host.Epoch)
+		l.deps.Log.WithFields(logrus.Fields{"event": "grant", "wave": candidate.Wave, "host": host.Name, "epoch": host.Epoch}).Info("grant accepted")
 		return true
 	}
-	l.deps.Log.Warnf("event=grant_not_accepted wave=%s host=%s error=%q", candidate.Wave, host.Name, err)
+	l.deps.Log.WithFields(logrus.Fields{"event": "grant_not_accepted", "wave": candidate.Wave, "host": host.Name}).WithError(err).Warn("grant was not accepted")
 	switch fault.KindOf(err) {
 	case fault.HostBusy, fault.HostEpochStale, fault.HostUnknown:
 		return true
--- a/internal/controller/wave/pause.go
+++ b/internal/controller/wave/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/sirupsen/logrus"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/fleet"
 	"turmericyoke/internal/controller/stop"
@@ -68,6 +70,6 @@
 
 func (l *Loop) propose(ctx context.Context, wave string, record *v1.Record) {
 	if err := l.deps.Proposer.Propose(ctx, record); err != nil {
-		l.deps.Log.Warnf("event=wave_pause_not_accepted wave=%s error=%q", wave, err)
+		l.deps.Log.WithFields(logrus.Fields{"event": "wave_pause_not_accepted", "wave": wave}).WithError(err).Warn("proposal about the wave was not accepted")
 	}
 }
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -67,6 +67,9 @@
 // Verdicts returns the last RecentVerdicts verdicts, oldest first.
 func (s *State) Verdicts() []Verdict { return s.recent.list() }
 
+// VerdictsAfter returns the kept verdicts with a higher offset, oldest first.
+func (s *State) VerdictsAfter(offset int64) []Verdict { return s.recent.after(offset) }
+
 // ChangeVerdicts returns the last ChangeVerdicts verdicts on operators' proposals, oldest first.
 func (s *State) ChangeVerdicts() []Verdict { return s.changes.list() }
 
--- a/internal/fold/verdict.go
+++ b/internal/fold/verdict.go
@@ -87,6 +87,19 @@
 	return append(list, r.items[:r.next]...)
 }
 
+// after returns the verdicts with a higher offset, oldest first.
+func (r *verdictRing) after(offset int64) []Verdict {
+	first := len(r.items)
+	for first > 0 && r.items[(r.next+first-1)%len(r.items)].Offset > offset {
+		first--
+	}
+	list := make([]Verdict, 0, len(r.items)-first)
+	for i := first; i < len(r.items); i++ {
+		list = append(list, r.items[(r.next+i)%len(r.items)])
+	}
+	return list
+}
+
 // find returns the oldest verdict that matches.
 func (r *verdictRing) find(match func(*Verdict) bool) (Verdict, bool) {
 	for i := range r.items {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,7 +64,9 @@
 	freshAt time.Time
 	// logReadAt is when the log last answered.
 	logReadAt time.Time
-	ready     readiness
+	// logHead is the head at that moment.
+	logHead int64
+	ready   readiness
 
 	// source is the peer that is relayed from; only the relay loop uses it.
 	source *peer
@@ -199,6 +201,14 @@
 	return f.problem
 }
 
+// Lag returns the records between the log's head, as the log last answered, and the state. Known
+// is false before the log's first answer.
+func (f *Follower) Lag() (records int64, known bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return max(f.logHead-f.offset(), 0), !f.logReadAt.IsZero()
+}
+
 // Stopped reports whether folding has ended for good.
 func (f *Follower) Stopped() bool {
 	f.mu.RLock()
--- a/internal/follower/ingest.go
+++ b/internal/follower/ingest.go
@@ -56,14 +56,14 @@
 		return
 	}
 	f.stopped = err
-	f.cfg.Logger.WithField("kind", err.Kind).WithField("offset", f.offset()).WithError(err).Error("follower stopped")
+	f.cfg.Logger.WithField("event", "follower_stopped").WithField("kind", err.Kind).WithField("offset", f.offset()).WithError(err).Error("follower stopped")
 	f.notify()
 }
 
 // setProblem needs the lock. It logs an error when its kind is new.
 func (f *Follower) setProblem(err *fault.Error) {
 	if f.problem == nil || f.problem.Kind != err.Kind {
-		f.cfg.Logger.WithField("kind", err.Kind).WithField("offset", f.offset()).WithError(err).Warn("follower impaired")
+		f.cfg.Logger.WithField("event", "follower_impaired").WithField("kind", err.Kind).WithField("offset", f.offset()).WithError(err).Warn("follower impaired")
 		f.problem = err
 		f.notify()
 		return
@@ -81,7 +81,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.problem != nil {
-		f.cfg.Logger.WithField("kind", f.problem.Kind).WithField("offset", f.offset()).Info("follower recovered")
+		f.cfg.Logger.WithField("event", "follower_recovered").WithField("kind", f.problem.Kind).WithField("offset", f.offset()).Info("follower recovered")
 		f.problem = nil
 		f.notify()
 	}
@@ -102,7 +102,7 @@
 	}
 	f.state = state
 	f.ring.clear()
-	f.cfg.Logger.WithField("offset", state.Offset()).WithField("version", state.Version()).Info("state loaded")
+	f.cfg.Logger.WithField("event", "state_loaded").WithField("offset", state.Offset()).WithField("version", state.Version()).Info("state loaded")
 	f.notify()
 	return true
 }
--- a/internal/follower/load.go
+++ b/internal/follower/load.go
@@ -82,7 +82,7 @@
 func (f *Follower) addChunk(assembler *fold.Assembler, record *v1.LogRecord, newest *fold.State) *fold.State {
 	chunk, damaged := fold.DecodeChunk(record.GetData())
 	if damaged != nil {
-		f.cfg.Logger.WithField("kind", damaged.Kind).WithField("chunk", record.GetOffset()).Warn("snapshot chunk skipped")
+		f.cfg.Logger.WithField("event", "snapshot_chunk_skipped").WithField("kind", damaged.Kind).WithField("chunk", record.GetOffset()).Warn("snapshot chunk skipped")
 		return newest
 	}
 	chunks, whole := assembler.Add(chunk)
@@ -91,7 +91,7 @@
 	}
 	state, damaged := fold.Join(chunks)
 	if damaged != nil {
-		f.cfg.Logger.WithField("kind", damaged.Kind).WithField("offset", chunk.GetOffset()).Warn("snapshot skipped")
+		f.cfg.Logger.WithField("event", "snapshot_skipped").WithField("kind", damaged.Kind).WithField("offset", chunk.GetOffset()).Warn("snapshot skipped")
 		return newest
 	}
 	return state
--- a/internal/follower/ready.go
+++ b/internal/follower/ready.go
@@ -97,7 +97,7 @@
 func (f *Follower) logAnswered(head int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.logReadAt = time.Now()
+	f.logReadAt, f.logHead = time.Now(), head
 	if !f.ready.logTold {
 		f.ready.logTold = true
 		f.ready.target = max(f.ready.target, head)
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -183,7 +183,7 @@
 	}
 	state, damaged := fold.DecodeSnapshot(response.GetState())
 	if damaged != nil || state.Offset() < least {
-		f.cfg.Logger.WithField("peer", p.Name).WithField("offset", response.GetOffset()).Warn("state of peer refused")
+		f.cfg.Logger.WithField("event", "peer_state_refused").WithField("peer", p.Name).WithField("offset", response.GetOffset()).Warn("state of peer refused")
 		return false
 	}
 	return f.replace(state)
--- a/internal/gateway/viewclient/viewclient.go
+++ b/internal/gateway/viewclient/viewclient.go
@@ -64,7 +64,7 @@
 	for ctx.Err() == nil {
 		f.returnHome()
 		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
-			f.log.WithError(err).WithField("controller", f.sources[f.current].Name).Warn("view unavailable")
+			f.log.WithField("event", "view_unavailable").WithError(err).WithField("controller", f.sources[f.current].Name).Warn("view unavailable")
 			f.moveOn()
 			pause(ctx, retryPause)
 		}
--- a/internal/refusal/recorder.go
+++ b/internal/refusal/recorder.go
@@ -100,11 +100,20 @@
 		err := r.Flush(ctx, appender)
 		if (err != nil) != failing {
 			failing = err != nil
-			log.WithField("entries", r.Entries()).WithField("failing", failing).WithError(err).Info("refusals append state changed")
+			logAppends(log.WithField("entries", r.Entries()), err)
 		}
 	}
 }
 
+// logAppends reports the first failed append, and the first that succeeds again.
+func logAppends(log *logrus.Entry, err error) {
+	if err != nil {
+		log.WithField("event", "refusals_append_failed").WithError(err).Warn("refusals can't be appended and are merged in memory")
+		return
+	}
+	log.WithField("event", "refusals_append_recovered").Info("refusals are appended again")
+}
+
 // drain appends what is left: the batch in flight, and what came after it.
 func (r *Recorder) drain(ctx context.Context, appender Appender) error {
 	for r.Entries() > 0 {
--- a/internal/rights/holder.go
+++ b/internal/rights/holder.go
@@ -161,7 +161,7 @@
 func (h *Holder) adopt(current *life, entry *structs.GatewayEntry) {
 	if !current.joined {
 		current.joined = true
-		h.cfg.Logger.WithField("incarnation", current.ref.Incarnation).WithField("offset", h.view.Offset).Info("holder joined")
+		h.cfg.Logger.WithField("event", "holder_joined").WithField("incarnation", current.ref.Incarnation).WithField("offset", h.view.Offset).Info("holder joined")
 	}
 	if current.pending != nil && entry.LastSeq >= current.pending.record.GetSeq() {
 		current.pending = nil
@@ -216,6 +216,6 @@
 	h.members, h.ackOffset = nil, 0
 	h.plans = newPlanMemory()
 	h.life.Store(next)
-	h.cfg.Logger.WithField("incarnation", current.ref.Incarnation).WithField("next", next.ref.Incarnation).
+	h.cfg.Logger.WithField("event", "holder_replaced").WithField("incarnation", current.ref.Incarnation).WithField("next", next.ref.Incarnation).
 		WithField("running", current.used()).Warn("holder was suspected and joins again")
 }
--- a/internal/rights/record.go
+++ b/internal/rights/record.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if err != nil {
-		h.cfg.Logger.WithField("seq", record.GetSeq()).WithField("kind", fault.KindOf(err)).WithError(err).Debug("proposal isn't settled")
+		h.cfg.Logger.WithField("event", "proposal_unsettled").WithField("seq", record.GetSeq()).WithField("kind", fault.KindOf(err)).WithError(err).Debug("proposal isn't settled")
 		return
 	}
 	h.settle(current, response)
@@ -139,7 +139,7 @@
 	waiting := current.pending
 	waiting.answered = true
 	if !response.GetAccepted() {
-		h.cfg.Logger.WithField("seq", waiting.record.GetSeq()).WithField("kind", response.GetKind()).
+		h.cfg.Logger.WithField("event", "proposal_rejected").WithField("seq", waiting.record.GetSeq()).WithField("kind", response.GetKind()).
 			WithField("detail", response.GetDetail()).Debug("proposal was rejected")
 	}
 	switch waiting.record.GetPayload().(type) {
@@ -168,7 +168,7 @@
 	}
 	h.skew = min(max(2*h.skew, skewStep), maxSkew)
 	h.life.Store(newLife(h.nextRef(current.ref.Incarnation)))
-	h.cfg.Logger.WithField("detail", response.GetDetail()).Warn("join was rejected; trying a higher incarnation")
+	h.cfg.Logger.WithField("event", "join_rejected").WithField("detail", response.GetDetail()).Warn("join was rejected; trying a higher incarnation")
 }
 
 // observeDemand needs the lock.
