--- a/internal/console/refusalpage.go
+++ b/internal/console/refusalpage.go
@@ -32,7 +32,8 @@
 	fault.QueueTimeout:        "No slot was free before the wait in the queue ended.",
 	fault.EndpointUnavailable: "The pool had no endpoint that could take the request.",
 	fault.ShuttingDown:        "The gateway was shutting down.",
-	fault.NotReady:            "The gateway had no configuration yet.",
+	fault.OutcomeUnknown:      "Contact was lost after the request was sent; it may have run.",
+	fault.ResponseTruncated:   "The endpoint's answer ended early; the request may have run.",
 }
 
 // ruleMeaning returns the meaning of a rule, or an empty text.
