--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -100,7 +100,7 @@
 	root.AddCommand(
 		newValidate(), newDiff(opts), newApply(opts), newStatus(opts),
 		newHosts(opts), newTeams(opts), newJobs(opts), newWave(opts), newKey(opts), newAudit(opts),
-		newExplain(opts), newRefusals(opts),
+		newExplain(opts), newRefusals(opts), newHolder(opts),
 	)
 	return root
 }
