Bound the records of all holders by their bytes

Change: the next record of a holder is due in its last record's size times the number of holders at 1,500 B/s, and at least 1 s later. One claim of unallocated units for waiting requests may go out before that; the record after it waits for both.

--- a/internal/rights/plan.go
+++ b/internal/rights/plan.go
@@ -15,9 +15,13 @@
 	sampled time.Time
 	// planned is when the last plan was made, and shares what the newest view says, by team.
 	planned time.Time
-	shares  map[string][]holderShare
-	samples map[string]sample
-	granted map[string]uint64
+	// nextRecord is when the next record that moves rights is due, and claimedEarly whether a claim
+	// was made before that.
+	nextRecord   time.Time
+	claimedEarly bool
+	shares       map[string][]holderShare
+	samples      map[string]sample
+	granted      map[string]uint64
 	// gained holds when rights of a team last came in; surplusSince and idleSince since when the
 	// surplus is large, or above 0.
 	gained       map[string]time.Time
@@ -59,11 +63,16 @@
 // plan needs the lock. It decides about all teams and says the most useful thing. Records that take
 // and records that give alternate, so that neither waits for long.
 func (h *Holder) plan(current *life, entry *structs.GatewayEntry, now time.Time) (*v1.Record, map[string]uint64) {
-	if now.Sub(h.plans.planned) < planInterval(len(h.view.Gateways)) {
+	due := !now.Before(h.plans.nextRecord)
+	if now.Sub(h.plans.planned) < recordInterval || (!due && h.plans.claimedEarly) {
 		return nil, nil
 	}
 	h.plans.planned = now
-	plans := h.divideTeams(current, entry, now)
+	plans := h.divideTeams(current, entry, now, due)
+	if !due {
+		return h.earlyClaim(plans), nil
+	}
+	h.plans.claimedEarly = false
 	take, gave := claimRecord(plans), h.gaveLast
 	if take != nil && gave {
 		h.gaveLast = false
@@ -77,13 +86,32 @@
 	return take, nil
 }
 
-// intervalPerHolder bounds the records of all holders together to 20 a second: each controller reads
-// all of them within 3 KB/s, and requests meanwhile go to a gateway of the zone that has a right.
-const intervalPerHolder = 50 * time.Millisecond
+// earlyClaim needs the lock. It claims what is unallocated for requests that wait, though the next
+// record isn't due. Only one claim is early; the record after it waits for the intervals of both.
+func (h *Holder) earlyClaim(plans []teamDecision) *v1.Record {
+	plans = slices.DeleteFunc(plans, func(p teamDecision) bool { return p.claim == 0 || h.view.Unallotted[p.team] == 0 })
+	record := claimRecord(plans)
+	h.plans.claimedEarly = record != nil
+	return record
+}
 
-// planInterval is the time between two plans of one holder.
-func planInterval(holders int) time.Duration {
-	return max(recordInterval, time.Duration(holders)*intervalPerHolder)
+const (
+	// bytesPerSecond bounds the records of all holders together, since each controller reads all of
+	// them and may spend 3 KB/s on control. Requests meanwhile go to a gateway that has a right.
+	bytesPerSecond = 1500
+	// recordOverhead is the size of a record's offset and framing for a reader, in bytes.
+	recordOverhead = 16
+)
+
+// charge needs the lock. It sets when the next record is due, so that all holders together stay
+// within bytesPerSecond when each of them has something to say.
+func (h *Holder) charge(size int, now time.Time) {
+	bytes := time.Duration((size + recordOverhead) * len(h.view.Gateways))
+	next := h.plans.nextRecord
+	if next.Before(now) {
+		next = now
+	}
+	h.plans.nextRecord = next.Add(bytes * time.Second / bytesPerSecond)
 }
 
 // teamDecision is the plan for one team.
@@ -92,7 +120,9 @@
 	teamPlan
 }
 
-func (h *Holder) divideTeams(current *life, entry *structs.GatewayEntry, now time.Time) []teamDecision {
+// divideTeams needs the lock. Before a record is due, only teams with unallocated units matter, and no
+// rights are kept back, since none can be given.
+func (h *Holder) divideTeams(current *life, entry *structs.GatewayEntry, now time.Time, due bool) []teamDecision {
 	accounts := *current.accounts.Load()
 	if h.plans.shares == nil {
 		h.plans.shares = sharesByTeam(h.view)
@@ -100,13 +130,22 @@
 	shares := h.plans.shares
 	var plans []teamDecision
 	for _, team := range h.view.Teams {
+		if !due && h.view.Unallotted[team.Name] == 0 {
+			continue
+		}
 		a := accounts[team.Name]
 		in := h.teamInput(current, team, shares[team.Name], now)
+		if !due {
+			// Only requests that wait are a reason for an early claim.
+			in.reserve = 0
+		}
 		if in.need == 0 && in.held == 0 && in.reserve == 0 && entry.Wants[team.Name] == 0 {
 			continue
 		}
 		plan := divide(in)
-		a.setHoldback(plan.holdback)
+		if due {
+			a.setHoldback(plan.holdback)
+		}
 		if plan.claims || plan.give > 0 {
 			plans = append(plans, teamDecision{team.Name, plan})
 		}
--- a/internal/rights/record.go
+++ b/internal/rights/record.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
 )
@@ -90,6 +92,10 @@
 	record.Seq, record.TimeUnixMs = current.seq, now.UnixMilli()
 	current.pending = &pending{record: record, sentAt: now, out: out, retry: minRetry, retryAt: now.Add(minRetry)}
 	h.lastNew = now
+	switch record.GetPayload().(type) {
+	case *v1.Record_Claim, *v1.Record_Return, *v1.Record_Transfer:
+		h.charge(proto.Size(record), now)
+	}
 	return record
 }
 
