Share the command line of the long-running binaries

Cause: gateway, controller and console repeated the same command line, and the stand-in of the log had its own copy of a pause.

--- a/cmd/console/main.go
+++ b/cmd/console/main.go
@@ -4,20 +4,18 @@
 import (
 	"context"
 	"encoding/hex"
-	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/auth"
 	"turmericyoke/internal/console"
+	"turmericyoke/internal/daemon"
 	"turmericyoke/internal/logreader"
 	"turmericyoke/internal/settings"
 	"turmericyoke/internal/telemetry"
@@ -27,40 +25,19 @@
 // version is set by the linker in release builds.
 var version = "dev"
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := newCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "console:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(binary().Main()) }
 
-func newCommand() *cobra.Command {
-	var path string
-	var checkOnly bool
-	cmd := &cobra.Command{
-		Use: "console", Short: "Serve the operators' forms", Version: version,
-		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			config := &settings.Console{}
-			if err := settings.Load(path, config); err != nil {
-				return err
-			}
-			if checkOnly {
-				return nil
-			}
-			return run(cmd.Context(), config)
-		},
+func binary() daemon.Binary[*settings.Console] {
+	return daemon.Binary[*settings.Console]{
+		Name: "console", Short: "Serve the operators' forms", Version: version,
+		Settings: func() *settings.Console { return &settings.Console{} },
+		Run:      run,
 	}
-	cmd.Flags().StringVar(&path, "config", "console.yaml", "settings file")
-	cmd.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
-	return cmd
 }
 
 // run serves until ctx ends, and then finishes open requests.
-func run(ctx context.Context, config *settings.Console) error {
-	log := telemetry.NewLogger(os.Stderr, config.Name, config.Zone)
+func run(ctx context.Context, config *settings.Console, logs io.Writer) error {
+	log := telemetry.NewLogger(logs, config.Name, config.Zone)
 	link, err := transport.New(config.TLS)
 	if err != nil {
 		return err
--- a/internal/standin/logsvc/faults.go
+++ b/internal/standin/logsvc/faults.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"turmericyoke/internal/periodic"
 )
 
 // Errors of the log.
@@ -55,7 +57,7 @@
 	l.mu.Lock()
 	delay := l.faults.Delay
 	l.mu.Unlock()
-	if err := sleep(ctx, delay); err != nil {
+	if err := periodic.Pause(ctx, delay); err != nil {
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
 	l.mu.Lock()
@@ -66,20 +68,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, span time.Duration) error {
-	if span <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // take uses up one of the calls that a fault affects.
 func take(count *int) bool {
 	if *count <= 0 {
