Use one word for units that nobody has

Cause: views called them unallotted, and the fold and the pages unallocated. Change: unallocated everywhere, in views as well; gateways and controllers of one release go together. Conclusion: one word for one thing.

--- a/internal/fold/view.go
+++ b/internal/fold/view.go
@@ -15,7 +15,7 @@
 		Endpoints: s.endpoints(),
 		Gateways:  s.gateways(),
 	}
-	view.Unallotted = s.unallotted()
+	view.Unallocated = s.unallocated()
 	view.SurrenderTargets = s.Escrow.SurrenderTargets()
 	return view
 }
@@ -47,7 +47,7 @@
 	return entries
 }
 
-func (s *State) unallotted() map[string]uint64 {
+func (s *State) unallocated() map[string]uint64 {
 	units := make(map[string]uint64, len(s.doc.Teams))
 	for i := range s.doc.Teams {
 		team := s.doc.Teams[i].Name
--- a/internal/gateway/viewclient/delta_test.go
+++ b/internal/gateway/viewclient/delta_test.go
@@ -30,8 +30,8 @@
 		Offset: c.view.Offset + 1,
 		Teams:  []structs.Team{{Name: "a", UpperLimit: limit}, {Name: "b", UpperLimit: 1}},
 		// A gateway's rights change without its entry.
-		Gateways:   []structs.GatewayEntry{{Name: "g", Rights: map[string]uint64{"a": limit}}},
-		Unallotted: map[string]uint64{"a": limit},
+		Gateways:    []structs.GatewayEntry{{Name: "g", Rights: map[string]uint64{"a": limit}}},
+		Unallocated: map[string]uint64{"a": limit},
 	}
 	c.tracker.Update(c.view)
 }
@@ -56,7 +56,7 @@
 	assert.Equal(t, got.Offset, want.Offset)
 	assert.DeepEqual(t, got.Teams, want.Teams)
 	assert.DeepEqual(t, got.Gateways, want.Gateways)
-	assert.DeepEqual(t, got.Unallotted, want.Unallotted)
+	assert.DeepEqual(t, got.Unallocated, want.Unallocated)
 }
 
 // Guards against a gateway that fetches the whole view for each record, that differs from the
--- a/internal/rights/plan.go
+++ b/internal/rights/plan.go
@@ -89,7 +89,7 @@
 // earlyClaim needs the lock. It claims what is unallocated for requests that wait, though the next
 // record isn't due. Only one claim is early; the record after it waits for the intervals of both.
 func (h *Holder) earlyClaim(plans []teamDecision) *v1.Record {
-	plans = slices.DeleteFunc(plans, func(p teamDecision) bool { return p.claim == 0 || h.view.Unallotted[p.team] == 0 })
+	plans = slices.DeleteFunc(plans, func(p teamDecision) bool { return p.claim == 0 || h.view.Unallocated[p.team] == 0 })
 	record := claimRecord(plans)
 	h.plans.claimedEarly = record != nil
 	return record
@@ -130,7 +130,7 @@
 	shares := h.plans.shares
 	var plans []teamDecision
 	for _, team := range h.view.Teams {
-		if !due && h.view.Unallotted[team.Name] == 0 {
+		if !due && h.view.Unallocated[team.Name] == 0 {
 			continue
 		}
 		a := accounts[team.Name]
@@ -162,7 +162,7 @@
 	in := teamInput{
 		self: current.ref, held: held, need: wanted.now, keep: wanted.keep(),
 		reserve:     reserveOf(team.UpperLimit, len(h.view.Gateways)),
-		unallocated: h.view.Unallotted[team.Name], limit: team.UpperLimit,
+		unallocated: h.view.Unallocated[team.Name], limit: team.UpperLimit,
 		holders: holders, sinceGain: now.Sub(h.plans.gained[team.Name]),
 	}
 	in.bound, in.surrender = h.view.SurrenderTargets[team.Name]
--- a/internal/structs/delta.go
+++ b/internal/structs/delta.go
@@ -33,7 +33,7 @@
 // TeamUnits are the entries of one team in the maps of a view; nil is a missing entry.
 type TeamUnits struct {
 	Team            string  `json:"team"`
-	Unallotted      *uint64 `json:"unallotted,omitempty"`
+	Unallocated     *uint64 `json:"unallocated,omitempty"`
 	SurrenderTarget *uint64 `json:"surrenderTarget,omitempty"`
 }
 
--- a/internal/structs/view.go
+++ b/internal/structs/view.go
@@ -10,8 +10,8 @@
 	Pools         []Pool         `json:"pools"`
 	Endpoints     []Endpoint     `json:"endpoints"`
 	Gateways      []GatewayEntry `json:"gateways"`
-	// Unallotted is the number of units of each team that no holder and no job has.
-	Unallotted map[string]uint64 `json:"unallotted,omitempty"`
+	// Unallocated is the number of units of each team that no holder and no job has.
+	Unallocated map[string]uint64 `json:"unallocated,omitempty"`
 	// SurrenderTargets bounds the total rights of teams whose limit is to be lowered.
 	SurrenderTargets map[string]uint64 `json:"surrenderTargets,omitempty"`
 }
--- a/internal/viewdelta/apply.go
+++ b/internal/viewdelta/apply.go
@@ -94,8 +94,8 @@
 
 func setUnits(view *structs.View, units []structs.TeamUnits) {
 	for _, entry := range units {
-		if entry.Unallotted != nil {
-			view.Unallotted = put(view.Unallotted, entry.Team, *entry.Unallotted)
+		if entry.Unallocated != nil {
+			view.Unallocated = put(view.Unallocated, entry.Team, *entry.Unallocated)
 		}
 		if entry.SurrenderTarget != nil {
 			view.SurrenderTargets = put(view.SurrenderTargets, entry.Team, *entry.SurrenderTarget)
--- a/internal/viewdelta/keys.go
+++ b/internal/viewdelta/keys.go
@@ -37,8 +37,8 @@
 
 func teamUnits(view *structs.View) []structs.TeamUnits {
 	byTeam := map[string]structs.TeamUnits{}
-	for team, units := range view.Unallotted {
-		byTeam[team] = structs.TeamUnits{Team: team, Unallotted: &units}
+	for team, units := range view.Unallocated {
+		byTeam[team] = structs.TeamUnits{Team: team, Unallocated: &units}
 	}
 	for team, target := range view.SurrenderTargets {
 		entry := byTeam[team]
