Keep a copy of every gateway's refusals, and send it only when it changed

Cause: copies went only with calls, and the gateway with the highest name of a zone calls nobody, so that no peer had its refusals; the others sent their copy with each exchange, up to four times a second. Change: answers carry copies as well; a copy goes when it has changed, at most once a second, and again after 5 s. Conclusion: refusals of any one lost gateway are appended by its peer.

--- a/cmd/gateway/refusals.go
+++ b/cmd/gateway/refusals.go
@@ -13,12 +13,13 @@
 // handOverPoll is the time between two tries to append the refusals of lost gateways.
 const handOverPoll = time.Second
 
-// lostGateway is a process lifetime whose refusals this gateway may hold.
-type lostGateway struct{ name, incarnation string }
+// lifetime identifies one process lifetime of a gateway.
+type lifetime struct{ name, incarnation string }
 
 // refusalRecord records the gateway's refusals and keeps the copies of its peers.
 type refusalRecord struct {
 	name     string
+	now      func() time.Time
 	recorder *refusal.Recorder
 	keeper   *refusal.Keeper
 	appender refusal.Appender
@@ -26,32 +27,56 @@
 	mu sync.Mutex
 	// copyPeer is the only peer that gets the copy, so that refusals aren't sent to the whole zone.
 	copyPeer string
+	// copied is the newest copy that was sent, and copiedAt when.
+	copied   copyMark
+	copiedAt time.Time
 	// members are the gateways that the newest view shows, by incarnation.
-	members map[lostGateway]bool
+	members map[lifetime]bool
 	// lost are the gateways whose copies wait to be appended.
-	lost map[lostGateway]bool
+	lost map[lifetime]bool
 }
 
 func newRefusalRecord(name, incarnation string, log refusal.Log) *refusalRecord {
 	return &refusalRecord{
 		name:     name,
+		now:      time.Now,
 		recorder: refusal.NewRecorder(name, incarnation, time.Now),
 		keeper:   refusal.NewKeeper(name),
 		appender: refusal.LogAppender{Log: log},
-		members:  map[lostGateway]bool{},
-		lost:     map[lostGateway]bool{},
+		members:  map[lifetime]bool{},
+		lost:     map[lifetime]bool{},
 	}
 }
 
+// copyMark tells whether a copy has changed since it was sent.
+type copyMark struct {
+	peer       string
+	seq, count uint64
+	entries    int
+}
+
+// Copies cost as much as the batches on the log, so that they go only when something has changed, at
+// most once in copyInterval, and again after copyRefresh in case that one was lost on its way.
+const (
+	copyInterval = time.Second
+	copyRefresh  = 5 * time.Second
+)
+
 // Copy implements exchange.Pending.
 func (r *refusalRecord) Copy(peer string) *v1.RefusalBatch {
 	r.mu.Lock()
-	chosen := r.copyPeer
-	r.mu.Unlock()
-	if peer != chosen {
+	defer r.mu.Unlock()
+	age := r.now().Sub(r.copiedAt)
+	if peer != r.copyPeer || age < copyInterval {
+		return nil
+	}
+	batch := r.recorder.Copy()
+	mark := copyMark{peer, batch.GetSeq(), batch.GetCumulativeCount(), len(batch.GetEntries())}
+	if mark == r.copied && age < copyRefresh {
 		return nil
 	}
-	return r.recorder.Copy()
+	r.copied, r.copiedAt = mark, r.now()
+	return batch
 }
 
 // Keep implements exchange.Pending.
@@ -67,10 +92,10 @@
 func (r *refusalRecord) observeMembers(gateways []structs.GatewayEntry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	present := map[lostGateway]bool{}
+	present := map[lifetime]bool{}
 	zone := ""
 	for _, gateway := range gateways {
-		present[lostGateway{gateway.Name, gateway.Incarnation}] = !gateway.Suspected
+		present[lifetime{gateway.Name, gateway.Incarnation}] = !gateway.Suspected
 		if gateway.Name == r.name {
 			zone = gateway.Zone
 		}
@@ -125,7 +150,7 @@
 
 func (r *refusalRecord) handOverOnce(ctx context.Context) {
 	r.mu.Lock()
-	waiting := make([]lostGateway, 0, len(r.lost))
+	waiting := make([]lifetime, 0, len(r.lost))
 	for gateway := range r.lost {
 		waiting = append(waiting, gateway)
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -159,6 +159,7 @@
 	}
 	e.addBytes(proto.Size(request) + proto.Size(response) + callOverhead)
 	e.take(response.GetLoad(), sentAt)
+	e.keepPending(response.GetPending())
 	if entry.Zone == e.config.Zone && response.GetRenewed() {
 		e.config.Lease.Renewed(entry.Name, response.GetLoad().GetIncarnation(), sentAt)
 	}
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -22,6 +22,9 @@
 	mu        sync.Mutex
 	renewedAt map[string]time.Time
 	vowed     map[string]bool
+	// name and copyTo are this gateway and the peer that gets the copy of its refusals.
+	name, copyTo string
+	kept         map[string]bool
 }
 
 func (l *lease) Renewed(peer, _ string, sentAt time.Time) {
@@ -33,8 +36,20 @@
 func (l *lease) Heard(string, string)           {}
 func (l *lease) MayRenew(holder, _ string) bool { return !l.vowed[holder] }
 func (l *lease) Vow(string, string) *v1.Vow     { return nil }
-func (l *lease) Copy(string) *v1.RefusalBatch   { return nil }
-func (l *lease) Keep(*v1.RefusalBatch)          {}
+
+func (l *lease) Copy(peer string) *v1.RefusalBatch {
+	if peer != l.copyTo {
+		return nil
+	}
+	return &v1.RefusalBatch{Gateway: l.name}
+}
+
+func (l *lease) Keep(batch *v1.RefusalBatch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept[batch.GetGateway()] = true
+}
+
 func (l *lease) Observe(string, string, uint64) {}
 
 // wire is a call to another gateway that takes a while, or none at all.
@@ -91,7 +106,7 @@
 		}
 	}
 	g.peers[name] = NewPeers(name, entry.Zone, region, seed, time.Now)
-	g.leases[name] = &lease{renewedAt: map[string]time.Time{}, vowed: map[string]bool{}}
+	g.leases[name] = &lease{renewedAt: map[string]time.Time{}, vowed: map[string]bool{}, name: name, kept: map[string]bool{}}
 	g.loads[name] = &v1.GatewayLoad{}
 	g.exchanges[name] = New(Config{
 		Self: name, Incarnation: func() string { return name }, Zone: entry.Zone, Peers: g.peers[name],
@@ -186,3 +201,20 @@
 		assert.Assert(t, peers.WithSlot("desk", "a") != nil && peers.WithRight("a", "desk") != nil)
 	})
 }
+
+// Guards against a gateway whose refusals no peer keeps: the one with the highest name calls nobody,
+// and its copy goes with its answers.
+func TestEachGatewaysRefusalsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateways(map[string]int{"z1": 3})
+		next := map[string]string{"z1-0": "z1-1", "z1-1": "z1-2", "z1-2": "z1-0"}
+		for name, peer := range next {
+			g.leases[name].copyTo = peer
+		}
+		g.run(3 * time.Second)
+		for name, peer := range next {
+			assert.Assert(t, g.leases[peer].kept[name], "copy of %s", name)
+			assert.Equal(t, len(g.leases[peer].kept), 1)
+		}
+	})
+}
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -21,8 +21,9 @@
 	response := &v1.ExchangeResponse{}
 	if load.GetZone() == e.config.Zone {
 		e.acknowledge(request)
-		e.keepPending(request)
+		e.keepPending(request.GetPending())
 		response.Renewed = e.config.Lease.MayRenew(load.GetGateway(), load.GetIncarnation())
+		response.Pending = e.config.Pending.Copy(load.GetGateway())
 		response.Load = e.load()
 	} else {
 		response.Load = e.zoneLoad()
@@ -47,8 +48,8 @@
 	}
 }
 
-func (e *Exchange) keepPending(request *v1.ExchangeRequest) {
-	if batch := request.GetPending(); batch != nil {
+func (e *Exchange) keepPending(batch *v1.RefusalBatch) {
+	if batch != nil {
 		e.config.Pending.Keep(batch)
 	}
 }
