--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,44 @@
+// Command entry serves callers at an entry host of the users' platform, and schedules the fleet
+// while this process has the duty.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"turmericyoke/platform"
+)
+
+// version is set by the linker in release builds.
+var version = "dev"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintf(os.Stderr, "entry: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// command returns the command line. The settings are the platform's own file.
+func command() *cobra.Command {
+	var checkOnly bool
+	cmd := &cobra.Command{
+		Use: "entry", Short: "Serve callers, and schedule the fleet while this process has the duty", Version: version,
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := platform.LoadSettings()
+			if err != nil {
+				return err
+			}
+			if checkOnly {
+				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+				return err
+			}
+			return run(cmd.Context(), settings, os.Stdout)
+		},
+	}
+	cmd.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings file that "+platform.SettingsVariable+" names, and exit")
+	return cmd
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,313 @@
+// Package duty decides which entry process schedules. The claim of a process is a record of the log
+// that was appended under the condition that nobody else claimed meanwhile; its offset is the term,
+// which fences everything that an earlier holder still does. Membership of the group only tells when
+// a new claim is due, and may be wrong without harm.
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"turmericyoke/internal/boottime"
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
+)
+
+const (
+	// topic holds the claims under one key.
+	topic    = "duty"
+	claimKey = "scheduler"
+	// memberTTL is how long a silent process stays a member. It bounds the takeover together with
+	// watchInterval; the platform takes no less than a second.
+	memberTTL = 1500 * time.Millisecond
+	// joinInterval renews membership three times within memberTTL.
+	joinInterval = 500 * time.Millisecond
+	// watchInterval is how often the process that takes over first looks at the members, and
+	// idleWatchInterval how often the others do, which need it to know their peers.
+	watchInterval     = 400 * time.Millisecond
+	idleWatchInterval = time.Second
+	// claimDelay is how long a process that isn't first lets the first one claim.
+	claimDelay = 1500 * time.Millisecond
+	// followWait is how long a read of the claims waits for a new one.
+	followWait = time.Second
+	// retryPause follows a call that failed.
+	retryPause = 150 * time.Millisecond
+	// silentAfter is how long a process joins on without an answer. Beyond it, it lets its membership
+	// lapse: its calls may arrive while the answers are lost, and then others must not wait for it.
+	silentAfter = 2 * time.Second
+)
+
+// Claim says who schedules.
+type Claim struct {
+	// Term is the fencing token; it rises with each claim. 0: nobody has claimed.
+	Term   int64
+	Holder infra.Member
+	// Nonce tells lifetimes of one process apart.
+	Nonce string
+}
+
+// claimBody is the value of a claim's record.
+type claimBody struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Nonce   string `json:"nonce"`
+}
+
+// Keeper follows the claims and claims when the holder is lost.
+type Keeper struct {
+	Self   infra.Member
+	Nonce  string
+	Log    infra.Log
+	Group  infra.Group
+	Logger *logrus.Entry
+	Clock  boottime.Clock
+	// Lead schedules for the term until ctx ends; it returns when it was fenced or failed.
+	Lead func(ctx context.Context, term int64)
+	// Eligible reports whether this process is able to schedule now.
+	Eligible func() bool
+
+	mu      sync.Mutex
+	claim   Claim
+	next    int64
+	loaded  bool
+	changed chan struct{}
+	members []infra.Member
+	// answered is when the last join was answered; first is what it said.
+	answered time.Duration
+	first    bool
+	// missingSince is when the holder was first seen missing; 0 while it isn't.
+	missingSince time.Duration
+	// resigned is the last term that this process gave up.
+	resigned int64
+}
+
+// Current returns the newest claim that is known here.
+func (k *Keeper) Current() Claim {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.claim
+}
+
+// Peers returns the other entry processes that were joined when last asked.
+func (k *Keeper) Peers() []infra.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var peers []infra.Member
+	for _, member := range k.members {
+		if member.Name != k.Self.Name {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+// Run follows and claims until ctx ends, and then leaves the group.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.changed = make(chan struct{}, 1)
+	group, inner := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.follow(inner) })
+	group.Go(func() error { return k.join(inner) })
+	group.Go(func() error { return k.watch(inner) })
+	group.Go(func() error { return k.lead(inner) })
+	return group.Wait()
+}
+
+// follow reads the claims.
+func (k *Keeper) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := k.readClaims(ctx); err != nil {
+			_ = periodic.Pause(ctx, retryPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) readClaims(ctx context.Context) error {
+	k.mu.Lock()
+	loaded, next := k.loaded, k.next
+	k.mu.Unlock()
+	if !loaded {
+		records, end, err := k.Log.Newest(ctx, topic)
+		if err != nil {
+			return err
+		}
+		k.apply(records, end)
+		return nil
+	}
+	page, err := k.Log.Read(ctx, topic, next, followWait)
+	if infra.KindOf(err) == infra.Trimmed {
+		k.mu.Lock()
+		k.loaded = false
+		k.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	k.apply(page.Records, page.Next)
+	return nil
+}
+
+// apply takes claims from records, and the offset from which to read on.
+func (k *Keeper) apply(records []infra.Record, next int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, record := range records {
+		if record.Key != claimKey || record.Offset+1 <= k.claim.Term {
+			continue
+		}
+		var body claimBody
+		if err := json.Unmarshal(record.Value, &body); err != nil {
+			k.Logger.WithFields(logrus.Fields{"event": "claim_skipped", "offset": record.Offset}).WithError(err).Warn("claim can't be read")
+			continue
+		}
+		k.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: body.Name, Zone: body.Zone, Address: body.Address}, Nonce: body.Nonce}
+		k.missingSince = 0
+		k.Logger.WithFields(logrus.Fields{"event": "scheduler_changed", "term": k.claim.Term, "holder": body.Name, "address": body.Address}).Info("scheduler known")
+		select {
+		case k.changed <- struct{}{}:
+		default:
+		}
+	}
+	k.loaded, k.next = true, max(k.next, next)
+}
+
+// join keeps this process a member of the group.
+func (k *Keeper) join(ctx context.Context) error {
+	k.mu.Lock()
+	k.answered = k.Clock()
+	k.mu.Unlock()
+	for ctx.Err() == nil {
+		first, err := k.Group.Join(ctx, k.Self, memberTTL)
+		now, pause := k.Clock(), joinInterval
+		k.mu.Lock()
+		if err == nil {
+			k.answered, k.first = now, first
+		} else if now-k.answered > silentAfter {
+			pause = memberTTL + joinInterval
+		}
+		k.mu.Unlock()
+		_ = periodic.Pause(ctx, pause)
+	}
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := k.Group.Leave(leave, k.Self); err != nil {
+		k.Logger.WithField("event", "leave_failed").WithError(err).Info("group membership lapses by itself")
+	}
+	return ctx.Err()
+}
+
+// watch looks at the members, and claims when the holder isn't one of them.
+func (k *Keeper) watch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		members, err := k.Group.Members(ctx)
+		now := k.Clock()
+		k.mu.Lock()
+		if err == nil {
+			k.members = members
+		}
+		due := err == nil && k.loaded && k.due(now)
+		pause := idleWatchInterval
+		if k.first || k.missingSince > 0 {
+			pause = watchInterval
+		}
+		claim, next := k.claim, k.next
+		k.mu.Unlock()
+		if due && k.Eligible() {
+			k.try(ctx, claim, next)
+		}
+		_ = periodic.Pause(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// due reports whether this process should claim. k.mu is held.
+func (k *Keeper) due(now time.Duration) bool {
+	mine := k.claim.Holder.Name == k.Self.Name
+	if mine && k.claim.Nonce == k.Nonce && k.claim.Term != k.resigned {
+		k.missingSince = 0
+		return false
+	}
+	if !mine && k.claim.Term > 0 {
+		for _, member := range k.members {
+			if member.Name == k.claim.Holder.Name {
+				k.missingSince = 0
+				return false
+			}
+		}
+	}
+	if k.missingSince == 0 {
+		k.missingSince = now
+	}
+	return mine || k.first || now-k.missingSince > claimDelay
+}
+
+// try appends a claim on the condition that no other one came. Whether it succeeded is read from the log.
+func (k *Keeper) try(ctx context.Context, old Claim, at int64) {
+	value, err := json.Marshal(claimBody{Name: k.Self.Name, Zone: k.Self.Zone, Address: k.Self.Address, Nonce: k.Nonce})
+	if err == nil {
+		_, err = k.Log.Append(ctx, topic, []infra.Record{{Key: claimKey, Value: value}}, infra.AppendOptions{At: &at})
+	}
+	k.Logger.WithFields(logrus.Fields{"event": "claimed", "after_term": old.Term, "at": at, "outcome": outcome(err)}).WithError(err).Info("claimed the scheduler's duty")
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return string(infra.KindOf(err))
+}
+
+// lead schedules while the newest claim is this process's.
+func (k *Keeper) lead(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-k.changed:
+		}
+		claim := k.Current()
+		if claim.Nonce != k.Nonce || claim.Term == k.resigned {
+			continue
+		}
+		k.leadTerm(ctx, claim.Term)
+	}
+}
+
+// leadTerm schedules for one term, until it is superseded or Lead returns.
+func (k *Keeper) leadTerm(ctx context.Context, term int64) {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.Lead(inner, term)
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-k.changed:
+			if k.Current().Term > term {
+				cancel()
+				<-done
+				running = false
+			}
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.resigned = term
+	if k.claim.Term > term && k.claim.Nonce == k.Nonce {
+		select {
+		case k.changed <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,233 @@
+// Package entry serves callers at each entry process: it answers from the scheduler, which runs in
+// one of the processes, and keeps the configuration that decides on keys and queues.
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/duty"
+	"turmericyoke/internal/entry/peer"
+	"turmericyoke/internal/fault"
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/work"
+)
+
+const (
+	// configWait is how long a read waits for a newer configuration.
+	configWait = time.Second
+	// configRetry is the pause after a failed read.
+	configRetry = 200 * time.Millisecond
+	// askPeersAfter is how long reads may fail before peers are asked for the configuration: a
+	// process that the platform's store turns away must still follow it within the platform's bound.
+	askPeersAfter = 700 * time.Millisecond
+	// peerTimeout bounds the question for the configuration.
+	peerTimeout = 500 * time.Millisecond
+	// searchTime is how long a call looks for the scheduler while it may be changing.
+	searchTime  = 250 * time.Millisecond
+	searchPause = 50 * time.Millisecond
+)
+
+// Duty knows who schedules.
+type Duty interface {
+	Current() duty.Claim
+	Peers() []infra.Member
+}
+
+// Entry is one entry process as its callers see it.
+type Entry struct {
+	Self    infra.Member
+	Duty    Duty
+	Clients *peer.Clients
+	Configs infra.Configs
+	// Decode reads a configuration that a peer sent in its published form.
+	Decode func(source []byte) (*work.Config, error)
+	Logger *logrus.Entry
+
+	config atomic.Pointer[published]
+	core   atomic.Pointer[scheduler.Core]
+
+	mu    sync.Mutex
+	waves map[int64]infra.Wave
+}
+
+// published is a configuration with its published form.
+type published struct {
+	config *work.Config
+	source []byte
+}
+
+// Config returns the newest configuration, or nil before there is one.
+func (e *Entry) Config() *work.Config {
+	if p := e.config.Load(); p != nil {
+		return p.config
+	}
+	return nil
+}
+
+// Prepare gives a core the configuration and the waves.
+func (e *Entry) Prepare(core *scheduler.Core) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if config := e.Config(); config != nil {
+		core.SetConfig(config)
+	}
+	var waves []infra.Wave
+	for _, wave := range e.waves {
+		waves = append(waves, wave)
+	}
+	core.SetWaves(waves)
+}
+
+// Opened makes the core answer, and Closed ends that.
+func (e *Entry) Opened(core *scheduler.Core) {
+	e.core.Store(core)
+	e.Prepare(core)
+}
+
+// Closed is called when this process doesn't schedule any more.
+func (e *Entry) Closed() { e.core.Store(nil) }
+
+// FollowConfig follows the operators' configuration until ctx ends.
+func (e *Entry) FollowConfig(ctx context.Context) error {
+	var failingSince time.Time
+	for ctx.Err() == nil {
+		update, err := e.Configs.Wait(ctx, configWait)
+		if err == nil {
+			if !failingSince.IsZero() {
+				e.Logger.WithFields(logrus.Fields{"event": "config_regained", "after_ms": time.Since(failingSince).Milliseconds()}).Info("configuration is read again")
+			}
+			failingSince = time.Time{}
+			e.take(update)
+			continue
+		}
+		if failingSince.IsZero() {
+			failingSince = time.Now()
+			e.Logger.WithField("event", "config_lost").WithError(err).Warn("configuration can't be read")
+		}
+		if time.Since(failingSince) > askPeersAfter || e.Config() == nil {
+			e.askPeers(ctx)
+		}
+		_ = periodic.Pause(ctx, configRetry)
+	}
+	return ctx.Err()
+}
+
+// take takes what operators published.
+func (e *Entry) take(update infra.ConfigUpdate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if update.Config != nil {
+		current := e.Config()
+		if current == nil || update.Config.Version > current.Version {
+			e.config.Store(&published{config: update.Config, source: update.Source})
+			e.Logger.WithFields(logrus.Fields{"event": "config_in_force", "version": update.Config.Version, "queues": len(update.Config.Queues),
+				"customers": len(update.Config.Customers)}).Info("configuration is in force here")
+		}
+	}
+	if e.waves == nil {
+		e.waves = map[int64]infra.Wave{}
+	}
+	for _, wave := range update.Waves {
+		e.waves[wave.ID] = wave
+	}
+	if core := e.core.Load(); core != nil {
+		core.SetConfig(e.Config())
+		core.SetWaves(update.Waves)
+	}
+}
+
+// askPeers asks the other processes for a newer configuration, all at once.
+func (e *Entry) askPeers(ctx context.Context) {
+	version := int64(0)
+	if config := e.Config(); config != nil {
+		version = config.Version
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, member := range e.Duty.Peers() {
+		asked.Go(func() {
+			response, err := e.Clients.At(member.Address).Config(ctx, &peer.ConfigRequest{Version: version})
+			if err != nil || len(response.Source) == 0 {
+				return
+			}
+			config, err := e.Decode(response.Source)
+			if err != nil {
+				e.Logger.WithFields(logrus.Fields{"event": "peer_config_unreadable", "peer": member.Name}).WithError(err).Warn("configuration of a peer can't be read")
+				return
+			}
+			e.take(infra.ConfigUpdate{Config: config, Source: response.Source})
+		})
+	}
+	asked.Wait()
+}
+
+// scheduler returns who answers: this process's core, or another process.
+func (e *Entry) scheduler() (peer.Service, bool) {
+	if core := e.core.Load(); core != nil {
+		return local{core}, true
+	}
+	claim := e.Duty.Current()
+	if claim.Term == 0 || claim.Holder.Name == e.Self.Name {
+		return nil, false
+	}
+	return e.Clients.At(claim.Holder.Address), true
+}
+
+// ask calls the scheduler, and looks for it again while a call had no effect and time is left.
+func ask[Response any](ctx context.Context, e *Entry, call func(peer.Service) (*Response, error)) (*Response, error) {
+	until := time.Now().Add(searchTime)
+	for {
+		var err error
+		if service, known := e.scheduler(); !known {
+			err = peer.ErrNotScheduling
+		} else {
+			var response *Response
+			if response, err = call(service); err == nil {
+				return response, nil
+			}
+		}
+		if !peer.HadNoEffect(err) {
+			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the scheduler didn't answer")
+		}
+		if time.Now().After(until) || periodic.Pause(ctx, searchPause) != nil {
+			return nil, fault.Wrap(fault.NotReady, err, "no scheduler can be reached")
+		}
+	}
+}
+
+// Submit submits a job.
+func (e *Entry) Submit(ctx context.Context, job *work.Job) (*peer.OutcomeResponse, error) {
+	return ask(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+		return s.Submit(ctx, &peer.SubmitRequest{Job: job})
+	})
+}
+
+// Cancel cancels a job.
+func (e *Entry) Cancel(ctx context.Context, id string) (*peer.OutcomeResponse, error) {
+	return ask(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+		return s.Cancel(ctx, &peer.CancelRequest{Job: id})
+	})
+}
+
+// State returns the state of a job.
+func (e *Entry) State(ctx context.Context, id string) (*peer.StateResponse, error) {
+	return ask(ctx, e, func(s peer.Service) (*peer.StateResponse, error) { return s.State(ctx, &peer.StateRequest{Job: id}) })
+}
+
+// Pending counts the jobs of a queue that haven't begun.
+func (e *Entry) Pending(ctx context.Context, queue string) (*peer.PendingResponse, error) {
+	return ask(ctx, e, func(s peer.Service) (*peer.PendingResponse, error) {
+		return s.Pending(ctx, &peer.PendingRequest{Queue: queue})
+	})
+}
+
+// Peers returns the service for other entry processes.
+func (e *Entry) Peers() peer.Service { return serving{e} }
--- /dev/null
+++ b/internal/entry/local.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"turmericyoke/internal/entry/peer"
+	"turmericyoke/internal/scheduler"
+)
+
+// local answers from the core of this process.
+type local struct{ core *scheduler.Core }
+
+// await waits for an outcome that the core sends.
+func await(ctx context.Context, send func(chan<- scheduler.Outcome)) (*peer.OutcomeResponse, error) {
+	// The core never waits for its receiver.
+	waiter := make(chan scheduler.Outcome, 1)
+	send(waiter)
+	select {
+	case outcome := <-waiter:
+		return &peer.OutcomeResponse{Kind: outcome.Kind, RetryAfterMs: outcome.RetryAfter.Milliseconds(), Reason: outcome.Reason}, nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+func (l local) Submit(ctx context.Context, request *peer.SubmitRequest) (*peer.OutcomeResponse, error) {
+	return await(ctx, func(waiter chan<- scheduler.Outcome) { l.core.Submit(request.Job, waiter) })
+}
+
+func (l local) Cancel(ctx context.Context, request *peer.CancelRequest) (*peer.OutcomeResponse, error) {
+	return await(ctx, func(waiter chan<- scheduler.Outcome) { l.core.Cancel(request.Job, waiter) })
+}
+
+func (l local) State(_ context.Context, request *peer.StateRequest) (*peer.StateResponse, error) {
+	state, known := l.core.State(request.Job)
+	return &peer.StateResponse{Known: known, State: state}, nil
+}
+
+func (l local) Pending(_ context.Context, request *peer.PendingRequest) (*peer.PendingResponse, error) {
+	return &peer.PendingResponse{Pending: l.core.Pending(request.Queue)}, nil
+}
+
+func (l local) Config(context.Context, *peer.ConfigRequest) (*peer.ConfigResponse, error) {
+	return nil, peer.ErrNotScheduling
+}
+
+// serving answers other entry processes: from the core when this process schedules.
+type serving struct{ entry *Entry }
+
+func (s serving) core() (local, error) {
+	if core := s.entry.core.Load(); core != nil {
+		return local{core}, nil
+	}
+	return local{}, peer.ErrNotScheduling
+}
+
+// Submit implements peer.Service.
+func (s serving) Submit(ctx context.Context, request *peer.SubmitRequest) (*peer.OutcomeResponse, error) {
+	core, err := s.core()
+	if err != nil {
+		return nil, err
+	}
+	return core.Submit(ctx, request)
+}
+
+// Cancel implements peer.Service.
+func (s serving) Cancel(ctx context.Context, request *peer.CancelRequest) (*peer.OutcomeResponse, error) {
+	core, err := s.core()
+	if err != nil {
+		return nil, err
+	}
+	return core.Cancel(ctx, request)
+}
+
+// State implements peer.Service.
+func (s serving) State(ctx context.Context, request *peer.StateRequest) (*peer.StateResponse, error) {
+	core, err := s.core()
+	if err != nil {
+		return nil, err
+	}
+	return core.State(ctx, request)
+}
+
+// Pending implements peer.Service.
+func (s serving) Pending(ctx context.Context, request *peer.PendingRequest) (*peer.PendingResponse, error) {
+	core, err := s.core()
+	if err != nil {
+		return nil, err
+	}
+	return core.Pending(ctx, request)
+}
+
+// Config implements peer.Service.
+func (s serving) Config(_ context.Context, request *peer.ConfigRequest) (*peer.ConfigResponse, error) {
+	p := s.entry.config.Load()
+	if p == nil || p.config.Version <= request.Version {
+		return &peer.ConfigResponse{}, nil
+	}
+	return &peer.ConfigResponse{Source: p.source}, nil
+}
--- /dev/null
+++ b/internal/entry/peer/peer.go
@@ -0,0 +1,214 @@
+// Package peer carries calls between entry processes, over connect with typed JSON messages.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/work"
+)
+
+// Procedures.
+const (
+	submitProcedure  = "/turmericyoke.entry.v1.Entry/Submit"
+	cancelProcedure  = "/turmericyoke.entry.v1.Entry/Cancel"
+	stateProcedure   = "/turmericyoke.entry.v1.Entry/State"
+	pendingProcedure = "/turmericyoke.entry.v1.Entry/Pending"
+	configProcedure  = "/turmericyoke.entry.v1.Entry/Config"
+)
+
+// SubmitRequest submits a job.
+type SubmitRequest struct {
+	Job *work.Job
+}
+
+// CancelRequest cancels a job.
+type CancelRequest struct {
+	Job string
+}
+
+// OutcomeResponse answers a submission or cancellation.
+type OutcomeResponse struct {
+	Kind         scheduler.OutcomeKind
+	RetryAfterMs int64
+	Reason       string
+}
+
+// StateRequest asks for the state of a job.
+type StateRequest struct {
+	Job string
+}
+
+// StateResponse is the state of a job; Known is false when there is none.
+type StateResponse struct {
+	Known bool
+	State scheduler.JobState
+}
+
+// PendingRequest asks how many jobs of a queue haven't begun.
+type PendingRequest struct {
+	Queue string
+}
+
+// PendingResponse is that number.
+type PendingResponse struct {
+	Pending int
+}
+
+// ConfigRequest asks for a configuration newer than Version.
+type ConfigRequest struct {
+	Version int64
+}
+
+// ConfigResponse is the published form of the configuration, empty when there is no newer one.
+type ConfigResponse struct {
+	Source []byte
+}
+
+// Service answers the calls of other entry processes.
+type Service interface {
+	Submit(ctx context.Context, request *SubmitRequest) (*OutcomeResponse, error)
+	Cancel(ctx context.Context, request *CancelRequest) (*OutcomeResponse, error)
+	State(ctx context.Context, request *StateRequest) (*StateResponse, error)
+	Pending(ctx context.Context, request *PendingRequest) (*PendingResponse, error)
+	Config(ctx context.Context, request *ConfigRequest) (*ConfigResponse, error)
+}
+
+// ErrNotScheduling is the answer of a process that doesn't schedule; the call had no effect.
+var ErrNotScheduling = connect.NewError(connect.CodeFailedPrecondition, errors.New("this process doesn't schedule"))
+
+// jsonCodec encodes plain structs.
+type jsonCodec struct{}
+
+func (jsonCodec) Name() string                             { return "json" }
+func (jsonCodec) Marshal(message any) ([]byte, error)      { return json.Marshal(message) }
+func (jsonCodec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
+
+// NewHandler serves the service.
+func NewHandler(service Service) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, submitProcedure, service.Submit)
+	handle(mux, cancelProcedure, service.Cancel)
+	handle(mux, stateProcedure, service.State)
+	handle(mux, pendingProcedure, service.Pending)
+	handle(mux, configProcedure, service.Config)
+	return mux
+}
+
+func handle[Request, Response any](mux *http.ServeMux, procedure string, serve func(context.Context, *Request) (*Response, error)) {
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Response], error) {
+		response, err := serve(ctx, request.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(response), nil
+	}, connect.WithCodec(jsonCodec{})))
+}
+
+const (
+	// dialTimeout bounds opening a connection to another entry process.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout closes idle connections.
+	idleTimeout = 20 * time.Second
+	// maxIdle is how many idle connections are kept to one process.
+	maxIdle = 16
+)
+
+// Clients calls other entry processes by address. It implements Service for each.
+type Clients struct {
+	http *http.Client
+
+	mu    sync.Mutex
+	known map[string]*Client
+}
+
+// NewClients returns clients that share connections.
+func NewClients() *Clients {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Clients{known: map[string]*Client{}, http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}}
+}
+
+// Client calls one process.
+type Client struct {
+	submit  *connect.Client[SubmitRequest, OutcomeResponse]
+	cancel  *connect.Client[CancelRequest, OutcomeResponse]
+	state   *connect.Client[StateRequest, StateResponse]
+	pending *connect.Client[PendingRequest, PendingResponse]
+	config  *connect.Client[ConfigRequest, ConfigResponse]
+}
+
+// At returns the client of the process at the address.
+func (c *Clients) At(address string) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if client := c.known[address]; client != nil {
+		return client
+	}
+	client := &Client{
+		submit:  newClient[SubmitRequest, OutcomeResponse](c.http, address, submitProcedure),
+		cancel:  newClient[CancelRequest, OutcomeResponse](c.http, address, cancelProcedure),
+		state:   newClient[StateRequest, StateResponse](c.http, address, stateProcedure),
+		pending: newClient[PendingRequest, PendingResponse](c.http, address, pendingProcedure),
+		config:  newClient[ConfigRequest, ConfigResponse](c.http, address, configProcedure),
+	}
+	c.known[address] = client
+	return client
+}
+
+func newClient[Request, Response any](client *http.Client, address, procedure string) *connect.Client[Request, Response] {
+	return connect.NewClient[Request, Response](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}))
+}
+
+func call[Request, Response any](ctx context.Context, client *connect.Client[Request, Response], request *Request) (*Response, error) {
+	response, err := client.CallUnary(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Submit implements Service.
+func (c *Client) Submit(ctx context.Context, request *SubmitRequest) (*OutcomeResponse, error) {
+	return call(ctx, c.submit, request)
+}
+
+// Cancel implements Service.
+func (c *Client) Cancel(ctx context.Context, request *CancelRequest) (*OutcomeResponse, error) {
+	return call(ctx, c.cancel, request)
+}
+
+// State implements Service.
+func (c *Client) State(ctx context.Context, request *StateRequest) (*StateResponse, error) {
+	return call(ctx, c.state, request)
+}
+
+// Pending implements Service.
+func (c *Client) Pending(ctx context.Context, request *PendingRequest) (*PendingResponse, error) {
+	return call(ctx, c.pending, request)
+}
+
+// Config implements Service.
+func (c *Client) Config(ctx context.Context, request *ConfigRequest) (*ConfigResponse, error) {
+	return call(ctx, c.config, request)
+}
+
+// HadNoEffect reports whether the error proves that the call had no effect: the connection couldn't
+// be opened, or the other process said that it doesn't schedule.
+func HadNoEffect(err error) bool {
+	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		return true
+	}
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/scheduler/admit.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"time"
+
+	"turmericyoke/internal/work"
+)
+
+// Admission answers the load of a queue that asks for several times what its pool holds for some
+// seconds. A job that can't be in time behind what is accepted already is rejected at once, with the
+// time at which it would have been served; accepting it would only make others late as well.
+const (
+	// defaultRun is the run time of a work item that declares none.
+	defaultRun = 500 * time.Millisecond
+	// orderOverhead is what a step costs besides its work: two appends, an order and its report.
+	orderOverhead = 60 * time.Millisecond
+	// learnRate is the weight of a new run in the learned ratio of real to declared run times.
+	learnRate = 0.03
+	// minRatio and maxRatio bound the learned ratio: declared times are off by a factor of about two.
+	minRatio, maxRatio = 0.5, 2.0
+	// maxActive bounds the unfinished jobs, and with them the memory.
+	maxActive = 4000
+	// minRetryAfter is the least time that a rejected caller is told to wait.
+	minRetryAfter = time.Second
+)
+
+// poolState is what is learned of the work of a pool.
+type poolState struct {
+	// ratio is the real run time of work items divided by the declared one.
+	ratio float64
+}
+
+func (c *Core) pool(name string) *poolState {
+	p := c.pools[name]
+	if p == nil {
+		p = &poolState{ratio: 1}
+		c.pools[name] = p
+	}
+	return p
+}
+
+// learn takes the run time of an item that is done.
+func (c *Core) learn(i *item, now time.Duration) {
+	if i.answered == 0 || i.step.def.Estimate <= 0 || i.inherited {
+		return
+	}
+	p := c.pool(i.step.job.def.Queue.Pool)
+	ratio := float64(now-i.answered) / float64(i.step.def.Estimate)
+	p.ratio += learnRate * (min(maxRatio, max(minRatio, ratio)) - p.ratio)
+}
+
+// runTime predicts the run time of an item of the step.
+func (c *Core) runTime(def *work.Job, step *work.Step) time.Duration {
+	if step.Estimate <= 0 {
+		return defaultRun
+	}
+	return time.Duration(float64(step.Estimate) * c.pool(def.Queue.Pool).ratio)
+}
+
+// chainOf is the longest chain of run times through the steps; done tells which steps count nothing.
+func (c *Core) chainOf(def *work.Job, done func(step int) bool) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(def.Steps))
+	for number := range def.Steps {
+		step := &def.Steps[number]
+		start := time.Duration(0)
+		for _, before := range step.After {
+			if before >= 0 && before < number {
+				start = max(start, ends[before])
+			}
+		}
+		ends[number] = start
+		if !done(number) {
+			ends[number] += c.runTime(def, step)
+		}
+		longest = max(longest, ends[number])
+	}
+	return longest
+}
+
+// remainingChain is the longest chain of what isn't done of the last occurrence.
+func (c *Core) remainingChain(j *job) time.Duration {
+	last := j.def.Occurrences() - 1
+	return c.chainOf(j.def, func(number int) bool {
+		step := j.stepOf(last, number)
+		return step.done == len(step.items)
+	})
+}
+
+// allowance is the time in which a job should be completed.
+func (c *Core) allowance(def *work.Job) time.Duration {
+	chain := c.chainOf(def, func(int) bool { return false })
+	return time.Duration(max(1, def.Queue.Slack)*float64(chain)) + def.Queue.Target
+}
+
+// deadline is when the job should be completed, on the core's clock.
+func (c *Core) deadline(j *job) time.Duration { return j.accepted + c.allowance(j.def) }
+
+// verdict is a decision on a submission.
+type verdict struct {
+	accept bool
+	reason string
+	// wait is the predicted wait and room the wait that still lets the job be in time.
+	wait, room time.Duration
+	retryAfter time.Duration
+}
+
+// admit decides on a submission.
+func (c *Core) admit(def *work.Job, now time.Duration) verdict {
+	if len(c.active) >= maxActive {
+		return verdict{reason: "too_many_jobs", retryAfter: minRetryAfter}
+	}
+	for i := range def.Steps {
+		if def.Steps[i].Lasting {
+			return verdict{accept: true}
+		}
+	}
+	if def.Recurrence.Times > 0 {
+		return verdict{accept: true}
+	}
+	cores := c.coresOf(def.Queue.Pool, now)
+	if cores <= 0 {
+		// Nothing is known of the pool yet, as right after a change of the scheduler.
+		return verdict{accept: true}
+	}
+	chain := c.chainOf(def, func(int) bool { return false })
+	room := c.allowance(def) - chain - time.Duration(len(def.Steps))*orderOverhead
+	wait := time.Duration(c.backlog(def.Queue.Pool, now) / cores * float64(time.Second))
+	if wait <= room {
+		return verdict{accept: true, wait: wait, room: room}
+	}
+	return verdict{reason: "overload", wait: wait, room: room, retryAfter: max(minRetryAfter, wait-room)}
+}
+
+// coresOf returns the cores of the pool's open workers that lasting work doesn't take.
+func (c *Core) coresOf(pool string, now time.Duration) float64 {
+	milli := int64(0)
+	for _, w := range c.workers {
+		if w.entry.Pool != pool || !w.open(now) {
+			continue
+		}
+		milli += w.entry.Capacity.CPUMilli
+		for i := range w.items {
+			if i.step.def.Lasting && !i.step.def.Filling {
+				milli -= i.step.def.Need.CPUMilli
+			}
+		}
+	}
+	return float64(milli) / 1000
+}
+
+// backlog returns the core-seconds that accepted jobs of the pool still need.
+func (c *Core) backlog(pool string, now time.Duration) float64 {
+	total := 0.0
+	for j := range c.active {
+		if j.over() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 {
+			continue
+		}
+		for _, step := range j.steps {
+			if step.def.Lasting {
+				continue
+			}
+			run := c.runTime(j.def, step.def)
+			for _, i := range step.items {
+				left := run
+				switch {
+				case i.state == itemDone:
+					continue
+				case i.state == itemPlaced:
+					left = max(run/10, run-(now-i.placed))
+				}
+				total += left.Seconds() * float64(step.def.Need.CPUMilli) / 1000
+			}
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/scheduler/hosts.go
@@ -0,0 +1,338 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/infra"
+)
+
+const (
+	// wavePrefix is the prefix of the keys under which the progress of waves is kept.
+	wavePrefix = "w/"
+	// cordonAhead is how many hosts of a wave are emptied besides those that are down.
+	cordonAhead = 2
+	// downUnseen is how long a host that was ordered down counts as down although the list, which
+	// lags, still shows it up.
+	downUnseen = 1500 * time.Millisecond
+	// orderPause is the pause after an order to a host that had no effect.
+	orderPause = 500 * time.Millisecond
+)
+
+// hostState is what the core knows of hosts and waves.
+type hostState struct {
+	hosts map[string]infra.Host
+	// byWorker maps the ID of a worker to its host.
+	byWorker map[string]string
+	waves    map[int64]*wave
+	// pending holds the hosts that a wave still has to take down.
+	pending map[string]bool
+}
+
+func newHostState() hostState {
+	return hostState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pending: map[string]bool{}}
+}
+
+// due reports whether the worker's host is still to go down in a wave.
+func (h *hostState) due(workerID string) bool { return h.pending[h.byWorker[workerID]] }
+
+// wave is a wave of upkeep.
+type wave struct {
+	infra.Wave
+	// ordered are the hosts whose upkeep has begun, with the time of the order.
+	ordered map[string]time.Duration
+	// inFlight is a host whose order has no known outcome yet.
+	inFlight map[string]bool
+	cordoned map[string]bool
+	retryAt  map[string]time.Duration
+	// completed is set once all hosts have begun; shown are what operators were told.
+	completed bool
+	shown     infra.WaveState
+	seen      time.Duration
+}
+
+// waveRecord is the durable part of a wave.
+type waveRecord struct {
+	Ordered   []string `cbor:"1,keyasint,omitempty"`
+	Completed bool     `cbor:"2,keyasint,omitempty"`
+}
+
+// HostOrder is an order to take a host down for its upkeep.
+type HostOrder struct {
+	Wave int64
+	Host string
+}
+
+// WaveNews is the state of a wave that operators are to be told.
+type WaveNews struct {
+	Wave  int64
+	State infra.WaveState
+}
+
+// SetWaves takes waves that operators published.
+func (c *Core) SetWaves(waves []infra.Wave) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, published := range waves {
+		w := c.wave(published.ID)
+		if len(w.Hosts) == 0 {
+			c.logger.WithFields(logrus.Fields{"event": "wave_published", "wave": published.ID, "hosts": len(published.Hosts), "max_down": published.MaxDown,
+				"within_ms": published.Within.Milliseconds()}).Info("wave of upkeep is due")
+		}
+		w.Wave = published
+	}
+}
+
+func (c *Core) wave(id int64) *wave {
+	w := c.hosts.waves[id]
+	if w == nil {
+		w = &wave{ordered: map[string]time.Duration{}, inFlight: map[string]bool{}, cordoned: map[string]bool{}, retryAt: map[string]time.Duration{}, seen: c.clock()}
+		w.ID = id
+		c.hosts.waves[id] = w
+	}
+	return w
+}
+
+// LoadWaves takes the progress of waves that earlier terms left in the log.
+func (c *Core) LoadWaves(records []infra.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, record := range records {
+		if len(record.Key) <= len(wavePrefix) || record.Key[:len(wavePrefix)] != wavePrefix || record.Value == nil {
+			continue
+		}
+		id, err := strconv.ParseInt(record.Key[len(wavePrefix):], 10, 64)
+		var body waveRecord
+		if err == nil {
+			err = cbor.Unmarshal(record.Value, &body)
+		}
+		if err != nil {
+			c.logger.WithFields(logrus.Fields{"event": "wave_record_skipped", "key": record.Key}).WithError(err).Error("record of a wave can't be read")
+			continue
+		}
+		w := c.wave(id)
+		w.completed = body.Completed
+		for _, host := range body.Ordered {
+			w.ordered[host] = c.clock()
+		}
+	}
+}
+
+// NeedsHosts reports whether the list of hosts is wanted.
+func (c *Core) NeedsHosts() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.hosts.waves {
+		if !w.completed || w.shown != infra.WaveCompleted {
+			return true
+		}
+	}
+	return false
+}
+
+// SetHosts takes the list of hosts.
+func (c *Core) SetHosts(hosts []infra.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.hosts.hosts)
+	clear(c.hosts.byWorker)
+	for _, host := range hosts {
+		c.hosts.hosts[host.ID] = host
+		if host.WorkerID != "" {
+			c.hosts.byWorker[host.WorkerID] = host.ID
+		}
+	}
+}
+
+// PlanHosts empties hosts that are due, and returns the orders for those that are empty and the news
+// of waves.
+func (c *Core) PlanHosts() ([]HostOrder, []WaveNews) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	var orders []HostOrder
+	var news []WaveNews
+	clear(c.hosts.pending)
+	for _, w := range c.hosts.waves {
+		if len(w.Hosts) == 0 {
+			continue
+		}
+		if !w.completed {
+			orders = append(orders, c.planWave(w, now)...)
+		}
+		state := infra.WaveRunning
+		if w.completed {
+			state = infra.WaveCompleted
+		}
+		if w.shown != state {
+			news = append(news, WaveNews{Wave: w.ID, State: state})
+		}
+	}
+	if c.term > 1 && now-c.started < c.options.HostOrderDelay {
+		orders = nil
+	}
+	for _, order := range orders {
+		c.hosts.waves[order.Wave].inFlight[order.Host] = true
+	}
+	return orders, news
+}
+
+// WaveShown notes that operators were told of the state.
+func (c *Core) WaveShown(news WaveNews) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts.waves[news.Wave].shown = news.State
+}
+
+// planWave empties hosts of the wave and returns those that are ready to go down.
+func (c *Core) planWave(w *wave, now time.Duration) []HostOrder {
+	down, left := 0, 0
+	var candidates []string
+	for _, id := range w.Hosts {
+		host, exists := c.hosts.hosts[id]
+		ordered, begun := w.ordered[id]
+		switch {
+		case len(c.hosts.hosts) == 0:
+			left++
+		case begun:
+			if exists && host.State == infra.HostUpkeep || now-ordered < downUnseen {
+				down++
+			}
+		case !exists:
+			// The host left the fleet for good.
+		case w.inFlight[id]:
+			down++
+			left++
+		default:
+			left++
+			c.hosts.pending[id] = true
+			if host.State == infra.HostUp && now >= w.retryAt[id] {
+				candidates = append(candidates, id)
+			}
+		}
+	}
+	if left == 0 {
+		c.completeWave(w)
+		return nil
+	}
+	return c.emptyHosts(w, candidates, w.MaxDown-down)
+}
+
+// emptyHosts cordons as many candidates as may soon go down, the emptiest first, and orders those
+// that are empty.
+func (c *Core) emptyHosts(w *wave, candidates []string, room int) []HostOrder {
+	slices.SortStableFunc(candidates, func(a, b string) int {
+		return cmp.Or(falseFirst(!w.cordoned[a], !w.cordoned[b]), cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b))
+	})
+	var orders []HostOrder
+	for n, id := range candidates {
+		worker := c.workers[c.hosts.hosts[id].WorkerID]
+		if n >= max(0, room)+cordonAhead {
+			break
+		}
+		if worker == nil || !worker.known {
+			// What runs there isn't known.
+			continue
+		}
+		w.cordoned[id], worker.cordoned = true, true
+		c.moveLasting(worker)
+		if len(worker.items) == 0 && len(orders) < room {
+			orders = append(orders, HostOrder{Wave: w.ID, Host: id})
+		}
+	}
+	return orders
+}
+
+func (c *Core) itemsOn(host string) int {
+	w := c.workers[c.hosts.hosts[host].WorkerID]
+	if w == nil {
+		return 0
+	}
+	return len(w.items)
+}
+
+// moveLasting stops lasting work of a cordoned worker as far as its availability budget allows; it
+// starts again elsewhere.
+func (c *Core) moveLasting(w *worker) {
+	for i := range w.items {
+		if i.step.def.Lasting && !i.stopping && i.answered > 0 && i.mayStop() {
+			c.logger.WithFields(logrus.Fields{"event": "lasting_item_moved", "item": i.id().String(), "worker": w.entry.ID}).Info("lasting work leaves a host that goes down")
+			c.stop(i)
+		}
+	}
+}
+
+// mayStop reports whether the step's availability budget lets the item be away.
+func (i *item) mayStop() bool {
+	if i.step.def.MayMiss <= 0 {
+		return true
+	}
+	away := 0
+	for _, other := range i.step.items {
+		if other == i {
+			continue
+		}
+		if other.state != itemPlaced || !other.atWork || other.stopping || other.worker.failing > 0 || other.worker.gone {
+			away++
+		}
+	}
+	return away+1 <= i.step.def.MayMiss
+}
+
+// HostOrdered takes the result of an order to a host.
+func (c *Core) HostOrdered(order HostOrder, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.hosts.waves[order.Wave]
+	now := c.clock()
+	delete(w.inFlight, order.Host)
+	host := c.hosts.hosts[order.Host]
+	worker := c.workers[host.WorkerID]
+	c.logger.WithFields(logrus.Fields{"event": "host_ordered_down", "wave": order.Wave, "host": order.Host, "worker": host.WorkerID,
+		"kind": string(infra.KindOf(err))}).WithError(err).Info("host was ordered down for its upkeep")
+	switch infra.KindOf(err) {
+	case "":
+		w.ordered[order.Host] = now
+		if worker != nil {
+			c.end(worker)
+		}
+		c.touchWave(w)
+	case infra.Fenced:
+		c.deposed("machine-upkeep", order.Host)
+	default:
+		// The order is repeated with the same effect; until then the host stays empty.
+		w.retryAt[order.Host] = now + orderPause
+	}
+}
+
+func (c *Core) completeWave(w *wave) {
+	w.completed = true
+	c.logger.WithFields(logrus.Fields{"event": "wave_completed", "wave": w.ID, "hosts": len(w.ordered), "took_ms": (c.clock() - w.seen).Milliseconds()}).Info("all hosts of the wave have begun their upkeep")
+	for id := range w.cordoned {
+		if worker := c.workers[c.hosts.hosts[id].WorkerID]; worker != nil {
+			worker.cordoned = false
+		}
+	}
+	c.touchWave(w)
+}
+
+// touchWave adds the wave's record to the next batch.
+func (c *Core) touchWave(w *wave) {
+	record := waveRecord{Completed: w.completed}
+	for host := range w.ordered {
+		record.Ordered = append(record.Ordered, host)
+	}
+	slices.Sort(record.Ordered)
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		c.logger.WithFields(logrus.Fields{"event": "wave_unencodable", "wave": w.ID}).WithError(err).Error("wave can't be encoded")
+		return
+	}
+	c.records = append(c.records, infra.Record{Key: wavePrefix + strconv.FormatInt(w.ID, 10), Value: value})
+	c.poke()
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"turmericyoke/internal/infra"
+)
+
+// Metrics counts what the scheduler decided. A nil Metrics counts nothing.
+type Metrics struct {
+	jobs       *prometheus.CounterVec
+	starts     *prometheus.CounterVec
+	ends       *prometheus.CounterVec
+	completion prometheus.Histogram
+}
+
+// NewMetrics registers the scheduler's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		jobs:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_total", Help: "Jobs by decision."}, []string{"decision"}),
+		starts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_starts_total", Help: "Starts of work items by outcome."}, []string{"outcome"}),
+		ends:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_ends_total", Help: "Ends of runs by cause."}, []string{"cause"}),
+		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "scheduler_job_seconds", Help: "Time from acceptance to completion.",
+			Buckets: []float64{.25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60}}),
+	}
+	registry.MustRegister(m.jobs, m.starts, m.ends, m.completion)
+	return m
+}
+
+func (m *Metrics) accepted() {
+	if m != nil {
+		m.jobs.WithLabelValues("accepted").Inc()
+	}
+}
+
+func (m *Metrics) rejected(reason string) {
+	if m != nil {
+		m.jobs.WithLabelValues("rejected_" + reason).Inc()
+	}
+}
+
+func (m *Metrics) completed(took time.Duration) {
+	if m != nil {
+		m.jobs.WithLabelValues("completed").Inc()
+		m.completion.Observe(took.Seconds())
+	}
+}
+
+func (m *Metrics) start(kind infra.ErrorKind) {
+	if m == nil {
+		return
+	}
+	outcome := "done"
+	if kind != "" {
+		outcome = string(kind)
+	}
+	m.starts.WithLabelValues(outcome).Inc()
+}
+
+func (m *Metrics) ended(cause infra.EndCause) {
+	if m != nil {
+		m.ends.WithLabelValues(string(cause)).Inc()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,289 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/work"
+)
+
+// plan places waiting work items on workers.
+func (c *Core) plan(now time.Duration) {
+	if c.config == nil || c.fenced {
+		return
+	}
+	c.repeatStops(now)
+	c.leaveDraining()
+	open := c.openWorkers(now)
+	if len(open) == 0 {
+		return
+	}
+	for _, j := range c.ordered(now) {
+		workers := open[c.poolOf(j)]
+		if len(workers) == 0 {
+			continue
+		}
+		c.planJob(j, workers, now)
+	}
+}
+
+// poolOf is the pool that runs the job: that of its queue now, or of its queue when it was accepted
+// if the queue is dropped.
+func (c *Core) poolOf(j *job) string {
+	for i := range c.config.Queues {
+		if c.config.Queues[i].Name == j.def.Queue.Name {
+			return c.config.Queues[i].Pool
+		}
+	}
+	return j.def.Queue.Pool
+}
+
+// openWorkers returns the workers that may get new work, by pool and in order of ID.
+func (c *Core) openWorkers(now time.Duration) map[string][]*worker {
+	open := map[string][]*worker{}
+	for _, w := range c.workers {
+		if w.open(now) {
+			open[w.entry.Pool] = append(open[w.entry.Pool], w)
+		}
+	}
+	for _, workers := range open {
+		slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	}
+	return open
+}
+
+// open reports whether the worker may get new work.
+func (w *worker) open(now time.Duration) bool {
+	return w.listed && w.known && !w.gone && !w.entry.Draining && !w.cordoned && w.failing == 0 && now >= w.pausedTo
+}
+
+// leaveDraining stops lasting work on draining workers, so that it starts elsewhere before they leave.
+func (c *Core) leaveDraining() {
+	for _, w := range c.workers {
+		if !w.entry.Draining || w.failing > 0 {
+			continue
+		}
+		for i := range w.items {
+			if i.step.def.Lasting && !i.stopping && i.answered > 0 {
+				c.stop(i)
+			}
+		}
+	}
+}
+
+// ranked is a job with what orders it.
+type ranked struct {
+	job     *job
+	lasting bool
+	// late is set when the job can't be in time any more.
+	late     bool
+	begun    bool
+	priority int
+	// slack is the time left before the remaining chain must start.
+	slack time.Duration
+}
+
+// ordered returns the jobs with waiting items in the order in which they take room: lasting jobs,
+// whose service is interrupted while they wait; then those that can still be in time, begun ones
+// first, since a job that is partly done earns nothing, and by slack; then the late ones by age.
+func (c *Core) ordered(now time.Duration) []*job {
+	var list []ranked
+	for j := range c.active {
+		if j.over() || !j.durable {
+			continue
+		}
+		chain := c.remainingChain(j)
+		slack := c.deadline(j) - now - chain
+		list = append(list, ranked{job: j, lasting: j.lasting(), late: slack < 0, begun: j.begun, priority: j.def.Queue.Priority, slack: slack})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(falseFirst(!a.lasting, !b.lasting), falseFirst(a.late, b.late), falseFirst(!a.begun, !b.begun),
+			cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.def.ID, b.job.def.ID))
+	})
+	jobs := make([]*job, len(list))
+	for i := range list {
+		jobs[i] = list[i].job
+	}
+	return jobs
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// planJob places what waits of the job.
+func (c *Core) planJob(j *job, workers []*worker, now time.Duration) {
+	wall := c.wall()
+	for _, step := range j.steps {
+		waiting := step.waiting()
+		if waiting == 0 || !j.ready(step, wall) {
+			continue
+		}
+		if step.def.Gang {
+			c.planGang(step, workers, now)
+			continue
+		}
+		placed := 0
+		for _, i := range step.items {
+			if i.state != itemWaiting {
+				continue
+			}
+			w := c.choose(i, workers)
+			if w == nil {
+				// The other items of the step need as much; only a different avoided worker tells them apart.
+				if i.avoid == nil {
+					break
+				}
+				continue
+			}
+			c.start(i, w, now)
+			placed++
+		}
+		if placed > 0 {
+			c.logger.WithFields(logrus.Fields{"event": "items_placed", "job": j.def.ID, "occurrence": step.occurrence, "step": step.number,
+				"placed": placed, "waiting": waiting - placed, "age_ms": (now - j.accepted).Milliseconds()}).Info("work items placed")
+		}
+	}
+}
+
+// planGang places all items of a gang, or none.
+func (c *Core) planGang(step *stepRun, workers []*worker, now time.Duration) {
+	var placed []*item
+	run := int64(0)
+	for _, i := range step.items {
+		if i.state == itemDone {
+			continue
+		}
+		if i.state == itemPlaced {
+			// A member of the last run hasn't ended yet.
+			return
+		}
+		w := c.choose(i, workers)
+		if w == nil {
+			break
+		}
+		c.place(i, w)
+		placed = append(placed, i)
+		run = max(run, i.runs)
+	}
+	if len(placed) < len(step.items) {
+		for _, i := range placed {
+			c.release(i)
+		}
+		return
+	}
+	checkpoint := step.items[0].checkpoint
+	for _, i := range placed {
+		i.runs, i.checkpoint = run, checkpoint
+		c.order(i, now)
+	}
+}
+
+// start places the item and orders its start.
+func (c *Core) start(i *item, w *worker, now time.Duration) {
+	c.place(i, w)
+	c.order(i, now)
+}
+
+// order numbers the run of a placed item and orders its start.
+func (c *Core) order(i *item, now time.Duration) {
+	i.runs++
+	i.run = (c.term-1)*runsPerTerm + i.runs
+	i.placed, i.progressed = now, now
+	j := i.step.job
+	j.begun = true
+	c.orders = append(c.orders, Order{Kind: OrderStart, Worker: i.worker.ref(), Item: i.id(), Run: i.run, Spec: j.def.Spec,
+		Checkpoint: i.checkpoint, NeedsAdvice: j.def.Queue.NeedsAdvice})
+	c.touch(j)
+}
+
+// Weights of choose: a worker with a lower score is taken. Being away from the data costs more than
+// any difference in room, since it multiplies the run time.
+const (
+	farScore      = 4.0
+	avoidedScore  = 8.0
+	disturbsScore = 2.0
+	waveScore     = 1.0
+)
+
+// choose returns the worker for a waiting item, or nil when none has room or the customer's limit is reached.
+func (c *Core) choose(i *item, workers []*worker) *worker {
+	step := i.step
+	customer := step.job.def.Customer
+	if limit, ok := c.config.Customers[customer]; ok {
+		if !c.used[customer].Plus(step.def.Need).Fits(limit.Room()) {
+			return nil
+		}
+	}
+	need := step.need()
+	var best *worker
+	bestScore := 0.0
+	for _, w := range workers {
+		if !need.Fits(w.free()) || !w.suits(step) {
+			continue
+		}
+		score := c.score(i, w)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// suits reports whether the worker may run items of the step.
+func (w *worker) suits(step *stepRun) bool {
+	if step.def.Label != "" && !slices.Contains(w.entry.Labels, step.def.Label) {
+		return false
+	}
+	return step.def.MaxPerHost <= 0 || step.onWorker(w) < step.def.MaxPerHost
+}
+
+// score rates a worker that has room.
+func (c *Core) score(i *item, w *worker) float64 {
+	step := i.step
+	score := 0.0
+	if step.def.DataRack != "" && step.def.DataRack != w.rack {
+		score += farScore
+	}
+	if step.def.SameRack && step.rack != "" && step.rack != w.rack {
+		score += farScore
+	}
+	if i.avoid == w {
+		score += avoidedScore
+	}
+	if c.hosts.due(w.entry.ID) && step.def.Lasting {
+		score += waveScore
+	}
+	// Serving and filling work keep apart; the rest is packed, so that wide items find room.
+	free := fraction(w.free(), w.entry.Capacity)
+	if !step.def.Lasting {
+		return score + free
+	}
+	for other := range w.items {
+		if other.step.def.Lasting && (other.step.def.Filling != step.def.Filling) {
+			score += disturbsScore
+		}
+	}
+	return score + float64(len(w.items))/16 - free
+}
+
+// fraction is the larger used part of processor and memory, as a share that is free.
+func fraction(free, capacity work.Resources) float64 {
+	cpu, memory := 1.0, 1.0
+	if capacity.CPUMilli > 0 {
+		cpu = float64(free.CPUMilli) / float64(capacity.CPUMilli)
+	}
+	if capacity.MemoryMiB > 0 {
+		memory = float64(free.MemoryMiB) / float64(capacity.MemoryMiB)
+	}
+	return min(cpu, memory)
+}
