End the work of crashed workers by the list of hosts

Ruled out: a shorter lease alone, since it must outlive a takeover. Traced: the list of hosts drops the worker of a crashed host within a second, and goes on showing that of a host that is only cut off. Conclusion: a worker that no host lists has ended. The self-lease is 2 s, so that work on workers that can't be reached waits less after a takeover.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -13,8 +13,9 @@
 
 const (
 	// SelfLease is how long after its last confirmed append a term may still send orders that extend
-	// leases. It lets running work outlive an outage of the log of some seconds.
-	SelfLease = 5 * time.Second
+	// leases. Together with the lease it is how long running work outlives an outage of the log, and
+	// how long a new term waits for work on workers that it can't reach.
+	SelfLease = 2 * time.Second
 	// clockDrift is how much slower than true a worker's clock may be: the platform allows 2%.
 	clockDrift = 0.975
 	// lapseMargin is added to the computed end of a lease for the granularity of clocks.
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -22,6 +23,8 @@
 	downUnseen = 1500 * time.Millisecond
 	// orderPause is the pause after an order to a host that had no effect.
 	orderPause = 500 * time.Millisecond
+	// hostListLag is how long a worker may run work before the list of hosts shows it.
+	hostListLag = 1500 * time.Millisecond
 )
 
 // hostState is what the core knows of hosts and waves.
@@ -132,11 +135,16 @@
 			return true
 		}
 	}
+	for _, w := range c.workers {
+		if len(w.items) > 0 && (w.failing > 0 || w.entry.Address == "") {
+			return true
+		}
+	}
 	return false
 }
 
-// SetHosts takes the list of hosts.
-func (c *Core) SetHosts(hosts []infra.Host) {
+// SetHosts takes the list of hosts that was asked for at the given time.
+func (c *Core) SetHosts(hosts []infra.Host, asked time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.hosts.hosts)
@@ -147,6 +155,34 @@
 			c.hosts.byWorker[host.WorkerID] = host.ID
 		}
 	}
+	c.endUnlisted(asked)
+}
+
+// endUnlisted ends workers that aren't the current life of any host: a host that crashed or was
+// replaced has another worker or none, while one that is only cut off still lists its worker.
+// Without this, the work of a crashed worker waits until its lease has lapsed.
+func (c *Core) endUnlisted(asked time.Duration) {
+	if len(c.hosts.hosts) == 0 {
+		return
+	}
+	for id, w := range c.workers {
+		if c.hosts.byWorker[id] != "" || w.gone || len(w.items) == 0 || (w.failing == 0 && w.entry.Address != "") {
+			continue
+		}
+		if asked-w.oldestPlacement() > hostListLag {
+			c.logger.WithFields(logrus.Fields{"event": "worker_ended", "worker": id, "items": len(w.items), "silent_ms": (asked - w.contact).Milliseconds()}).Warn("no host lists the worker any more")
+			c.end(w)
+		}
+	}
+}
+
+// oldestPlacement is when the first of the worker's items was placed.
+func (w *worker) oldestPlacement() time.Duration {
+	oldest := time.Duration(math.MaxInt64)
+	for i := range w.items {
+		oldest = min(oldest, i.placed)
+	}
+	return oldest
 }
 
 // PlanHosts empties hosts that are due, and returns the orders for those that are empty and the news
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -17,8 +17,6 @@
 const (
 	definitionPrefix = "d/"
 	progressPrefix   = "p/"
-	// termKey is written first in each term, which fences earlier ones.
-	termKey = "term"
 )
 
 // progressRecord is the durable state of a job besides its definition.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -24,8 +24,9 @@
 	idleTick = 50 * time.Millisecond
 	// batchPause is the least time between two batches; what comes in it shares an append.
 	batchPause = 4 * time.Millisecond
-	// confirmInterval is how often a term without anything to write confirms that it isn't fenced.
-	confirmInterval = time.Second
+	// confirmInterval is how often a term without anything to write confirms that it isn't fenced. It
+	// is well below scheduler.SelfLease.
+	confirmInterval = 500 * time.Millisecond
 	// directoryInterval is how often the list of workers is read.
 	directoryInterval = 300 * time.Millisecond
 	// hostsInterval is how often hosts are planned while a wave is due; their list is read as often.
@@ -36,7 +37,7 @@
 	startTries = 3
 	// startRetryPause is the pause before a start whose connection was refused is sent again.
 	startRetryPause = 40 * time.Millisecond
-	// fullConfirm is the key under which a term writes when it has nothing else to write.
+	// termKey is the key under which a term writes when it has nothing else to write.
 	termKey = "term"
 )
 
@@ -304,12 +305,13 @@
 }
 
 func (s *session) tendOnce(ctx context.Context, group *errgroup.Group) {
+	asked := s.Clock()
 	hosts, err := s.Hosts.List(ctx)
 	if err != nil {
 		s.Logger.WithField("event", "hosts_unlisted").WithError(err).Warn("hosts can't be listed; waves wait")
 		return
 	}
-	s.core.SetHosts(hosts)
+	s.core.SetHosts(hosts, asked)
 	orders, news := s.core.PlanHosts()
 	for _, order := range orders {
 		group.Go(func() error {
