Close listeners after SIGTERM, so that the process ends within its grace time

Before: processes ended by SIGKILL 6 s after SIGTERM. Conclusion: the errgroup waited for servers that nobody shut down.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -38,6 +38,9 @@
 	hostOrderMargin = 1500 * time.Millisecond
 	// stopShare of the grace time is used for open connections after SIGTERM.
 	stopShare = 0.6
+	// closeTime bounds the answers to requests that are under way when the listeners close. With
+	// stopShare it stays within the shortest grace time of the platform, 6 s.
+	closeTime = 1500 * time.Millisecond
 	// memoryShare of the host's memory is the runtime's soft limit.
 	memoryShare = 0.6
 	// garbagePercent trades memory for processor time: the heap is a few MB.
@@ -106,21 +109,28 @@
 	inner := &http.Server{Handler: peer.NewHandler(p.entry.Peers()), ReadHeaderTimeout: headerTimeout}
 	operators := &http.Server{Handler: operatorsHandler(metrics), ReadHeaderTimeout: headerTimeout}
 
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, ctx := errgroup.WithContext(ctx)
+	group, ctx := errgroup.WithContext(context.Background())
 	for _, part := range []struct {
-		address string
-		serve   func(net.Listener) error
+		address  string
+		serve    func(net.Listener) error
+		shutdown func(context.Context) error
 	}{
-		{p.settings.Listen.Front, front.Serve}, {p.settings.Listen.Readiness, ready.Serve},
-		{p.settings.Self().Address, inner.Serve}, {p.settings.OperatorsAddress(), operators.Serve},
+		{p.settings.Listen.Front, front.Serve, front.ShutdownWithContext},
+		{p.settings.Listen.Readiness, ready.Serve, ready.ShutdownWithContext},
+		{p.settings.Self().Address, inner.Serve, inner.Shutdown},
+		{p.settings.OperatorsAddress(), operators.Serve, operators.Shutdown},
 	} {
 		listener, err := net.Listen("tcp4", part.address)
 		if err != nil {
 			return err
 		}
 		group.Go(func() error { return part.serve(listener) })
+		group.Go(func() error {
+			<-ctx.Done()
+			limit, cancel := context.WithTimeout(context.Background(), closeTime)
+			defer cancel()
+			return part.shutdown(limit)
+		})
 	}
 	duties, resign := context.WithCancel(ctx)
 	defer resign()
