--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -267,10 +267,17 @@
 	})
 	var orders []HostOrder
 	for n, id := range candidates {
-		worker := c.workers[c.hosts.hosts[id].WorkerID]
 		if n >= max(0, room)+cordonAhead {
 			break
 		}
+		if c.hosts.hosts[id].WorkerID == "" {
+			// A host in standby is off and runs nothing.
+			if len(orders) < room {
+				orders = append(orders, HostOrder{Wave: w.ID, Host: id})
+			}
+			continue
+		}
+		worker := c.workers[c.hosts.hosts[id].WorkerID]
 		if worker == nil || !worker.known {
 			// What runs there isn't known.
 			continue
