Move hosts ahead of the peaks, and admit what is of use when late

Changed: jobs are refused only when they would be of no use; hosts follow the offered load, and a forecast of turns moves them before the next peak; lasting work is packed on few hosts.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -7,9 +7,12 @@
 )
 
 // Admission answers the load of a queue that asks for several times what its pool holds for some
-// seconds. A job that can't be in time behind what is accepted already is rejected at once, with the
-// time at which it would have been served; accepting it would only make others late as well.
+// seconds and then for almost nothing. Jobs that can't be in time any more wait behind those that can,
+// and are done in the trough. A job that would be completed so late that its caller has no use for it
+// is rejected at once, with the time at which it may come back.
 const (
+	// lateFactor times its allowance is when a completed job is still of use, as the users count it.
+	lateFactor = 3
 	// defaultRun is the run time of a work item that declares none.
 	defaultRun = 500 * time.Millisecond
 	// orderOverhead is what a step costs besides its work: two appends, an order and its report.
@@ -100,7 +103,7 @@
 type verdict struct {
 	accept bool
 	reason string
-	// wait is the predicted wait and room the wait that still lets the job be in time.
+	// wait is the predicted wait and room the longest wait with which the job is still of use.
 	wait, room time.Duration
 	retryAfter time.Duration
 }
@@ -123,8 +126,8 @@
 		// Nothing is known of the pool yet, as right after a change of the scheduler.
 		return verdict{accept: true}
 	}
-	chain := c.chainOf(def, func(int) bool { return false })
-	room := c.allowance(def) - chain - time.Duration(len(def.Steps))*orderOverhead
+	chain := c.chainOf(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*orderOverhead
+	room := lateFactor*c.allowance(def) - chain
 	wait := time.Duration(c.backlog(def.Queue.Pool, now) / cores * float64(time.Second))
 	if wait <= room {
 		return verdict{accept: true, wait: wait, room: room}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -138,10 +138,13 @@
 	fenced bool
 	closed bool
 
-	pools   map[string]*poolState
-	hosts   hostState
-	kick    chan struct{}
-	metrics *Metrics
+	pools map[string]*poolState
+	hosts hostState
+	turns turns
+	// offeredJobs are jobs whose work was counted as offered, so that retries of rejected ones count once.
+	offeredJobs map[string]time.Duration
+	kick        chan struct{}
+	metrics     *Metrics
 }
 
 // New returns the core of a term.
@@ -150,6 +153,7 @@
 		clock: clock, wall: wall, term: term, started: clock(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{}, used: map[string]work.Resources{},
 		dirty: map[*job]struct{}{}, pools: map[string]*poolState{}, kick: make(chan struct{}, 1), hosts: newHostState(),
+		turns: newTurns(), offeredJobs: map[string]time.Duration{},
 	}
 }
 
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -35,10 +35,25 @@
 	waves    map[int64]*wave
 	// pending holds the hosts that a wave still has to take down.
 	pending map[string]bool
+	// moves are orders to move, by host, until the list shows their effect or they are given up.
+	moves map[string]*move
+	// idleSince is since when nothing runs on a host.
+	idleSince map[string]time.Duration
+}
+
+// move is an order to move a host.
+type move struct {
+	pool string
+	// done is when the order succeeded; 0 while its outcome is open.
+	done time.Duration
+	// inFlight is set while a call is under way, retryAt is when the next may be made.
+	inFlight bool
+	retryAt  time.Duration
 }
 
 func newHostState() hostState {
-	return hostState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pending: map[string]bool{}}
+	return hostState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pending: map[string]bool{},
+		moves: map[string]*move{}, idleSince: map[string]time.Duration{}}
 }
 
 // due reports whether the worker's host is still to go down in a wave.
@@ -65,10 +80,13 @@
 	Completed bool     `cbor:"2,keyasint,omitempty"`
 }
 
-// HostOrder is an order to take a host down for its upkeep.
+// HostOrder is an order to take a host down for its upkeep, or to move it.
 type HostOrder struct {
-	Wave int64
 	Host string
+	// Wave is the wave of an upkeep; 0 for a move.
+	Wave int64
+	// Pool is where a move goes; empty for an upkeep.
+	Pool string
 }
 
 // WaveNews is the state of a wave that operators are to be told.
@@ -126,23 +144,6 @@
 	}
 }
 
-// NeedsHosts reports whether the list of hosts is wanted.
-func (c *Core) NeedsHosts() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, w := range c.hosts.waves {
-		if !w.completed || w.shown != infra.WaveCompleted {
-			return true
-		}
-	}
-	for _, w := range c.workers {
-		if len(w.items) > 0 && (w.failing > 0 || w.entry.Address == "") {
-			return true
-		}
-	}
-	return false
-}
-
 // SetHosts takes the list of hosts that was asked for at the given time.
 func (c *Core) SetHosts(hosts []infra.Host, asked time.Duration) {
 	c.mu.Lock()
@@ -210,12 +211,12 @@
 		}
 	}
 	if c.term > 1 && now-c.started < c.options.HostOrderDelay {
-		orders = nil
+		return nil, news
 	}
 	for _, order := range orders {
 		c.hosts.waves[order.Wave].inFlight[order.Host] = true
 	}
-	return orders, news
+	return append(orders, c.planSizes(now)...), news
 }
 
 // WaveShown notes that operators were told of the state.
@@ -247,7 +248,7 @@
 		default:
 			left++
 			c.hosts.pending[id] = true
-			if host.State == infra.HostUp && now >= w.retryAt[id] {
+			if host.State == infra.HostUp && now >= w.retryAt[id] && c.hosts.moves[id] == nil {
 				candidates = append(candidates, id)
 			}
 		}
@@ -331,6 +332,10 @@
 func (c *Core) HostOrdered(order HostOrder, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if order.Pool != "" {
+		c.moveOrdered(order, err)
+		return
+	}
 	w := c.hosts.waves[order.Wave]
 	now := c.clock()
 	delete(w.inFlight, order.Host)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -78,8 +78,8 @@
 type ranked struct {
 	job     *job
 	lasting bool
-	// late is set when the job can't be in time any more.
-	late     bool
+	// tier is 0 while the job can be in time, 1 while it is late but of use, and 2 after that.
+	tier     int
 	begun    bool
 	priority int
 	// slack is the time left before the remaining chain must start.
@@ -88,7 +88,7 @@
 
 // ordered returns the jobs with waiting items in the order in which they take room: lasting jobs,
 // whose service is interrupted while they wait; then those that can still be in time, begun ones
-// first, since a job that is partly done earns nothing, and by slack; then the late ones by age.
+// first, since a job that is partly done earns nothing, and by slack; then the late ones.
 func (c *Core) ordered(now time.Duration) []*job {
 	var list []ranked
 	for j := range c.active {
@@ -97,10 +97,10 @@
 		}
 		chain := c.remainingChain(j)
 		slack := c.deadline(j) - now - chain
-		list = append(list, ranked{job: j, lasting: j.lasting(), late: slack < 0, begun: j.begun, priority: j.def.Queue.Priority, slack: slack})
+		list = append(list, ranked{job: j, lasting: j.lasting(), tier: c.tier(j, slack), begun: j.begun, priority: j.def.Queue.Priority, slack: slack})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(falseFirst(!a.lasting, !b.lasting), falseFirst(a.late, b.late), falseFirst(!a.begun, !b.begun),
+		return cmp.Or(falseFirst(!a.lasting, !b.lasting), cmp.Compare(a.tier, b.tier), falseFirst(!a.begun, !b.begun),
 			cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.def.ID, b.job.def.ID))
 	})
 	jobs := make([]*job, len(list))
@@ -110,6 +110,17 @@
 	return jobs
 }
 
+// tier rates a job by the time that is left before its remaining chain must start.
+func (c *Core) tier(j *job, slack time.Duration) int {
+	switch {
+	case slack >= 0:
+		return 0
+	case slack >= -(lateFactor-1)*c.allowance(j.def):
+		return 1
+	}
+	return 2
+}
+
 func falseFirst(a, b bool) int {
 	switch {
 	case a == b:
@@ -209,10 +220,10 @@
 // Weights of choose: a worker with a lower score is taken. Being away from the data costs more than
 // any difference in room, since it multiplies the run time.
 const (
-	farScore      = 4.0
-	avoidedScore  = 8.0
-	disturbsScore = 2.0
-	waveScore     = 1.0
+	farScore     = 4.0
+	avoidedScore = 8.0
+	apartScore   = 2.0
+	waveScore    = 1.0
 )
 
 // choose returns the worker for a waiting item, or nil when none has room or the customer's limit is reached.
@@ -263,17 +274,12 @@
 	if c.hosts.due(w.entry.ID) && step.def.Lasting {
 		score += waveScore
 	}
-	// Serving and filling work keep apart; the rest is packed, so that wide items find room.
+	// Work is packed: lasting work leaves hosts free that may move, and wide items find room.
 	free := fraction(w.free(), w.entry.Capacity)
-	if !step.def.Lasting {
-		return score + free
-	}
-	for other := range w.items {
-		if other.step.def.Lasting && (other.step.def.Filling != step.def.Filling) {
-			score += disturbsScore
-		}
+	if step.def.Lasting != w.hasLasting() {
+		score += apartScore
 	}
-	return score + float64(len(w.items))/16 - free
+	return score + free
 }
 
 // fraction is the larger used part of processor and memory, as a share that is free.
--- /dev/null
+++ b/internal/scheduler/sizes.go
@@ -0,0 +1,247 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/work"
+)
+
+const (
+	// sizeHeadroom is added to the load of a pool: items don't fill hosts to the last core.
+	sizeHeadroom = 1.2
+	// drainTime is in how much time a pool should have done what waits; it is within the usual slack.
+	drainTime = 1500 * time.Millisecond
+	// leadMargin is added to the time of a move for the list of workers and the first hold.
+	leadMargin = 900 * time.Millisecond
+	// peakSpread is how long after its forecast a peak is still waited for.
+	peakSpread = 1500 * time.Millisecond
+	// spareHosts are kept besides the hosts with lasting work, for items that must start elsewhere.
+	spareHosts = 1
+	// restAfter is how long a host is idle before it rests: two moves cost about as much as a host does in that time.
+	restAfter = 2 * time.Second
+	// settleTime is how long a move that succeeded counts although the list doesn't show it yet.
+	settleTime = 3 * time.Second
+)
+
+// planSizes decides on moves between pools.
+func (c *Core) planSizes(now time.Duration) []HostOrder {
+	if c.config == nil || len(c.hosts.hosts) == 0 {
+		return nil
+	}
+	c.turns.observe(now)
+	orders := c.repeatMoves(now)
+	standbyPool, standby := c.standbyHosts()
+	for _, m := range planMoves(c.loads(now), standby, standbyPool, func(host string) bool { return c.mayRest(host, now) }) {
+		host := c.hosts.hosts[m.host]
+		c.logger.WithFields(logrus.Fields{"event": "host_move_decided", "host": m.host, "from": host.Pool, "to": m.pool}).Info("host changes its pool")
+		if w := c.workers[host.WorkerID]; w != nil {
+			w.cordoned = true
+		}
+		c.hosts.moves[m.host] = &move{pool: m.pool, inFlight: true}
+		orders = append(orders, HostOrder{Host: m.host, Pool: m.pool})
+	}
+	return orders
+}
+
+// repeatMoves forgets moves that the list shows or that settled, and repeats those without an outcome.
+func (c *Core) repeatMoves(now time.Duration) []HostOrder {
+	var orders []HostOrder
+	for id, m := range c.hosts.moves {
+		host, exists := c.hosts.hosts[id]
+		switch {
+		case !exists || m.done > 0 && (host.Pool == m.pool && host.State == infra.HostUp || now-m.done > settleTime):
+			delete(c.hosts.moves, id)
+		case m.done == 0 && !m.inFlight && now >= m.retryAt:
+			m.inFlight = true
+			orders = append(orders, HostOrder{Host: id, Pool: m.pool})
+		}
+	}
+	return orders
+}
+
+// standbyHosts returns the standby pool and its hosts that may be taken.
+func (c *Core) standbyHosts() (string, []string) {
+	pool := ""
+	for name, p := range c.config.Pools {
+		if p.Standby && (pool == "" || name < pool) {
+			pool = name
+		}
+	}
+	var hosts []string
+	for id, host := range c.hosts.hosts {
+		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp && c.hosts.moves[id] == nil && !c.inUpkeep(id) {
+			hosts = append(hosts, id)
+		}
+	}
+	// Hosts that a wave still wants are taken last: in standby their upkeep disturbs nobody.
+	slices.SortFunc(hosts, func(a, b string) int {
+		return cmp.Or(falseFirst(c.hosts.pending[a], c.hosts.pending[b]), cmp.Compare(a, b))
+	})
+	return pool, hosts
+}
+
+// inUpkeep reports whether an order for the host's upkeep is under way.
+func (c *Core) inUpkeep(host string) bool {
+	for _, w := range c.hosts.waves {
+		if w.inFlight[host] {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRest reports whether the host was idle long enough to rest.
+func (c *Core) mayRest(host string, now time.Duration) bool {
+	since, idle := c.hosts.idleSince[host]
+	return idle && now-since >= restAfter
+}
+
+// loads describes the pools that run work.
+func (c *Core) loads(now time.Duration) []poolLoad {
+	byName := map[string]*poolLoad{}
+	for name, p := range c.config.Pools {
+		if !p.Standby {
+			byName[name] = &poolLoad{name: name}
+		}
+	}
+	cores := map[string]float64{}
+	for id, host := range c.hosts.hosts {
+		pool := host.Pool
+		moving := c.hosts.moves[id]
+		if moving != nil {
+			pool = moving.pool
+		}
+		load := byName[pool]
+		if load == nil || host.State == infra.HostDown {
+			continue
+		}
+		load.hosts++
+		cores[pool] += float64(host.Capacity.CPUMilli) / 1000
+		c.noteIdle(id, host, load, moving == nil, now)
+	}
+	for name, load := range byName {
+		c.fillLoad(load, cores[name], now)
+	}
+	loads := make([]poolLoad, 0, len(byName))
+	for _, load := range byName {
+		slices.SortFunc(load.empty, func(a, b string) int {
+			return cmp.Or(cmp.Compare(c.hosts.idleSince[a], c.hosts.idleSince[b]), cmp.Compare(a, b))
+		})
+		loads = append(loads, *load)
+	}
+	return loads
+}
+
+// noteIdle follows since when a host is idle, and lists it as empty when it may move.
+func (c *Core) noteIdle(id string, host infra.Host, load *poolLoad, mayMove bool, now time.Duration) {
+	w := c.workers[host.WorkerID]
+	if w != nil && w.hasLasting() {
+		load.least++
+	}
+	if w == nil || len(w.items) > 0 || host.State != infra.HostUp {
+		delete(c.hosts.idleSince, id)
+		return
+	}
+	if _, idle := c.hosts.idleSince[id]; !idle {
+		c.hosts.idleSince[id] = now
+	}
+	if mayMove && w.known && w.failing == 0 && !w.entry.Draining && !c.inUpkeep(id) {
+		load.empty = append(load.empty, id)
+	}
+}
+
+// fillLoad sets what the pool needs.
+func (c *Core) fillLoad(load *poolLoad, cores float64, now time.Duration) {
+	load.least = max(load.least, c.lastingSpread(load.name)) + spareHosts
+	lasting := 0.0
+	for _, w := range c.workers {
+		if w.entry.Pool == load.name {
+			for i := range w.items {
+				if i.step.def.Lasting && !i.step.def.Filling {
+					lasting += float64(i.step.def.Need.CPUMilli) / 1000
+				}
+			}
+		}
+	}
+	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now)/drainTime.Seconds(), c.forecast(load.name, now)) + lasting
+	if load.hosts > 0 {
+		load.coresPerHost = cores / float64(load.hosts)
+		return
+	}
+	load.coresPerHost = c.meanCores()
+}
+
+// lastingSpread is how many hosts the lasting work of the pool needs at least by its bounds for one host.
+func (c *Core) lastingSpread(pool string) int {
+	most := 0
+	for j := range c.active {
+		if j.over() || c.poolOf(j) != pool {
+			continue
+		}
+		for _, step := range j.steps {
+			if step.def.Lasting && step.def.MaxPerHost > 0 {
+				most = max(most, int(math.Ceil(float64(step.def.Count)/float64(step.def.MaxPerHost))))
+			}
+		}
+	}
+	return most
+}
+
+// meanCores is the mean of all hosts.
+func (c *Core) meanCores() float64 {
+	var sum work.Resources
+	for _, host := range c.hosts.hosts {
+		sum = sum.Plus(host.Capacity)
+	}
+	return float64(sum.CPUMilli) / 1000 / float64(max(1, len(c.hosts.hosts)))
+}
+
+// forecast is the load that a peak will bring which is about to begin in the pool.
+func (c *Core) forecast(pool string, now time.Duration) float64 {
+	at, candidates := c.turns.next()
+	if len(candidates) == 0 || !slices.Contains(candidates, pool) {
+		return 0
+	}
+	if now < at-c.options.MoveTime-leadMargin || now > at+peakSpread {
+		return 0
+	}
+	return c.turns.expected(pool) / float64(len(candidates))
+}
+
+// moveOrdered takes the result of an order to move a host.
+func (c *Core) moveOrdered(order HostOrder, err error) {
+	now := c.clock()
+	m := c.hosts.moves[order.Host]
+	host := c.hosts.hosts[order.Host]
+	worker := c.workers[host.WorkerID]
+	kind := infra.KindOf(err)
+	c.logger.WithFields(logrus.Fields{"event": "host_moved", "host": order.Host, "worker": host.WorkerID, "to": order.Pool, "kind": string(kind)}).WithError(err).Info("host was ordered to move")
+	if m == nil {
+		return
+	}
+	m.inFlight = false
+	switch kind {
+	case "":
+		m.done = now
+		delete(c.hosts.idleSince, order.Host)
+		if worker != nil {
+			c.end(worker)
+		}
+	case infra.Fenced:
+		c.deposed("machine-move", order.Host)
+	case infra.Unknown:
+		// The host may have moved already, or may do so later: the order is repeated until it is known.
+		m.retryAt = now + orderPause
+	default:
+		delete(c.hosts.moves, order.Host)
+		if worker != nil {
+			worker.cordoned = false
+		}
+	}
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -27,6 +27,7 @@
 	}
 	now := c.clock()
 	def.Accepted = c.wall()
+	c.offer(def, now)
 	if verdict := c.admit(def, now); !verdict.accept {
 		c.metrics.rejected(verdict.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": verdict.reason,
@@ -44,6 +45,23 @@
 	c.touch(j)
 }
 
+// offeredKept is how long a rejected job is remembered: callers retry within their patience of seconds.
+const offeredKept = 15 * time.Second
+
+// offer counts the work of a submission that wasn't seen before.
+func (c *Core) offer(def *work.Job, now time.Duration) {
+	if _, seen := c.offeredJobs[def.ID]; seen || def.Recurrence.Times > 0 {
+		return
+	}
+	for id, at := range c.offeredJobs {
+		if now-at > offeredKept {
+			delete(c.offeredJobs, id)
+		}
+	}
+	c.offeredJobs[def.ID] = now
+	c.turns.pool(def.Queue.Pool).add(c.workOf(def), now)
+}
+
 // Cancel cancels a job. The outcome is sent to the waiter, at once or when it is durable.
 func (c *Core) Cancel(id string, waiter chan<- Outcome) {
 	c.mu.Lock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -29,7 +29,9 @@
 	confirmInterval = 500 * time.Millisecond
 	// directoryInterval is how often the list of workers is read.
 	directoryInterval = 300 * time.Millisecond
-	// hostsInterval is how often hosts are planned while a wave is due; their list is read as often.
+	// hostOrderConfirmed is how old the term's last confirmation may be for an order to a host.
+	hostOrderConfirmed = time.Second
+	// hostsInterval is how often hosts are planned; their list is read as often.
 	hostsInterval = 250 * time.Millisecond
 	// loadRetry is the pause after a failed read at the start of a term.
 	loadRetry = 100 * time.Millisecond
@@ -293,12 +295,22 @@
 	return ctx.Err()
 }
 
-// tendHosts carries out waves of upkeep.
+// orderHost sends one order to a host. A term that hasn't confirmed itself lately sends none: its
+// successor waits before its first order, so that two holders don't take turns at a host.
+func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder) error {
+	if s.Clock()-s.writer.Confirmed() > hostOrderConfirmed {
+		return &infra.Error{Kind: infra.Refused, Op: "host order", Detail: "the term isn't confirmed"}
+	}
+	if order.Pool != "" {
+		return s.Hosts.Move(ctx, order.Host, order.Pool, s.term)
+	}
+	return s.Hosts.Upkeep(ctx, order.Host, order.Wave, s.term)
+}
+
+// tendHosts carries out waves of upkeep and sizes pools.
 func (s *session) tendHosts(ctx context.Context, group *errgroup.Group) error {
 	for ctx.Err() == nil {
-		if s.core.NeedsHosts() {
-			s.tendOnce(ctx, group)
-		}
+		s.tendOnce(ctx, group)
 		_ = periodic.Pause(ctx, hostsInterval)
 	}
 	return ctx.Err()
@@ -315,7 +327,7 @@
 	orders, news := s.core.PlanHosts()
 	for _, order := range orders {
 		group.Go(func() error {
-			s.core.HostOrdered(order, s.Hosts.Upkeep(ctx, order.Host, order.Wave, s.term))
+			s.core.HostOrdered(order, s.orderHost(ctx, order))
 			return nil
 		})
 	}
