Number customers by their shares, size pools without late work

Changed: a job's order counts how far its customer is ahead of its share; sizing counts only what can be in time; hosts rest only after a first peak; membership lapses after 1.2 s instead of 1.5 s.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -23,13 +23,13 @@
 	topic    = "duty"
 	claimKey = "scheduler"
 	// memberTTL is how long a silent process stays a member. It bounds the takeover together with
-	// watchInterval; the platform takes no less than a second.
-	memberTTL = 1500 * time.Millisecond
-	// joinInterval renews membership three times within memberTTL.
-	joinInterval = 500 * time.Millisecond
+	// watchInterval; the platform takes no less than a second, and a slow store answers within 0.3 s.
+	memberTTL = 1200 * time.Millisecond
+	// joinInterval renews membership some times within memberTTL.
+	joinInterval = 300 * time.Millisecond
 	// watchInterval is how often the process that takes over first looks at the members, and
 	// idleWatchInterval how often the others do, which need it to know their peers.
-	watchInterval     = 400 * time.Millisecond
+	watchInterval     = 250 * time.Millisecond
 	idleWatchInterval = time.Second
 	// claimDelay is how long a process that isn't first lets the first one claim.
 	claimDelay = 1500 * time.Millisecond
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericyoke/internal/infra"
 	"turmericyoke/internal/work"
 )
 
@@ -31,12 +32,14 @@
 type poolState struct {
 	// ratio is the real run time of work items divided by the declared one.
 	ratio float64
+	// accounts are those of the customers that sent jobs.
+	accounts map[string]*account
 }
 
 func (c *Core) pool(name string) *poolState {
 	p := c.pools[name]
 	if p == nil {
-		p = &poolState{ratio: 1}
+		p = &poolState{ratio: 1, accounts: map[string]*account{}}
 		c.pools[name] = p
 	}
 	return p
@@ -121,20 +124,31 @@
 	if def.Recurrence.Times > 0 {
 		return verdict{accept: true}
 	}
-	cores := c.coresOf(def.Queue.Pool, now)
+	cores := c.coresOf(def.Queue.Pool, now) + c.spareCores()
 	if cores <= 0 {
 		// Nothing is known of the pool yet, as right after a change of the scheduler.
 		return verdict{accept: true}
 	}
 	chain := c.chainOf(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*orderOverhead
 	room := lateFactor*c.allowance(def) - chain
-	wait := time.Duration(c.backlog(def.Queue.Pool, now) / cores * float64(time.Second))
+	wait := time.Duration(c.backlog(def.Queue.Pool, now, true) / cores * float64(time.Second))
 	if wait <= room {
 		return verdict{accept: true, wait: wait, room: room}
 	}
 	return verdict{reason: "overload", wait: wait, room: room, retryAfter: max(minRetryAfter, wait-room)}
 }
 
+// spareCores are those of hosts on which nothing runs and that may move to any pool that lacks some.
+func (c *Core) spareCores() float64 {
+	milli := int64(0)
+	for _, host := range c.hosts.hosts {
+		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp {
+			milli += host.Capacity.CPUMilli
+		}
+	}
+	return float64(milli) / 1000
+}
+
 // coresOf returns the cores of the pool's open workers that lasting work doesn't take.
 func (c *Core) coresOf(pool string, now time.Duration) float64 {
 	milli := int64(0)
@@ -152,13 +166,15 @@
 	return float64(milli) / 1000
 }
 
-// backlog returns the core-seconds that accepted jobs of the pool still need.
-func (c *Core) backlog(pool string, now time.Duration) float64 {
+// backlog returns the core-seconds that accepted jobs of the pool still need: all of them, or what
+// runs and what can still be in time.
+func (c *Core) backlog(pool string, now time.Duration, all bool) float64 {
 	total := 0.0
 	for j := range c.active {
 		if j.over() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 {
 			continue
 		}
+		late := !all && c.deadline(j)-now < c.remainingChain(j)
 		for _, step := range j.steps {
 			if step.def.Lasting {
 				continue
@@ -167,7 +183,7 @@
 			for _, i := range step.items {
 				left := run
 				switch {
-				case i.state == itemDone:
+				case i.state == itemDone, late && i.state == itemWaiting:
 					continue
 				case i.state == itemPlaced:
 					left = max(run/10, run-(now-i.placed))
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -82,13 +82,16 @@
 	tier     int
 	begun    bool
 	priority int
-	// slack is the time left before the remaining chain must start.
+	ahead    int
+	// slack is the time left before the remaining chain must start; for late jobs it is replaced by
+	// the remaining core-seconds, the smallest first.
 	slack time.Duration
 }
 
 // ordered returns the jobs with waiting items in the order in which they take room: lasting jobs,
 // whose service is interrupted while they wait; then those that can still be in time, begun ones
-// first, since a job that is partly done earns nothing, and by slack; then the late ones.
+// first, since a job that is partly done earns nothing, by their customer's share and by slack; then
+// the late ones, the smallest first.
 func (c *Core) ordered(now time.Duration) []*job {
 	var list []ranked
 	for j := range c.active {
@@ -97,11 +100,15 @@
 		}
 		chain := c.remainingChain(j)
 		slack := c.deadline(j) - now - chain
-		list = append(list, ranked{job: j, lasting: j.lasting(), tier: c.tier(j, slack), begun: j.begun, priority: j.def.Queue.Priority, slack: slack})
+		tier := c.tier(j, slack)
+		if slack < 0 {
+			slack = time.Duration(c.workOf(j.def) * float64(time.Second))
+		}
+		list = append(list, ranked{job: j, lasting: j.lasting(), tier: tier, begun: j.begun, priority: j.def.Queue.Priority, ahead: j.ahead, slack: slack})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(falseFirst(!a.lasting, !b.lasting), cmp.Compare(a.tier, b.tier), falseFirst(!a.begun, !b.begun),
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.def.ID, b.job.def.ID))
+			cmp.Compare(a.priority, b.priority), cmp.Compare(a.ahead, b.ahead), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.def.ID, b.job.def.ID))
 	})
 	jobs := make([]*job, len(list))
 	for i := range list {
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -99,7 +99,8 @@
 // mayRest reports whether the host was idle long enough to rest.
 func (c *Core) mayRest(host string, now time.Duration) bool {
 	since, idle := c.hosts.idleSince[host]
-	return idle && now-since >= restAfter
+	// Before the first peak nothing is known of the load, and hosts stay where operators put them.
+	return idle && now-since >= restAfter && c.turns.lastPeak > 0
 }
 
 // loads describes the pools that run work.
@@ -169,7 +170,7 @@
 			}
 		}
 	}
-	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now)/drainTime.Seconds(), c.forecast(load.name, now)) + lasting
+	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, false)/drainTime.Seconds(), c.forecast(load.name, now)) + lasting
 	if load.hosts > 0 {
 		load.coresPerHost = cores / float64(load.hosts)
 		return
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -125,6 +125,8 @@
 	steps    []*stepRun
 	accepted time.Duration
 	ended    time.Duration
+	// ahead is by how many steps its customer was ahead of its share when the job came.
+	ahead int
 	// waiters are callers whose answer waits for the next durable batch.
 	waiters []chan<- Outcome
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -37,11 +37,12 @@
 	}
 	j := newJob(def)
 	j.accepted = now
+	j.ahead = c.ahead(def, c.coresOf(def.Queue.Pool, now)+c.spareCores(), now)
 	c.jobs[def.ID] = j
 	c.active[j] = struct{}{}
 	c.waiters = append(c.waiters, waiter)
 	c.metrics.accepted()
-	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps)}).Info("job accepted")
+	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.ahead}).Info("job accepted")
 	c.touch(j)
 }
 
