Settle submissions and cancellations without an outcome at the entry

Changed: the entry repeats the call, which is told apart by the job's ID; a rejection after an unknown outcome stays unknown, since the first call may still arrive.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,14 @@
 	searchPause = 50 * time.Millisecond
 )
 
+// Times of a submission or cancellation: an answer takes some milliseconds, and up to some hundred
+// while the log is slow.
+const (
+	// tryTime is how long one try may take, settlePause the pause before the next.
+	tryTime     = 1200 * time.Millisecond
+	settlePause = 100 * time.Millisecond
+)
+
 // Duty knows who schedules.
 type Duty interface {
 	Current() duty.Claim
@@ -205,18 +213,40 @@
 
 // Submit submits a job.
 func (e *Entry) Submit(ctx context.Context, job *work.Job) (*peer.OutcomeResponse, error) {
-	return ask(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+	return e.settle(ctx, func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
 		return s.Submit(ctx, &peer.SubmitRequest{Job: job})
 	})
 }
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, id string) (*peer.OutcomeResponse, error) {
-	return ask(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+	return e.settle(ctx, func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
 		return s.Cancel(ctx, &peer.CancelRequest{Job: id})
 	})
 }
 
+// settle repeats a submission or cancellation without a known outcome while the caller waits. Jobs
+// are told apart by their IDs, so that a repeated call has the effect of one. An earlier call may
+// still arrive after a repeated one was rejected; the outcome is unknown then.
+func (e *Entry) settle(ctx context.Context, call func(context.Context, peer.Service) (*peer.OutcomeResponse, error)) (*peer.OutcomeResponse, error) {
+	uncertain := false
+	for {
+		response, err := ask(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+			try, cancel := context.WithTimeout(ctx, tryTime)
+			defer cancel()
+			return call(try, s)
+		})
+		unknown := fault.KindOf(err) == fault.OutcomeUnknown || err == nil && response.Kind == scheduler.Undecided
+		if !unknown && !uncertain || err == nil && response.Kind == scheduler.Done {
+			return response, err
+		}
+		uncertain = true
+		if periodic.Pause(ctx, settlePause) != nil {
+			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the outcome isn't known")
+		}
+	}
+}
+
 // State returns the state of a job.
 func (e *Entry) State(ctx context.Context, id string) (*peer.StateResponse, error) {
 	return ask(ctx, e, func(s peer.Service) (*peer.StateResponse, error) { return s.State(ctx, &peer.StateRequest{Job: id}) })
