Send starts while their record is written, give the duty away at SIGTERM, vacate hosts

Cause: with a slow log each step waited for two appends; a rolling restart cost up to 1.5 s at each change of the scheduler; after a change hosts got no orders for 4.5 s; and late work held on to hosts that the next peak needed.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -41,6 +41,8 @@
 	// closeTime bounds the answers to requests that are under way when the listeners close. With
 	// stopShare it stays within the shortest grace time of the platform, 6 s.
 	closeTime = 1500 * time.Millisecond
+	// resignTime bounds giving the duty away; a store that is down doesn't delay the rest of the stop.
+	resignTime = 1300 * time.Millisecond
 	// memoryShare of the host's memory is the runtime's soft limit.
 	memoryShare = 0.6
 	// garbagePercent trades memory for processor time: the heap is a few MB.
@@ -169,12 +171,20 @@
 		}
 		p.draining.Store(true)
 		p.logger.WithField("event", "stopping").Info("stopping gracefully")
+		p.resign()
 		resign()
 		_ = periodic.Pause(ctx, time.Duration(stopShare*float64(platform.Seconds(p.settings.Bounds.GraceS))))
 		return errStopped
 	}
 }
 
+// resign gives the duty away, if this process has it, within resignTime.
+func (p *process) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTime)
+	defer cancel()
+	p.keeper.Resign(ctx)
+}
+
 // ready answers the platform's balancer.
 func (p *process) ready(ctx *fasthttp.RequestCtx) {
 	if p.draining.Load() || p.entry.Config() == nil {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -35,6 +35,10 @@
 	claimDelay = 1500 * time.Millisecond
 	// followWait is how long a read of the claims waits for a new one.
 	followWait = time.Second
+	// oldProcess divided by oldProcessDivisor is the longest that a process waits to claim a duty that
+	// was given away; younger ones wait less. It is long enough to tell processes apart.
+	oldProcess        = 20 * time.Second
+	oldProcessDivisor = 200
 	// retryPause follows a call that failed.
 	retryPause = 150 * time.Millisecond
 	// silentAfter is how long a process joins on without an answer. Beyond it, it lets its membership
@@ -49,6 +53,8 @@
 	Holder infra.Member
 	// Nonce tells lifetimes of one process apart.
 	Nonce string
+	// Resigned is set when the last holder gave the duty away, so that anyone may claim at once.
+	Resigned bool
 }
 
 // claimBody is the value of a claim's record.
@@ -57,6 +63,8 @@
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
 	Nonce   string `json:"nonce"`
+	// Resigned marks the end of the duty of the process.
+	Resigned bool `json:"resigned,omitempty"`
 }
 
 // Keeper follows the claims and claims when the holder is lost.
@@ -77,6 +85,9 @@
 	next    int64
 	loaded  bool
 	changed chan struct{}
+	// free gets a value when a holder resigned.
+	free    chan struct{}
+	started time.Duration
 	members []infra.Member
 	// answered is when the last join was answered; first is what it said.
 	answered time.Duration
@@ -109,7 +120,7 @@
 
 // Run follows and claims until ctx ends, and then leaves the group.
 func (k *Keeper) Run(ctx context.Context) error {
-	k.changed = make(chan struct{}, 1)
+	k.changed, k.free, k.started = make(chan struct{}, 1), make(chan struct{}, 1), k.Clock()
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.follow(inner) })
 	group.Go(func() error { return k.join(inner) })
@@ -167,12 +178,12 @@
 			k.Logger.WithFields(logrus.Fields{"event": "claim_skipped", "offset": record.Offset}).WithError(err).Warn("claim can't be read")
 			continue
 		}
-		k.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: body.Name, Zone: body.Zone, Address: body.Address}, Nonce: body.Nonce}
+		k.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: body.Name, Zone: body.Zone, Address: body.Address}, Nonce: body.Nonce, Resigned: body.Resigned}
 		k.missingSince = 0
 		k.Logger.WithFields(logrus.Fields{"event": "scheduler_changed", "term": k.claim.Term, "holder": body.Name, "address": body.Address}).Info("scheduler known")
-		select {
-		case k.changed <- struct{}{}:
-		default:
+		wake(k.changed)
+		if body.Resigned {
+			wake(k.free)
 		}
 	}
 	k.loaded, k.next = true, max(k.next, next)
@@ -220,21 +231,37 @@
 		claim, next := k.claim, k.next
 		k.mu.Unlock()
 		if due && k.Eligible() {
-			k.try(ctx, claim, next)
+			k.append(ctx, claim, next, false)
 		}
-		_ = periodic.Pause(ctx, pause)
+		k.pauseWatch(ctx, pause)
 	}
 	return ctx.Err()
 }
 
+// pauseWatch waits for the pause, or until a holder resigns. Then those that started lately go first:
+// in a rolling restart they aren't about to be stopped.
+func (k *Keeper) pauseWatch(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-k.free:
+		_ = periodic.Pause(ctx, min(k.Clock()-k.started, oldProcess)/oldProcessDivisor)
+	}
+}
+
 // due reports whether this process should claim. k.mu is held.
 func (k *Keeper) due(now time.Duration) bool {
 	mine := k.claim.Holder.Name == k.Self.Name
+	if k.claim.Resigned {
+		return true
+	}
 	if mine && k.claim.Nonce == k.Nonce && k.claim.Term != k.resigned {
 		k.missingSince = 0
 		return false
 	}
-	if !mine && k.claim.Term > 0 {
+	if !mine && k.claim.Term > 0 && !k.claim.Resigned {
 		for _, member := range k.members {
 			if member.Name == k.claim.Holder.Name {
 				k.missingSince = 0
@@ -248,13 +275,24 @@
 	return mine || k.first || now-k.missingSince > claimDelay
 }
 
-// try appends a claim on the condition that no other one came. Whether it succeeded is read from the log.
-func (k *Keeper) try(ctx context.Context, old Claim, at int64) {
-	value, err := json.Marshal(claimBody{Name: k.Self.Name, Zone: k.Self.Zone, Address: k.Self.Address, Nonce: k.Nonce})
+// Resign gives the duty away if this process has it.
+func (k *Keeper) Resign(ctx context.Context) {
+	k.mu.Lock()
+	claim, next := k.claim, k.next
+	k.mu.Unlock()
+	if claim.Nonce == k.Nonce && !claim.Resigned {
+		k.append(ctx, claim, next, true)
+	}
+}
+
+// append appends a claim, or the end of one, on the condition that no other one came. Whether it
+// succeeded is read from the log.
+func (k *Keeper) append(ctx context.Context, old Claim, at int64, resigned bool) {
+	value, err := json.Marshal(claimBody{Name: k.Self.Name, Zone: k.Self.Zone, Address: k.Self.Address, Nonce: k.Nonce, Resigned: resigned})
 	if err == nil {
 		_, err = k.Log.Append(ctx, topic, []infra.Record{{Key: claimKey, Value: value}}, infra.AppendOptions{At: &at})
 	}
-	k.Logger.WithFields(logrus.Fields{"event": "claimed", "after_term": old.Term, "at": at, "outcome": outcome(err)}).WithError(err).Info("claimed the scheduler's duty")
+	k.Logger.WithFields(logrus.Fields{"event": "claimed", "after_term": old.Term, "at": at, "resigned": resigned, "outcome": outcome(err)}).WithError(err).Info("claimed the scheduler's duty")
 }
 
 func outcome(err error) string {
@@ -273,7 +311,7 @@
 		case <-k.changed:
 		}
 		claim := k.Current()
-		if claim.Nonce != k.Nonce || claim.Term == k.resigned {
+		if claim.Nonce != k.Nonce || claim.Term == k.resigned || claim.Resigned {
 			continue
 		}
 		k.leadTerm(ctx, claim.Term)
@@ -305,9 +343,14 @@
 	defer k.mu.Unlock()
 	k.resigned = term
 	if k.claim.Term > term && k.claim.Nonce == k.Nonce {
-		select {
-		case k.changed <- struct{}{}:
-		default:
-		}
+		wake(k.changed)
+	}
+}
+
+// wake leaves a value in a channel that holds one.
+func wake(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -86,7 +86,9 @@
 	OrderPace
 )
 
-// Order is an order to a worker, released after the batch that decided it is durable.
+// Order is an order to a worker. Starts are sent at once, while the batch that records them is
+// written; stops and paces are sent with them. A later term asks all workers what they run before
+// it starts anything of a job that it inherited, so that a start whose record was lost is found.
 type Order struct {
 	Kind   OrderKind
 	Worker infra.WorkerRef
@@ -117,8 +119,10 @@
 	wall    func() time.Time
 	term    int64
 	started time.Duration
-	options Options
-	logger  *logrus.Entry
+	// startedMs is the wall time of started in Unix milliseconds; workers born later have no earlier work.
+	startedMs int64
+	options   Options
+	logger    *logrus.Entry
 
 	config  *work.Config
 	jobs    map[string]*job
@@ -128,7 +132,7 @@
 	used map[string]work.Resources
 
 	dirty map[*job]struct{}
-	// orders are released with the next batch.
+	// orders are sent with the next batch.
 	orders  []Order
 	waiters []chan<- Outcome
 	dropped []string
@@ -150,7 +154,7 @@
 // New returns the core of a term.
 func New(term int64, options Options, clock boottime.Clock, wall func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
-		clock: clock, wall: wall, term: term, started: clock(), options: options, logger: logger, metrics: metrics,
+		clock: clock, wall: wall, term: term, started: clock(), startedMs: wall().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{}, used: map[string]work.Resources{},
 		dirty: map[*job]struct{}{}, pools: map[string]*poolState{}, kick: make(chan struct{}, 1), hosts: newHostState(),
 		turns: newTurns(), offeredJobs: map[string]time.Duration{},
@@ -200,7 +204,7 @@
 func (c *Core) restore(entry *stored, now time.Duration) {
 	j := newJob(entry.def)
 	p := entry.progress
-	j.durable, j.definitionWritten, j.begun = true, true, p.Begun
+	j.durable, j.definitionWritten, j.begun, j.inherited = true, true, p.Begun, true
 	j.cancelled, j.failed, j.completed = p.Cancelled, p.Failed, p.Completed
 	j.shownCancelled, j.shownFailed, j.shownCompleted = p.Cancelled, p.Failed, p.Completed
 	j.accepted = now - max(0, c.wall().Sub(j.def.Accepted))
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -150,6 +150,8 @@
 	hosts int
 	// empty are hosts on which nothing runs, the longest idle first.
 	empty []string
+	// busy are hosts on which only finite work runs, those with the least of it first.
+	busy []string
 }
 
 // target is the number of hosts that the pool should have.
@@ -164,33 +166,40 @@
 type hostMove struct{ host, pool string }
 
 // planMoves gives empty hosts of pools with more than they need, and those in standby, to the pools
-// that lack most. What nobody lacks goes to standby when rest allows it.
-func planMoves(loads []poolLoad, standby []string, standbyPool string, rest func(host string) bool) []hostMove {
+// that lack most. What nobody lacks goes to standby when rest allows it. When there aren't enough, it
+// names busy hosts that get no new work until they are empty: otherwise late work of a peak that is
+// over would hold on to hosts that the next peak needs.
+func planMoves(loads []poolLoad, standby []string, standbyPool string, rest func(host string) bool) (moves []hostMove, vacate []string) {
 	loads = slices.Clone(loads)
 	slices.SortStableFunc(loads, func(a, b poolLoad) int {
 		return cmp.Or(cmp.Compare(a.hosts-a.target(), b.hosts-b.target()), cmp.Compare(a.name, b.name))
 	})
-	var spare []string
+	var spare, busy []string
 	for i := range loads {
-		surplus := loads[i].hosts - loads[i].target()
-		spare = append(spare, loads[i].empty[:max(0, min(surplus, len(loads[i].empty)))]...)
+		surplus := max(0, loads[i].hosts-loads[i].target())
+		empty := min(surplus, len(loads[i].empty))
+		spare = append(spare, loads[i].empty[:empty]...)
+		busy = append(busy, loads[i].busy[:min(surplus-empty, len(loads[i].busy))]...)
 	}
 	resting := len(spare)
 	spare = append(spare, standby...)
-	var moves []hostMove
 	for i := range loads {
-		for lack := loads[i].target() - loads[i].hosts; lack > 0 && len(spare) > 0; lack-- {
+		lack := loads[i].target() - loads[i].hosts
+		for ; lack > 0 && len(spare) > 0; lack-- {
 			moves = append(moves, hostMove{spare[0], loads[i].name})
 			spare, resting = spare[1:], resting-1
 		}
+		for ; lack > 0 && len(busy) > 0; lack-- {
+			vacate, busy = append(vacate, busy[0]), busy[1:]
+		}
 	}
 	if standbyPool == "" {
-		return moves
+		return moves, vacate
 	}
 	for _, host := range spare[:max(0, resting)] {
 		if rest(host) {
 			moves = append(moves, hostMove{host, standbyPool})
 		}
 	}
-	return moves
+	return moves, vacate
 }
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,6 +17,11 @@
 const (
 	// wavePrefix is the prefix of the keys under which the progress of waves is kept.
 	wavePrefix = "w/"
+	// hostPrefix is the prefix of the keys under which the last order to each host is kept.
+	hostPrefix = "h/"
+	// recentOrder is how far back an order of an earlier term counts: the clocks of two processes may
+	// differ by some seconds.
+	recentOrder = 15 * time.Second
 	// cordonAhead is how many hosts of a wave are emptied besides those that are down.
 	cordonAhead = 2
 	// downUnseen is how long a host that was ordered down counts as down although the list, which
@@ -36,7 +42,10 @@
 	// pending holds the hosts that a wave still has to take down.
 	pending map[string]bool
 	// moves are orders to move, by host, until the list shows their effect or they are given up.
-	moves map[string]*move
+	moves       map[string]*move
+	loadsLogged time.Duration
+	// heldBack is until when hosts get no orders since an earlier term ordered them lately.
+	heldBack map[string]time.Duration
 	// idleSince is since when nothing runs on a host.
 	idleSince map[string]time.Duration
 }
@@ -53,7 +62,7 @@
 
 func newHostState() hostState {
 	return hostState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pending: map[string]bool{},
-		moves: map[string]*move{}, idleSince: map[string]time.Duration{}}
+		moves: map[string]*move{}, idleSince: map[string]time.Duration{}, heldBack: map[string]time.Duration{}}
 }
 
 // due reports whether the worker's host is still to go down in a wave.
@@ -124,10 +133,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, record := range records {
-		if len(record.Key) <= len(wavePrefix) || record.Key[:len(wavePrefix)] != wavePrefix || record.Value == nil {
+		if host, ok := strings.CutPrefix(record.Key, hostPrefix); ok && record.Value != nil {
+			var body hostOrderRecord
+			if err := cbor.Unmarshal(record.Value, &body); err != nil || c.wall().Sub(time.UnixMilli(body.AtMs)).Abs() < recentOrder {
+				c.hosts.heldBack[host] = c.started + c.options.HostOrderDelay
+			}
+			continue
+		}
+		name, ok := strings.CutPrefix(record.Key, wavePrefix)
+		if !ok || record.Value == nil {
 			continue
 		}
-		id, err := strconv.ParseInt(record.Key[len(wavePrefix):], 10, 64)
+		id, err := strconv.ParseInt(name, 10, 64)
 		var body waveRecord
 		if err == nil {
 			err = cbor.Unmarshal(record.Value, &body)
@@ -167,10 +184,10 @@
 		return
 	}
 	for id, w := range c.workers {
-		if c.hosts.byWorker[id] != "" || w.gone || len(w.items) == 0 || (w.failing == 0 && w.entry.Address != "") {
+		if c.hosts.byWorker[id] != "" || w.gone || w.known && len(w.items) == 0 || (w.failing == 0 && w.entry.Address != "") {
 			continue
 		}
-		if asked-w.oldestPlacement() > hostListLag {
+		if asked-min(w.oldestPlacement(), max(c.started, w.added)) > hostListLag {
 			c.logger.WithFields(logrus.Fields{"event": "worker_ended", "worker": id, "items": len(w.items), "silent_ms": (asked - w.contact).Milliseconds()}).Warn("no host lists the worker any more")
 			c.end(w)
 		}
@@ -210,13 +227,14 @@
 			news = append(news, WaveNews{Wave: w.ID, State: state})
 		}
 	}
-	if c.term > 1 && now-c.started < c.options.HostOrderDelay {
-		return nil, news
-	}
 	for _, order := range orders {
 		c.hosts.waves[order.Wave].inFlight[order.Host] = true
 	}
-	return append(orders, c.planSizes(now)...), news
+	orders = append(orders, c.planSizes(now)...)
+	for _, order := range orders {
+		c.recordOrder(order.Host)
+	}
+	return orders, news
 }
 
 // WaveShown notes that operators were told of the state.
@@ -242,13 +260,15 @@
 			}
 		case !exists:
 			// The host left the fleet for good.
-		case w.inFlight[id]:
+		case w.inFlight[id], now < c.hosts.heldBack[id]:
+			// The outcome of an order isn't known, be it this term's or that of an earlier one.
 			down++
 			left++
+			c.hosts.pending[id] = true
 		default:
 			left++
 			c.hosts.pending[id] = true
-			if host.State == infra.HostUp && now >= w.retryAt[id] && c.hosts.moves[id] == nil {
+			if host.State == infra.HostUp && now >= max(w.retryAt[id], c.hosts.heldBack[id]) && c.hosts.moves[id] == nil {
 				candidates = append(candidates, id)
 			}
 		}
@@ -328,6 +348,23 @@
 	return away+1 <= i.step.def.MayMiss
 }
 
+// hostOrderRecord is kept of the last order to a host, so that a later term leaves the host alone
+// while this one's holder may count as its holder.
+type hostOrderRecord struct {
+	AtMs int64 `cbor:"1,keyasint"`
+}
+
+// recordOrder adds an order to a host to the next batch.
+func (c *Core) recordOrder(host string) {
+	value, err := cbor.Marshal(hostOrderRecord{AtMs: c.wall().UnixMilli()})
+	if err != nil {
+		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": host}).WithError(err).Error("order to a host can't be encoded")
+		return
+	}
+	c.records = append(c.records, infra.Record{Key: hostPrefix + host, Value: value})
+	c.poke()
+}
+
 // HostOrdered takes the result of an order to a host.
 func (c *Core) HostOrdered(order HostOrder, err error) {
 	c.mu.Lock()
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,15 +21,30 @@
 	if len(open) == 0 {
 		return
 	}
+	unasked := c.unasked(now)
 	for _, j := range c.ordered(now) {
 		workers := open[c.poolOf(j)]
-		if len(workers) == 0 {
+		if len(workers) == 0 || j.inherited && unasked {
 			continue
 		}
 		c.planJob(j, workers, now)
 	}
 }
 
+// unasked reports whether some worker may still run work that an earlier term started and didn't
+// record: one that hasn't answered yet and whose lease may not have lapsed.
+func (c *Core) unasked(now time.Duration) bool {
+	if c.term == 1 || now > c.inheritedLease() {
+		return false
+	}
+	for _, w := range c.workers {
+		if !w.known && !w.gone && w.born < c.startedMs {
+			return true
+		}
+	}
+	return false
+}
+
 // poolOf is the pool that runs the job: that of its queue now, or of its queue when it was accepted
 // if the queue is dropped.
 func (c *Core) poolOf(j *job) string {
@@ -57,7 +72,7 @@
 
 // open reports whether the worker may get new work.
 func (w *worker) open(now time.Duration) bool {
-	return w.listed && w.known && !w.gone && !w.entry.Draining && !w.cordoned && w.failing == 0 && now >= w.pausedTo
+	return w.listed && w.known && !w.gone && !w.entry.Draining && !w.cordoned && !w.vacating && w.failing == 0 && now >= w.pausedTo
 }
 
 // leaveDraining stops lasting work on draining workers, so that it starts elsewhere before they leave.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -15,6 +15,9 @@
 	servingHoldWait = 500 * time.Millisecond
 	// idleHold is the pause between holds of a worker on which nothing runs.
 	idleHold = 2 * time.Second
+	// unconfirmedHold is the pause between holds while ends wait to become durable: a worker lists them
+	// again at once, and a slow log must not hide new ends for long.
+	unconfirmedHold = 80 * time.Millisecond
 	// lostAfter is how long a worker may be silent before it gets no new work.
 	lostAfter = 700 * time.Millisecond
 	// leaseRenewalStops is the silence after which holds don't renew the lease any more, so that its
@@ -64,7 +67,7 @@
 	w := c.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
-		w.listed = true
+		w.listed, w.added = true, c.clock()
 		c.workers[entry.ID] = w
 		c.logger.WithFields(logrus.Fields{"event": "worker_listed", "worker": entry.ID, "pool": entry.Pool, "zone": entry.Zone, "rack": w.rack}).Info("worker is new")
 		return true
@@ -131,7 +134,7 @@
 	case !w.known:
 	case w.handled > w.seen:
 		// The ends must be durable before they are confirmed; the commit wakes the link.
-		hold.Pause = 300 * time.Millisecond
+		hold.Pause = unconfirmedHold
 	case len(w.items) == 0:
 		hold.Pause = idleHold
 	}
@@ -289,6 +292,12 @@
 
 func (c *Core) takeRunning(w *worker, row infra.Running, listed map[*item]bool, now time.Duration) {
 	i := c.find(&Order{Item: row.Item})
+	if i != nil && i.state == itemWaiting && i.step.job.inherited && !i.step.job.over() && row.Run <= (c.term-1)*runsPerTerm && row.Run > i.run {
+		// An earlier term started it and its record was lost.
+		i.run, i.placed = row.Run, now
+		c.place(i, w)
+		c.touch(i.step.job)
+	}
 	if i == nil || i.worker != w || i.run != row.Run {
 		// Nobody waits for this run: it was given up, or its job is over and forgotten.
 		c.orders = append(c.orders, Order{Kind: OrderStop, Worker: w.ref(), Item: row.Item, Run: row.Run})
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -25,6 +25,8 @@
 	spareHosts = 1
 	// restAfter is how long a host is idle before it rests: two moves cost about as much as a host does in that time.
 	restAfter = 2 * time.Second
+	// loadLogInterval is how often the load of the pools is logged.
+	loadLogInterval = time.Second
 	// settleTime is how long a move that succeeded counts although the list doesn't show it yet.
 	settleTime = 3 * time.Second
 )
@@ -37,7 +39,11 @@
 	c.turns.observe(now)
 	orders := c.repeatMoves(now)
 	standbyPool, standby := c.standbyHosts()
-	for _, m := range planMoves(c.loads(now), standby, standbyPool, func(host string) bool { return c.mayRest(host, now) }) {
+	loads := c.loads(now)
+	c.logLoads(loads, len(standby), now)
+	moves, vacate := planMoves(loads, standby, standbyPool, func(host string) bool { return c.mayRest(host, now) })
+	c.vacate(vacate)
+	for _, m := range moves {
 		host := c.hosts.hosts[m.host]
 		c.logger.WithFields(logrus.Fields{"event": "host_move_decided", "host": m.host, "from": host.Pool, "to": m.pool}).Info("host changes its pool")
 		if w := c.workers[host.WorkerID]; w != nil {
@@ -49,6 +55,33 @@
 	return orders
 }
 
+// vacate keeps new work from the hosts, and lets it back to all others.
+func (c *Core) vacate(hosts []string) {
+	for _, w := range c.workers {
+		w.vacating = false
+	}
+	for _, id := range hosts {
+		if w := c.workers[c.hosts.hosts[id].WorkerID]; w != nil {
+			w.vacating = true
+		}
+	}
+}
+
+// logLoads logs the state of the pools once in loadLogInterval.
+func (c *Core) logLoads(loads []poolLoad, standby int, now time.Duration) {
+	if now-c.hosts.loadsLogged < loadLogInterval {
+		return
+	}
+	c.hosts.loadsLogged = now
+	open := c.openWorkers(now)
+	for i := range loads {
+		l := &loads[i]
+		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(open[l.name]), "empty": len(l.empty),
+			"target": l.target(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
+			"backlog": int(c.backlog(l.name, now, true)), "in_time": int(c.backlog(l.name, now, false)), "standby": standby}).Info("load of a pool")
+	}
+}
+
 // repeatMoves forgets moves that the list shows or that settled, and repeats those without an outcome.
 func (c *Core) repeatMoves(now time.Duration) []HostOrder {
 	var orders []HostOrder
@@ -75,7 +108,7 @@
 	}
 	var hosts []string
 	for id, host := range c.hosts.hosts {
-		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp && c.hosts.moves[id] == nil && !c.inUpkeep(id) {
+		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp && c.hosts.moves[id] == nil && !c.inUpkeep(id) && c.clock() >= c.hosts.heldBack[id] {
 			hosts = append(hosts, id)
 		}
 	}
@@ -134,6 +167,7 @@
 		slices.SortFunc(load.empty, func(a, b string) int {
 			return cmp.Or(cmp.Compare(c.hosts.idleSince[a], c.hosts.idleSince[b]), cmp.Compare(a, b))
 		})
+		slices.SortFunc(load.busy, func(a, b string) int { return cmp.Or(cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b)) })
 		loads = append(loads, *load)
 	}
 	return loads
@@ -147,12 +181,15 @@
 	}
 	if w == nil || len(w.items) > 0 || host.State != infra.HostUp {
 		delete(c.hosts.idleSince, id)
+		if w != nil && mayMove && host.State == infra.HostUp && !w.hasLasting() && !c.inUpkeep(id) && now >= c.hosts.heldBack[id] {
+			load.busy = append(load.busy, id)
+		}
 		return
 	}
 	if _, idle := c.hosts.idleSince[id]; !idle {
 		c.hosts.idleSince[id] = now
 	}
-	if mayMove && w.known && w.failing == 0 && !w.entry.Draining && !c.inUpkeep(id) {
+	if mayMove && w.known && w.failing == 0 && !w.entry.Draining && !c.inUpkeep(id) && now >= c.hosts.heldBack[id] {
 		load.empty = append(load.empty, id)
 	}
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -111,6 +111,8 @@
 	def *work.Job
 	// durable is set once the acceptance is in the log.
 	durable bool
+	// inherited jobs were accepted in an earlier term.
+	inherited bool
 	// definitionWritten is set once the definition was given to a batch.
 	definitionWritten bool
 	cancelled         bool
@@ -212,8 +214,12 @@
 	streak int
 	// cordoned workers get no new work since their host is to go down or move.
 	cordoned bool
+	// vacating workers get no new work since their host is wanted elsewhere.
+	vacating bool
 	// calm is since when the serving items are well below their targets.
 	calm time.Duration
+	// added is when this term first heard of the worker.
+	added time.Duration
 	// wake tells the link that there is something to ask for.
 	wake chan struct{}
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -155,14 +155,14 @@
 		if len(batch.Records) == 0 && s.Clock()-s.writer.Confirmed() > confirmInterval {
 			batch.Records = s.confirmation()
 		}
+		for i := range batch.Orders {
+			go s.send(ctx, &batch.Orders[i])
+		}
 		if err := s.writer.Append(ctx, batch.Records); err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
 		s.core.Committed(&batch)
-		for i := range batch.Orders {
-			go s.send(ctx, &batch.Orders[i])
-		}
 		if len(batch.Records) > 0 {
 			_ = periodic.Pause(ctx, batchPause)
 		}
