--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -20,6 +20,8 @@
 	highShare, lowShare = 0.5, 0.25
 	// minPeakRate is the least load, in cores, that counts as a peak: about that of one host.
 	minPeakRate = 48.0
+	// usualRate is the weight of a new sample in the mean load of peaks; there are four a second.
+	usualRate = 0.1
 	// keptIntervals is how many times between peaks the forecast looks back on.
 	keptIntervals = 4
 	// maxInterval is the longest time between peaks that is taken for a turn.
@@ -31,9 +33,11 @@
 	// rate is in cores: core-seconds of submitted work a second, as of at.
 	rate float64
 	at   time.Duration
-	// highest is the highest rate so far; high is set during a peak.
+	// highest is the highest rate so far; high is set during a peak, and usual is a running mean of
+	// the rate in peaks.
 	highest float64
 	high    bool
+	usual   float64
 	// lastPeak is when the last peak began; 0 before the first.
 	lastPeak time.Duration
 }
@@ -72,9 +76,12 @@
 	for _, o := range t.pools {
 		rate := o.now(now)
 		o.highest = max(o.highest, rate)
+		if o.high && rate > highShare*o.highest {
+			o.usual += usualRate * (rate - o.usual)
+		}
 		switch {
 		case !o.high && rate > minPeakRate && rate >= highShare*o.highest:
-			o.high, o.lastPeak = true, now
+			o.high, o.lastPeak, o.usual = true, now, max(o.usual, rate)
 			if interval := now - t.lastPeak; t.lastPeak > 0 && interval < maxInterval {
 				t.intervals = append(t.intervals, interval)
 				t.intervals = t.intervals[max(0, len(t.intervals)-keptIntervals):]
@@ -111,18 +118,18 @@
 	return at, candidates
 }
 
-// expected is the load of a peak of the pool: its highest so far, or that of the other pools.
+// expected is the load of a peak of the pool: its usual one, or the mean of the other pools.
 func (t *turns) expected(pool string) float64 {
 	if o := t.pools[pool]; o != nil && o.lastPeak > 0 {
-		return o.highest
+		return o.usual
 	}
-	highest := 0.0
+	sum, n := 0.0, 0.0
 	for _, o := range t.pools {
 		if o.lastPeak > 0 {
-			highest = max(highest, o.highest)
+			sum, n = sum+o.usual, n+1
 		}
 	}
-	return highest
+	return sum / max(1, n)
 }
 
 // workOf predicts the core-seconds of a job's finite work.
@@ -140,11 +147,11 @@
 // poolLoad is what decides on the size of a pool.
 type poolLoad struct {
 	name string
-	// need is the load in cores that the pool should be able to carry when a host that moves now arrives.
-	need float64
+	// need is the present load in cores, expected that of a peak that is about to begin.
+	need, expected float64
 	// least is the number of hosts that lasting work needs.
 	least int
-	// coresPerHost is the mean of the pool's hosts, without what lasting work takes.
+	// coresPerHost is the mean of the pool's hosts.
 	coresPerHost float64
 	// hosts counts those in the pool or on their way to it.
 	hosts int
@@ -154,52 +161,105 @@
 	busy []string
 }
 
-// target is the number of hosts that the pool should have.
-func (l *poolLoad) target() int {
+// target is the number of hosts that a load of the pool needs.
+func (l *poolLoad) target(cores float64) int {
 	if l.coresPerHost <= 0 {
 		return l.least
 	}
-	return max(l.least, int(math.Ceil(l.need/l.coresPerHost)))
+	return max(l.least, int(math.Ceil(cores/l.coresPerHost)))
 }
 
+// present and future are the hosts that the pool needs for its present load, and for the larger of
+// that and the expected one.
+func (l *poolLoad) present() int { return l.target(l.need) }
+func (l *poolLoad) future() int  { return l.target(max(l.need, l.expected)) }
+
 // hostMove moves a host to a pool.
 type hostMove struct{ host, pool string }
 
-// planMoves gives empty hosts of pools with more than they need, and those in standby, to the pools
-// that lack most. What nobody lacks goes to standby when rest allows it. When there aren't enough, it
-// names busy hosts that get no new work until they are empty: otherwise late work of a peak that is
-// over would hold on to hosts that the next peak needs.
+// movePlan collects moves.
+type movePlan struct {
+	loads []poolLoad
+	// standby are hosts in standby that may be taken.
+	standby []string
+	moves   []hostMove
+	// vacate are busy hosts that get no new work until they are empty.
+	vacate []string
+}
+
+// planMoves gives empty hosts to the pools that lack most: first for the present load, from pools
+// with more than that needs, and then for expected peaks, from what nobody needs. What is left over
+// goes to standby when rest allows it. When there aren't enough, busy hosts are vacated: otherwise
+// late work of a peak that is over would hold on to hosts that the next one needs.
 func planMoves(loads []poolLoad, standby []string, standbyPool string, rest func(host string) bool) (moves []hostMove, vacate []string) {
-	loads = slices.Clone(loads)
-	slices.SortStableFunc(loads, func(a, b poolLoad) int {
-		return cmp.Or(cmp.Compare(a.hosts-a.target(), b.hosts-b.target()), cmp.Compare(a.name, b.name))
-	})
-	var spare, busy []string
-	for i := range loads {
-		surplus := max(0, loads[i].hosts-loads[i].target())
-		empty := min(surplus, len(loads[i].empty))
-		spare = append(spare, loads[i].empty[:empty]...)
-		busy = append(busy, loads[i].busy[:min(surplus-empty, len(loads[i].busy))]...)
+	p := movePlan{loads: slices.Clone(loads), standby: standby}
+	p.give((*poolLoad).present)
+	p.give((*poolLoad).future)
+	if standbyPool == "" {
+		return p.moves, p.vacate
 	}
-	resting := len(spare)
-	spare = append(spare, standby...)
-	for i := range loads {
-		lack := loads[i].target() - loads[i].hosts
-		for ; lack > 0 && len(spare) > 0; lack-- {
-			moves = append(moves, hostMove{spare[0], loads[i].name})
-			spare, resting = spare[1:], resting-1
+	for i := range p.loads {
+		load := &p.loads[i]
+		for load.hosts > load.future() && len(load.empty) > 0 && rest(load.empty[0]) {
+			p.take(load, standbyPool)
 		}
-		for ; lack > 0 && len(busy) > 0; lack-- {
-			vacate, busy = append(vacate, busy[0]), busy[1:]
+	}
+	return p.moves, p.vacate
+}
+
+// give gives hosts to the pools below their target, those that lack most first.
+func (p *movePlan) give(target func(*poolLoad) int) {
+	slices.SortStableFunc(p.loads, func(a, b poolLoad) int {
+		return cmp.Or(cmp.Compare(a.hosts-target(&a), b.hosts-target(&b)), cmp.Compare(a.name, b.name))
+	})
+	for i := range p.loads {
+		to := &p.loads[i]
+		for to.hosts < target(to) {
+			if from := p.donor(target); from != nil {
+				p.take(from, to.name)
+			} else if len(p.standby) > 0 {
+				p.moves = append(p.moves, hostMove{p.standby[0], to.name})
+				p.standby = p.standby[1:]
+			} else {
+				p.vacateFor(target(to)-to.hosts, target)
+				break
+			}
+			to.hosts++
 		}
 	}
-	if standbyPool == "" {
-		return moves, vacate
+}
+
+// donor is the pool with an empty host that has most above its target; the expected load counts first.
+func (p *movePlan) donor(target func(*poolLoad) int) *poolLoad {
+	var best *poolLoad
+	for i := range p.loads {
+		load := &p.loads[i]
+		if len(load.empty) == 0 || load.hosts <= target(load) {
+			continue
+		}
+		if best == nil || load.hosts-load.future() > best.hosts-best.future() {
+			best = load
+		}
 	}
-	for _, host := range spare[:max(0, resting)] {
-		if rest(host) {
-			moves = append(moves, hostMove{host, standbyPool})
+	return best
+}
+
+// take moves the first empty host out of the pool.
+func (p *movePlan) take(from *poolLoad, to string) {
+	p.moves = append(p.moves, hostMove{from.empty[0], to})
+	from.empty = from.empty[1:]
+	from.hosts--
+}
+
+// vacateFor names up to n busy hosts of pools above their target.
+func (p *movePlan) vacateFor(n int, target func(*poolLoad) int) {
+	for i := range p.loads {
+		load := &p.loads[i]
+		for n > 0 && load.hosts > target(load) && len(load.busy) > 0 {
+			p.vacate = append(p.vacate, load.busy[0])
+			load.busy = load.busy[1:]
+			load.hosts--
+			n--
 		}
 	}
-	return moves, vacate
 }
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -77,7 +77,7 @@
 	for i := range loads {
 		l := &loads[i]
 		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(open[l.name]), "empty": len(l.empty),
-			"target": l.target(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
+			"target": l.present(), "expected": l.future(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
 			"backlog": int(c.backlog(l.name, now, true)), "in_time": int(c.backlog(l.name, now, false)), "standby": standby}).Info("load of a pool")
 	}
 }
@@ -207,7 +207,8 @@
 			}
 		}
 	}
-	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, false)/drainTime.Seconds(), c.forecast(load.name, now)) + lasting
+	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, false)/drainTime.Seconds()) + lasting
+	load.expected = sizeHeadroom*c.forecast(load.name, now) + lasting
 	if load.hosts > 0 {
 		load.coresPerHost = cores / float64(load.hosts)
 		return
