--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -5,6 +5,7 @@
 package duty
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -27,18 +28,18 @@
 	memberTTL = 1200 * time.Millisecond
 	// joinInterval renews membership some times within memberTTL.
 	joinInterval = 300 * time.Millisecond
-	// watchInterval is how often the process that takes over first looks at the members, and
+	// watchInterval is how often a process that is ranked high looks at the members, and
 	// idleWatchInterval how often the others do, which need it to know their peers.
 	watchInterval     = 250 * time.Millisecond
 	idleWatchInterval = time.Second
-	// claimDelay is how long a process that isn't first lets the first one claim.
-	claimDelay = 1500 * time.Millisecond
+	// claimDelay is how much longer a process waits than the one ranked before it.
+	claimDelay = 300 * time.Millisecond
+	// bootDelay is how long the first claim of all waits for the other processes to join.
+	bootDelay = time.Second
 	// followWait is how long a read of the claims waits for a new one.
 	followWait = time.Second
-	// oldProcess divided by oldProcessDivisor is the longest that a process waits to claim a duty that
-	// was given away; younger ones wait less. It is long enough to tell processes apart.
-	oldProcess        = 20 * time.Second
-	oldProcessDivisor = 200
+	// watchingRanks is how many processes look at the members often.
+	watchingRanks = 3
 	// retryPause follows a call that failed.
 	retryPause = 150 * time.Millisecond
 	// silentAfter is how long a process joins on without an answer. Beyond it, it lets its membership
@@ -87,11 +88,9 @@
 	changed chan struct{}
 	// free gets a value when a holder resigned.
 	free    chan struct{}
-	started time.Duration
 	members []infra.Member
-	// answered is when the last join was answered; first is what it said.
+	// answered is when the last join was answered.
 	answered time.Duration
-	first    bool
 	// missingSince is when the holder was first seen missing; 0 while it isn't.
 	missingSince time.Duration
 	// resigned is the last term that this process gave up.
@@ -120,7 +119,7 @@
 
 // Run follows and claims until ctx ends, and then leaves the group.
 func (k *Keeper) Run(ctx context.Context) error {
-	k.changed, k.free, k.started = make(chan struct{}, 1), make(chan struct{}, 1), k.Clock()
+	k.changed, k.free = make(chan struct{}, 1), make(chan struct{}, 1)
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.follow(inner) })
 	group.Go(func() error { return k.join(inner) })
@@ -195,11 +194,11 @@
 	k.answered = k.Clock()
 	k.mu.Unlock()
 	for ctx.Err() == nil {
-		first, err := k.Group.Join(ctx, k.Self, memberTTL)
+		err := k.Group.Join(ctx, k.Self, memberTTL)
 		now, pause := k.Clock(), joinInterval
 		k.mu.Lock()
 		if err == nil {
-			k.answered, k.first = now, first
+			k.answered = now
 		} else if now-k.answered > silentAfter {
 			pause = memberTTL + joinInterval
 		}
@@ -225,7 +224,7 @@
 		}
 		due := err == nil && k.loaded && k.due(now)
 		pause := idleWatchInterval
-		if k.first || k.missingSince > 0 {
+		if k.missingSince > 0 || k.rank() < watchingRanks {
 			pause = watchInterval
 		}
 		claim, next := k.claim, k.next
@@ -238,8 +237,7 @@
 	return ctx.Err()
 }
 
-// pauseWatch waits for the pause, or until a holder resigns. Then those that started lately go first:
-// in a rolling restart they aren't about to be stopped.
+// pauseWatch waits for the pause, or until a holder resigns.
 func (k *Keeper) pauseWatch(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -247,17 +245,30 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-k.free:
-		_ = periodic.Pause(ctx, min(k.Clock()-k.started, oldProcess)/oldProcessDivisor)
 	}
 }
 
+// rank is the place of this process among those that may take over: the strongest hosts first, and
+// then those that started last, which a rolling restart isn't about to stop. k.mu is held.
+func (k *Keeper) rank() int {
+	rank := 0
+	for _, member := range k.members {
+		if member.Name != k.Self.Name && member.Name != k.claim.Holder.Name && before(member, k.Self) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// before reports whether a goes before b.
+func before(a, b infra.Member) bool {
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(b.Since, a.Since), cmp.Compare(a.Name, b.Name)) < 0
+}
+
 // due reports whether this process should claim. k.mu is held.
 func (k *Keeper) due(now time.Duration) bool {
 	mine := k.claim.Holder.Name == k.Self.Name
-	if k.claim.Resigned {
-		return true
-	}
-	if mine && k.claim.Nonce == k.Nonce && k.claim.Term != k.resigned {
+	if mine && !k.claim.Resigned && k.claim.Nonce == k.Nonce && k.claim.Term != k.resigned {
 		k.missingSince = 0
 		return false
 	}
@@ -272,7 +283,11 @@
 	if k.missingSince == 0 {
 		k.missingSince = now
 	}
-	return mine || k.first || now-k.missingSince > claimDelay
+	wait := time.Duration(k.rank()) * claimDelay
+	if k.claim.Term == 0 {
+		wait += bootDelay
+	}
+	return now-k.missingSince >= wait
 }
 
 // Resign gives the duty away if this process has it.
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -129,13 +129,16 @@
 	// Zone and Address are where other processes reach it.
 	Zone    string
 	Address string
+	// Power is the processor share of its host in thousandths of a core.
+	Power int64
+	// Since is the Unix second of its start.
+	Since int64
 }
 
 // Group tells the entry processes of each other.
 type Group interface {
-	// Join joins, or renews membership for the time to live, and reports whether this member is the one
-	// that takes over first when the scheduler is lost.
-	Join(ctx context.Context, self Member, ttl time.Duration) (first bool, err error)
+	// Join joins, or renews membership for the time to live.
+	Join(ctx context.Context, self Member, ttl time.Duration) error
 	Leave(ctx context.Context, self Member) error
 	// Members lists those joined.
 	Members(ctx context.Context) ([]Member, error)
