--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -93,6 +93,8 @@
 	answered time.Duration
 	// missingSince is when the holder was first seen missing; 0 while it isn't.
 	missingSince time.Duration
+	// leaving is set once this process makes no claim any more.
+	leaving bool
 	// resigned is the last term that this process gave up.
 	resigned int64
 }
@@ -222,7 +224,7 @@
 		if err == nil {
 			k.members = members
 		}
-		due := err == nil && k.loaded && k.due(now)
+		due := err == nil && k.loaded && !k.leaving && k.due(now)
 		pause := idleWatchInterval
 		if k.missingSince > 0 || k.rank() < watchingRanks {
 			pause = watchInterval
@@ -290,9 +292,10 @@
 	return now-k.missingSince >= wait
 }
 
-// Resign gives the duty away if this process has it.
+// Resign gives the duty away if this process has it, and makes no claim any more.
 func (k *Keeper) Resign(ctx context.Context) {
 	k.mu.Lock()
+	k.leaving = true
 	claim, next := k.claim, k.next
 	k.mu.Unlock()
 	if claim.Nonce == k.Nonce && !claim.Resigned {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,8 +58,10 @@
 	Decode func(source []byte) (*work.Config, error)
 	Logger *logrus.Entry
 
-	config atomic.Pointer[published]
-	core   atomic.Pointer[scheduler.Core]
+	// override answers instead of the scheduler, in tests.
+	override peer.Service
+	config   atomic.Pointer[published]
+	core     atomic.Pointer[scheduler.Core]
 
 	mu    sync.Mutex
 	waves map[int64]infra.Wave
@@ -179,6 +181,9 @@
 
 // scheduler returns who answers: this process's core, or another process.
 func (e *Entry) scheduler() (peer.Service, bool) {
+	if e.override != nil {
+		return e.override, true
+	}
 	if core := e.core.Load(); core != nil {
 		return local{core}, true
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -18,8 +18,6 @@
 	// unconfirmedHold is the pause between holds while ends wait to become durable: a worker lists them
 	// again at once, and a slow log must not hide new ends for long.
 	unconfirmedHold = 80 * time.Millisecond
-	// lostAfter is how long a worker may be silent before it gets no new work.
-	lostAfter = 700 * time.Millisecond
 	// leaseRenewalStops is the silence after which holds don't renew the lease any more, so that its
 	// end stays known although the holds may arrive.
 	leaseRenewalStops = 600 * time.Millisecond
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -129,8 +129,6 @@
 	ended    time.Duration
 	// ahead is by how many steps its customer was ahead of its share when the job came.
 	ahead int
-	// waiters are callers whose answer waits for the next durable batch.
-	waiters []chan<- Outcome
 }
 
 func newJob(def *work.Job) *job {
