--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -329,3 +329,25 @@
 	state, _ := b.State("job")
 	assert.Equal(t, state, JobCancelled)
 }
+
+// Guards against lasting work that waits while the hosts of its pool are down for their upkeep: they
+// don't count as hosts of the pool, which gets others.
+func TestHostsInUpkeepAreReplaced(t *testing.T) {
+	b := newBed(1)
+	var hosts []infra.Host
+	for n := range 3 {
+		capacity := work.Resources{CPUMilli: 8000, MemoryMiB: 1 << 20}
+		hosts = append(hosts, infra.Host{ID: fmt.Sprintf("host-%d", n), Pool: simPool, State: infra.HostUp, WorkerID: b.addWorker(n, 8), Capacity: capacity},
+			infra.Host{ID: fmt.Sprintf("standby-%d", n), Pool: "rest", State: infra.HostUp, Capacity: capacity})
+	}
+	waiter := make(chan Outcome, 1)
+	b.Submit(&work.Job{ID: "lasting", Queue: b.config.Queues[0], Steps: []work.Step{lastingStep(3, 1)}}, waiter)
+	b.startAll(b.commit(), 0)
+	hosts[0].State, hosts[0].WorkerID = infra.HostUpkeep, ""
+	hosts[2].State, hosts[2].WorkerID = infra.HostUpkeep, ""
+	b.end(b.workers["worker-0"])
+	b.end(b.workers["worker-1"])
+	b.SetHosts(hosts, b.now)
+	orders, _ := b.PlanHosts()
+	assert.Assert(t, len(orders) >= 2, "two work items wait for a host; moves: %v", orders)
+}
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -129,6 +129,16 @@
 	return false
 }
 
+// leavesForWave reports whether the host is being emptied for its upkeep.
+func (c *Core) leavesForWave(host string) bool {
+	for _, w := range c.hosts.waves {
+		if !w.completed && w.cordoned[host] && c.hosts.pending[host] {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRest reports whether the host was idle long enough to rest.
 func (c *Core) mayRest(host string, now time.Duration) bool {
 	since, idle := c.hosts.idleSince[host]
@@ -152,7 +162,9 @@
 			pool = moving.pool
 		}
 		load := byName[pool]
-		if load == nil || host.State == infra.HostDown {
+		// A host that is away for its upkeep, or is about to be, carries nothing until it is back.
+		away := host.State == infra.HostDown || host.State == infra.HostUpkeep || c.leavesForWave(id)
+		if load == nil || away {
 			continue
 		}
 		load.hosts++
@@ -196,7 +208,7 @@
 
 // fillLoad sets what the pool needs.
 func (c *Core) fillLoad(load *poolLoad, cores float64, now time.Duration) {
-	load.least = max(load.least, c.lastingSpread(load.name)) + spareHosts
+	load.least = max(load.least, c.lastingSpread(load.name)) + spareHosts + c.lastingWaiting(load.name)
 	lasting := 0.0
 	for _, w := range c.workers {
 		if w.entry.Pool == load.name {
@@ -216,6 +228,22 @@
 	load.coresPerHost = c.meanCores()
 }
 
+// lastingWaiting is how many items of one lasting step of the pool wait for a host at most.
+func (c *Core) lastingWaiting(pool string) int {
+	most := 0
+	for j := range c.active {
+		if j.over() || c.poolOf(j) != pool {
+			continue
+		}
+		for _, step := range j.steps {
+			if step.def.Lasting {
+				most = max(most, step.waiting())
+			}
+		}
+	}
+	return most
+}
+
 // lastingSpread is how many hosts the lasting work of the pool needs at least by its bounds for one host.
 func (c *Core) lastingSpread(pool string) int {
 	most := 0
