--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -95,21 +96,21 @@
 	p.keeper.Lead = func(ctx context.Context, term int64) { session.Run(ctx, config, term) }
 	p.keeper.Eligible = func() bool { return !p.draining.Load() && p.entry.Config() != nil }
 	logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": incarnation, "listen": settings.Listen.Front}).Info("entry started")
-	err := p.serve(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	err := p.serve(registry)
 	logger.WithField("event", "stopped").WithError(err).Info("entry stopped")
 	return err
 }
 
 // serve opens the listeners and runs all parts until SIGTERM and the end of the grace time.
-func (p *process) serve(metrics http.Handler) error {
+func (p *process) serve(registry *prometheus.Registry) error {
 	front := &fasthttp.Server{
-		Handler: (&platform.Callers{Entry: p.entry, Draining: p.draining.Load}).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: platform.NewCallers(p.entry, p.draining.Load, p.logger, registry).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		Concurrency: maxCallers, DisablePreParseMultipartForm: true, Logger: discard{}, CloseOnShutdown: true,
 	}
 	ready := &fasthttp.Server{Handler: p.ready, NoDefaultServerHeader: true, Logger: discard{}, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	inner := &http.Server{Handler: peer.NewHandler(p.entry.Peers()), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: operatorsHandler(metrics), ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{Handler: operatorsHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: headerTimeout}
 
 	group, ctx := errgroup.WithContext(context.Background())
 	for _, part := range []struct {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -285,6 +285,10 @@
 	if k.missingSince == 0 {
 		k.missingSince = now
 	}
+	if mine && !k.claim.Resigned {
+		// This process had the duty in an earlier lifetime, and the others still see it joined.
+		return true
+	}
 	wait := time.Duration(k.rank()) * claimDelay
 	if k.claim.Term == 0 {
 		wait += bootDelay
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -22,6 +22,9 @@
 	lapseMargin = 100 * time.Millisecond
 	// fullPace is the pace of a filling item at its start, in percent.
 	fullPace = 100
+	// logStalled is how long an append may take before new jobs are turned away: a slow log takes up to
+	// half a second, and a job that waits for one that is down can't be told apart from an accepted one.
+	logStalled = 700 * time.Millisecond
 	// runsPerTerm spaces the run numbers of terms, so that they rise without a record of each start.
 	runsPerTerm = 10000
 )
@@ -62,6 +65,8 @@
 	NotFound
 	// Undecided: the term ended before the outcome was durable.
 	Undecided
+	// Unavailable: the log doesn't take the outcome, so that nothing was done.
+	Unavailable
 )
 
 // JobState is what callers are shown of a job.
@@ -138,6 +143,8 @@
 	dropped []string
 	// records are written besides those of dirty jobs.
 	records []infra.Record
+	// appending is since when the batch under way waits for the log; 0 when none does.
+	appending time.Duration
 	// fenced is set when a worker or host has seen a higher token.
 	fenced bool
 	closed bool
@@ -338,6 +345,9 @@
 		}
 	}
 	batch.Orders, batch.waiters, batch.dropped = c.orders, c.waiters, c.dropped
+	if len(batch.Records) > 0 {
+		c.appending = now
+	}
 	clear(c.dirty)
 	c.orders, c.waiters, c.dropped = nil, nil, nil
 	return batch
@@ -352,6 +362,7 @@
 func (c *Core) Committed(batch *Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.appending = 0
 	for _, j := range batch.jobs {
 		j.durable = true
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -351,3 +351,20 @@
 	orders, _ := b.PlanHosts()
 	assert.Assert(t, len(orders) >= 2, "two work items wait for a host; moves: %v", orders)
 }
+
+// Guards against a scheduler that is cut off from the log and lets callers wait for an outcome that
+// can't come: once an append is overdue, new jobs are turned away at once.
+func TestJobsAreTurnedAwayWhileTheLogIsSilent(t *testing.T) {
+	b := newBed(1)
+	b.addWorker(0, 8)
+	step := work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second}
+	assert.Equal(t, b.submit("before", "big", step).Kind, Done)
+	first := make(chan Outcome, 1)
+	b.Submit(&work.Job{ID: "under way", Queue: b.config.Queues[0], Steps: []work.Step{step}}, first)
+	batch := b.Collect()
+	b.now += logStalled + time.Millisecond
+	assert.Equal(t, b.submit("during", "big", step).Kind, Unavailable)
+	b.Committed(&batch)
+	assert.Equal(t, (<-first).Kind, Done)
+	assert.Equal(t, b.submit("during", "big", step).Kind, Done)
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -26,6 +26,13 @@
 		return
 	}
 	now := c.clock()
+	if c.stalled(now) {
+		c.metrics.rejected("log_down")
+		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "log_down",
+			"log_silent_ms": (now - c.appending).Milliseconds()}).Info("job rejected")
+		waiter <- Outcome{Kind: Unavailable, RetryAfter: time.Second, Reason: "log_down"}
+		return
+	}
 	def.Accepted = c.wall()
 	c.offer(def, now)
 	if verdict := c.admit(def, now); !verdict.accept {
@@ -46,6 +53,11 @@
 	c.touch(j)
 }
 
+// stalled reports whether the log takes no records at the moment.
+func (c *Core) stalled(now time.Duration) bool {
+	return c.appending > 0 && now-c.appending > logStalled
+}
+
 // offeredKept is how long a rejected job is remembered: callers retry within their patience of seconds.
 const offeredKept = 15 * time.Second
 
@@ -75,6 +87,9 @@
 	case j == nil:
 		waiter <- Outcome{Kind: NotFound}
 		return
+	case c.stalled(c.clock()):
+		waiter <- Outcome{Kind: Unavailable, RetryAfter: time.Second, Reason: "log_down"}
+		return
 	case j.over() && (j.shownCancelled || j.shownCompleted || j.shownFailed):
 		waiter <- Outcome{Kind: Done}
 		return
