--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -131,7 +131,8 @@
 	}
 	chain := c.chainOf(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*orderOverhead
 	room := lateFactor*c.allowance(def) - chain
-	wait := time.Duration(c.backlog(def.Queue.Pool, now, true) / cores * float64(time.Second))
+	before := c.backlog(def.Queue.Pool, now, func(j *job) bool { return j.ahead <= c.ahead(def, now) })
+	wait := time.Duration(before / cores * float64(time.Second))
 	if wait <= room {
 		return verdict{accept: true, wait: wait, room: room}
 	}
@@ -166,15 +167,23 @@
 	return float64(milli) / 1000
 }
 
-// backlog returns the core-seconds that accepted jobs of the pool still need: all of them, or what
-// runs and what can still be in time.
-func (c *Core) backlog(pool string, now time.Duration, all bool) float64 {
+// anyJob counts all jobs in a backlog.
+func anyJob(*job) bool { return true }
+
+// inTime counts the jobs that can still be in time.
+func (c *Core) inTime(now time.Duration) func(*job) bool {
+	return func(j *job) bool { return c.deadline(j)-now >= c.remainingChain(j) }
+}
+
+// backlog returns the core-seconds that accepted jobs of the pool still need: for what runs, and for
+// what waits of the jobs that count.
+func (c *Core) backlog(pool string, now time.Duration, counts func(*job) bool) float64 {
 	total := 0.0
 	for j := range c.active {
 		if j.over() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 {
 			continue
 		}
-		late := !all && c.deadline(j)-now < c.remainingChain(j)
+		counted := counts(j)
 		for _, step := range j.steps {
 			if step.def.Lasting {
 				continue
@@ -183,7 +192,7 @@
 			for _, i := range step.items {
 				left := run
 				switch {
-				case i.state == itemDone, late && i.state == itemWaiting:
+				case i.state == itemDone, !counted && i.state == itemWaiting:
 					continue
 				case i.state == itemPlaced:
 					left = max(run/10, run-(now-i.placed))
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -368,3 +368,16 @@
 	assert.Equal(t, (<-first).Kind, Done)
 	assert.Equal(t, b.submit("during", "big", step).Kind, Done)
 }
+
+// Guards against a hot customer whose accepted jobs make the pool look full to everyone else.
+func TestHotCustomerDoesNotCloseTheDoor(t *testing.T) {
+	b := newBed(1)
+	b.addWorker(0, 8)
+	step := work.Step{Count: 4, Need: work.Resources{CPUMilli: 2000}, Estimate: time.Second}
+	rejected := false
+	for n := range 40 {
+		rejected = b.submit(fmt.Sprintf("big-%d", n), "big", step).Kind == Rejected
+	}
+	assert.Assert(t, rejected, "the hot customer itself is turned away")
+	assert.Equal(t, b.submit("small", "small", step).Kind, Done)
+}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -26,8 +26,17 @@
 	last   time.Duration
 }
 
-// ahead books the work of a job and returns by how many steps the customer is ahead of its share.
-func (c *Core) ahead(def *work.Job, cores float64, now time.Duration) int {
+// ahead returns by how many steps the customer of the job is ahead of its share.
+func (c *Core) ahead(def *work.Job, now time.Duration) int {
+	a := c.pool(def.Queue.Pool).accounts[def.Customer]
+	if a == nil {
+		return 0
+	}
+	return min(maxShareSteps, int(max(0, a.served-now)/shareStep))
+}
+
+// book books the work of an accepted job.
+func (c *Core) book(def *work.Job, cores float64, now time.Duration) {
 	p := c.pool(def.Queue.Pool)
 	a := p.accounts[def.Customer]
 	if a == nil {
@@ -42,12 +51,10 @@
 		}
 	}
 	if cores <= 0 || shares <= 0 {
-		return 0
+		return
 	}
 	rate := cores * c.shareOf(def.Customer) / shares
-	ahead := max(0, a.served-now)
-	a.served = now + ahead + time.Duration(c.workOf(def)/rate*float64(time.Second))
-	return min(maxShareSteps, int(ahead/shareStep))
+	a.served = max(a.served, now) + time.Duration(c.workOf(def)/rate*float64(time.Second))
 }
 
 // shareOf is the weight of a customer.
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -78,7 +78,7 @@
 		l := &loads[i]
 		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(open[l.name]), "empty": len(l.empty),
 			"target": l.present(), "expected": l.future(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
-			"backlog": int(c.backlog(l.name, now, true)), "in_time": int(c.backlog(l.name, now, false)), "standby": standby}).Info("load of a pool")
+			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.inTime(now))), "standby": standby}).Info("load of a pool")
 	}
 }
 
@@ -219,7 +219,7 @@
 			}
 		}
 	}
-	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, false)/drainTime.Seconds()) + lasting
+	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, c.inTime(now))/drainTime.Seconds()) + lasting
 	load.expected = sizeHeadroom*c.forecast(load.name, now) + lasting
 	if load.hosts > 0 {
 		load.coresPerHost = cores / float64(load.hosts)
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -44,7 +44,8 @@
 	}
 	j := newJob(def)
 	j.accepted = now
-	j.ahead = c.ahead(def, c.coresOf(def.Queue.Pool, now)+c.spareCores(), now)
+	j.ahead = c.ahead(def, now)
+	c.book(def, c.coresOf(def.Queue.Pool, now)+c.spareCores(), now)
 	c.jobs[def.ID] = j
 	c.active[j] = struct{}{}
 	c.waiters = append(c.waiters, waiter)
