--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -381,3 +381,38 @@
 	assert.Assert(t, rejected, "the hot customer itself is turned away")
 	assert.Equal(t, b.submit("small", "small", step).Kind, Done)
 }
+
+// Guards against work that stays on a worker on which everything stands still, and against items that
+// are long by themselves and are stopped again and again.
+func TestStragglersStartElsewhere(t *testing.T) {
+	b := newBed(1)
+	b.addWorker(0, 8)
+	b.addWorker(1, 8)
+	b.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
+	i := b.jobs["job"].steps[0].items[0]
+	first := i.worker
+	hold := func(span time.Duration) {
+		for end := b.now + span; b.now < end; {
+			b.now += 100 * time.Millisecond
+			for id := range b.workers {
+				b.HoldNow(id, b.now)
+				report := infra.WorkerReport{ClockMs: int64(b.now / time.Millisecond)}
+				if i.worker != nil && i.worker.entry.ID == id && !i.stopping {
+					report.Running = []infra.Running{{Item: i.id(), Run: i.run}}
+				}
+				if i.worker != nil && i.worker.entry.ID == id && i.stopping {
+					report.Ended = []infra.Ended{{Number: i.worker.handled + 1, Item: i.id(), Run: i.run, Cause: infra.EndStopped}}
+				}
+				b.Report(id, report, b.now)
+			}
+			b.commit()
+		}
+	}
+	hold(4 * time.Second)
+	assert.Equal(t, i.worker, first)
+	hold(4 * time.Second)
+	assert.Assert(t, i.worker != nil && i.worker != first, "the item stays on the worker that stands still")
+	second := i.worker
+	hold(20 * time.Second)
+	assert.Equal(t, i.worker, second)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -17,6 +17,7 @@
 	}
 	c.repeatStops(now)
 	c.leaveDraining()
+	c.stopStragglers(now)
 	open := c.openWorkers(now)
 	if len(open) == 0 {
 		return
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -364,7 +364,7 @@
 }
 
 func (c *Core) itemDone(w *worker, i *item, row infra.Ended, current bool, now time.Duration) {
-	w.streak = 0
+	w.streak, w.stragglerPause = 0, 0
 	if i.step.def.Lasting {
 		// Lasting work isn't done before its job is cancelled.
 		if current {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -208,6 +208,8 @@
 	contact  time.Duration
 	failing  int
 	pausedTo time.Duration
+	// stragglerPause is how long the worker was last paused for stragglers.
+	stragglerPause time.Duration
 	// streak counts failed runs since the last one that was done.
 	streak int
 	// cordoned workers get no new work since their host is to go down or move.
