--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -416,3 +416,18 @@
 	hold(20 * time.Second)
 	assert.Equal(t, i.worker, second)
 }
+
+// Guards against a good work item whose attempts are used up on a worker that fails everything, while
+// the others have no room for the moment.
+func TestFailedItemWaitsForAnotherWorker(t *testing.T) {
+	b := newBed(1)
+	b.addWorker(0, 8)
+	b.addWorker(1, 8)
+	b.submit("filler", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 8000}, Estimate: time.Second})
+	b.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
+	i := b.jobs["job"].steps[0].items[0]
+	grey := i.worker
+	b.Report(grey.entry.ID, infra.WorkerReport{ClockMs: 2000, Ended: []infra.Ended{{Number: 1, Item: i.id(), Run: i.run, Cause: infra.EndFailed}}}, b.now)
+	b.commit()
+	assert.Assert(t, i.worker == nil, "the item is on worker %v", i.worker)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -259,10 +259,11 @@
 		}
 	}
 	need := step.need()
+	barred := i.barred(c.clock(), len(workers))
 	var best *worker
 	bestScore := 0.0
 	for _, w := range workers {
-		if !need.Fits(w.free()) || !w.suits(step) {
+		if w == barred || !need.Fits(w.free()) || !w.suits(step) {
 			continue
 		}
 		score := c.score(i, w)
@@ -273,6 +274,18 @@
 	return best
 }
 
+// barTime is how long a work item waits for another worker after a run of it failed.
+const barTime = 1500 * time.Millisecond
+
+// barred returns the worker that may not run the item now: the one that failed it, unless the pool has
+// no other. Without it the attempts of a good item are used up on a worker that fails everything.
+func (i *item) barred(now time.Duration, workers int) *worker {
+	if i.failedAt == 0 || workers < 2 || now-i.failedAt > barTime {
+		return nil
+	}
+	return i.avoid
+}
+
 // suits reports whether the worker may run items of the step.
 func (w *worker) suits(step *stepRun) bool {
 	if step.def.Label != "" && !slices.Contains(w.entry.Labels, step.def.Label) {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -25,9 +25,13 @@
 	// that said it has no room.
 	unhealthyPause = time.Second
 	noRoomPause    = 200 * time.Millisecond
-	// greyStreak is how many runs in a row may fail on a worker before it is paused for greyPause.
-	greyStreak = 3
-	greyPause  = 4 * time.Second
+	// greyStreak is how many runs in a row may fail on a worker before it is paused, for firstGreyPause
+	// and then twice as long with each further one, up to greyPause. A worker that fails all at once
+	// looks free, and would draw work that others would do.
+	greyStreak       = 2
+	firstGreyPause   = 500 * time.Millisecond
+	greyPause        = 4 * time.Second
+	maxGreyDoublings = 5
 	// stopRetry is the pause before a stop is ordered again.
 	stopRetry = 400 * time.Millisecond
 	// atWorkPercent is what a lasting work item shows when it is at work.
@@ -419,11 +423,11 @@
 func (c *Core) itemFailed(w *worker, i *item, row infra.Ended, current bool, now time.Duration) {
 	w.streak++
 	if w.streak >= greyStreak {
-		w.pausedTo = now + greyPause
+		w.pausedTo = now + min(greyPause, firstGreyPause<<min(w.streak-greyStreak, maxGreyDoublings))
 		c.logger.WithFields(logrus.Fields{"event": "worker_paused", "worker": w.entry.ID, "failed_in_a_row": w.streak}).Warn("worker fails what it starts")
 	}
 	i.failures++
-	i.avoid = w
+	i.avoid, i.failedAt = w, now
 	j := i.step.job
 	c.logger.WithFields(logrus.Fields{"event": "run_failed", "item": row.Item.String(), "run": row.Run, "worker": w.entry.ID, "failures": i.failures}).Info("run failed")
 	if current {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -34,8 +34,9 @@
 	runs       int64
 	failures   int
 	checkpoint string
-	// avoid is the worker on which the last run failed.
-	avoid *worker
+	// avoid is the worker on which the last run failed or took far too long; failedAt is when it failed.
+	avoid    *worker
+	failedAt time.Duration
 	// ghosts are earlier runs whose lease lapsed unseen; their ends may still be reported.
 	ghosts []ghost
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Checks format, vet, linter and module file, then runs all tests with the race detector.
+# Checks format, vet, linter and module file, runs all tests with the race detector, and builds and
+# checks what the users' platform runs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -19,6 +20,11 @@
 go mod tidy -diff
 go test -race -timeout 20m ./...
 
+# The deploy file's build line, and the settings that its program is given.
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+bash -c "$build"
+TURMERICYOKE_NODE_FILE=examples/platform/node.toml target/entry --check-config
+
 if [ -s KNOWN-RED.txt ]; then
   echo "known to fail, outside this run:" && cat KNOWN-RED.txt
 fi
