--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -18,9 +18,9 @@
 	defaultRun = 500 * time.Millisecond
 	// orderOverhead is what a step costs besides its work: two appends, an order and its report.
 	orderOverhead = 60 * time.Millisecond
-	// learnRate is the weight of a new run in the learned ratio of real to declared run times.
+	// learnRate is the weight of a new run in the means of real and declared run times.
 	learnRate = 0.03
-	// minRatio and maxRatio bound the learned ratio: declared times are off by a factor of about two.
+	// minRatio and maxRatio bound their ratio: declared times are off by a factor of about two.
 	minRatio, maxRatio = 0.5, 2.0
 	// maxActive bounds the unfinished jobs, and with them the memory.
 	maxActive = 4000
@@ -30,8 +30,11 @@
 
 // poolState is what is learned of the work of a pool.
 type poolState struct {
-	// ratio is the real run time of work items divided by the declared one.
+	// ratio is the mean real run time of work items divided by the mean declared one. The mean of the
+	// ratios would be too high, since declared times are off both ways.
 	ratio float64
+	// real and declared are running means in seconds; 0 before the first run.
+	real, declared float64
 	// accounts are those of the customers that sent jobs.
 	accounts map[string]*account
 }
@@ -51,8 +54,13 @@
 		return
 	}
 	p := c.pool(i.step.job.def.Queue.Pool)
-	ratio := float64(now-i.answered) / float64(i.step.def.Estimate)
-	p.ratio += learnRate * (min(maxRatio, max(minRatio, ratio)) - p.ratio)
+	real, declared := (now - i.answered).Seconds(), i.step.def.Estimate.Seconds()
+	if p.declared == 0 {
+		p.real, p.declared = declared, declared
+	}
+	p.real += learnRate * (real - p.real)
+	p.declared += learnRate * (declared - p.declared)
+	p.ratio = min(maxRatio, max(minRatio, p.real/p.declared))
 }
 
 // runTime predicts the run time of an item of the step.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -430,6 +430,9 @@
 
 // giveUp takes everything off a worker whose lease has lapsed or that has ended.
 func (c *Core) giveUp(w *worker, now time.Duration) {
+	if len(w.items) == 0 {
+		return
+	}
 	c.logger.WithFields(logrus.Fields{"event": "worker_lapsed", "worker": w.entry.ID, "items": len(w.items), "gone": w.gone,
 		"silent_ms": (now - w.contact).Milliseconds()}).Warn("work of a lost worker waits again")
 	for i := range w.items {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -431,3 +431,21 @@
 	b.commit()
 	assert.Assert(t, i.worker == nil, "the item is on worker %v", i.worker)
 }
+
+// Guards against predictions that are too long since declared run times are off both ways: items that
+// are declared at half and at one and a half of their time keep a ratio of 1.
+func TestLearnedRatioIsUnbiased(t *testing.T) {
+	b := newBed(1)
+	for n := range 400 {
+		declared := 500 * time.Millisecond
+		if n%2 == 1 {
+			declared = 1500 * time.Millisecond
+		}
+		j := newJob(&work.Job{Queue: b.config.Queues[0], Steps: []work.Step{{Count: 1, Estimate: declared}}})
+		i := j.steps[0].items[0]
+		i.answered = b.now
+		b.learn(i, b.now+time.Second)
+	}
+	ratio := b.pool(simPool).ratio
+	assert.Assert(t, ratio > 0.9 && ratio < 1.1, "ratio %f", ratio)
+}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -20,8 +20,8 @@
 	highShare, lowShare = 0.5, 0.25
 	// minPeakRate is the least load, in cores, that counts as a peak: about that of one host.
 	minPeakRate = 48.0
-	// usualRate is the weight of a new sample in the mean load of peaks; there are four a second.
-	usualRate = 0.1
+	// usualRate is the weight of a new sample in the mean load of peaks; there are about seven a second.
+	usualRate = 0.06
 	// keptIntervals is how many times between peaks the forecast looks back on.
 	keptIntervals = 4
 	// maxInterval is the longest time between peaks that is taken for a turn.
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -78,7 +79,7 @@
 		l := &loads[i]
 		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(open[l.name]), "empty": len(l.empty),
 			"target": l.present(), "expected": l.future(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
-			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.inTime(now))), "standby": standby}).Info("load of a pool")
+			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.inTime(now))), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.pool(l.name).ratio)}).Info("load of a pool")
 	}
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -28,11 +28,11 @@
 	// is well below scheduler.SelfLease.
 	confirmInterval = 500 * time.Millisecond
 	// directoryInterval is how often the list of workers is read.
-	directoryInterval = 300 * time.Millisecond
+	directoryInterval = 150 * time.Millisecond
 	// hostOrderConfirmed is how old the term's last confirmation may be for an order to a host.
 	hostOrderConfirmed = time.Second
 	// hostsInterval is how often hosts are planned; their list is read as often.
-	hostsInterval = 250 * time.Millisecond
+	hostsInterval = 150 * time.Millisecond
 	// loadRetry is the pause after a failed read at the start of a term.
 	loadRetry = 100 * time.Millisecond
 	// startTries is how often a start is sent that has no answer; after that the run is stopped.
