Ask the workers of all hosts before inherited work starts, and count failures without a record

And terms changed six times within two seconds, since one lost answer to a join cost a timeout longer than the membership. Changed: the list of hosts tells which workers must be asked; the last run that is accounted for is recorded with each work item; joins overlap, and membership lasts 1.5 s. Before: two new tests fail (a second run on a worker with 4.8 s of lease left, four starts with three attempts). After: they pass.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -24,10 +24,13 @@
 	topic    = "duty"
 	claimKey = "scheduler"
 	// memberTTL is how long a silent process stays a member. It bounds the takeover together with
-	// watchInterval; the platform takes no less than a second, and a slow store answers within 0.3 s.
-	memberTTL = 1200 * time.Millisecond
-	// joinInterval renews membership some times within memberTTL.
+	// watchInterval; the platform takes no less than a second.
+	memberTTL = 1500 * time.Millisecond
+	// joinInterval renews membership some times within memberTTL. A join doesn't wait for the one before
+	// it: a third of the store's answers may be lost for seconds, each of which would cost a timeout.
 	joinInterval = 300 * time.Millisecond
+	// maxJoins bounds the joins under way.
+	maxJoins = 4
 	// watchInterval is how often a process that is ranked high looks at the members, and
 	// idleWatchInterval how often the others do, which need it to know their peers.
 	watchInterval     = 250 * time.Millisecond
@@ -195,18 +198,27 @@
 	k.mu.Lock()
 	k.answered = k.Clock()
 	k.mu.Unlock()
+	var joins errgroup.Group
+	joins.SetLimit(maxJoins)
 	for ctx.Err() == nil {
-		err := k.Group.Join(ctx, k.Self, memberTTL)
-		now, pause := k.Clock(), joinInterval
+		joins.TryGo(func() error {
+			if err := k.Group.Join(ctx, k.Self, memberTTL); err == nil {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				k.answered = k.Clock()
+			}
+			return nil
+		})
+		pause := joinInterval
 		k.mu.Lock()
-		if err == nil {
-			k.answered = now
-		} else if now-k.answered > silentAfter {
+		if k.Clock()-k.answered > silentAfter {
 			pause = memberTTL + joinInterval
 		}
 		k.mu.Unlock()
 		_ = periodic.Pause(ctx, pause)
 	}
+	// A join that arrives after the farewell would make this process a member again.
+	_ = joins.Wait()
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	if err := k.Group.Leave(leave, k.Self); err != nil {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -230,13 +230,13 @@
 }
 
 func (c *Core) restoreItem(i *item, record itemRecord, now time.Duration) {
-	i.failures, i.checkpoint = record.Failures, record.Checkpoint
+	i.failures, i.checkpoint, i.run, i.accounted = record.Failures, record.Checkpoint, record.Run, record.Run
 	switch record.State {
 	case itemDone:
 		i.state = itemDone
 		i.step.done++
 	case itemPlaced:
-		i.run, i.inherited, i.placed = record.Run, true, now
+		i.inherited, i.placed = true, now
 		w := c.workers[record.Worker]
 		if w == nil {
 			w = newWorker(infra.WorkerEntry{ID: record.Worker})
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -184,3 +184,46 @@
 	s.run(2 * simOptions().Lease)
 	assert.Assert(t, s.starts > 1, "the work item never ran again")
 }
+
+// Guards against a second run of an unrecorded start on a worker whose entry lapsed while the store
+// had trouble: the list of hosts still shows it (TWICE on a hunted day of parelnet-zaan).
+func TestUnrecordedStartOnUnlistedWorker(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.run(time.Second)
+	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
+		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 20 * time.Second}}}
+	s.submit(job)
+	for s.starts == 0 {
+		s.logDown = s.accepted[job.ID]
+		s.run(simTick)
+	}
+	for _, w := range s.workers {
+		w.unlisted = len(w.running) > 0
+	}
+	s.leader().over, s.logDown = true, false
+	s.takeOver()
+	s.run(2 * simOptions().Lease)
+	assert.Assert(t, s.starts > 1, "the work item never ran again")
+}
+
+// Guards against a run beyond the attempts of a queue when the failed run of an earlier term was never
+// recorded (BUDGET on a hunted day of parelnet-zaan).
+func TestUnrecordedFailureCounts(t *testing.T) {
+	s := newSim(t, 1, 1)
+	s.run(time.Second)
+	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
+		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 100 * time.Millisecond}}}
+	s.workers[0].failAll = true
+	s.submit(job)
+	for s.starts == 0 {
+		s.logDown = s.accepted[job.ID]
+		s.run(simTick)
+	}
+	s.run(500 * time.Millisecond)
+	s.leader().over, s.logDown = true, false
+	s.takeOver()
+	s.run(30 * time.Second)
+	state, _ := s.leader().core.State(job.ID)
+	assert.Equal(t, state, JobFailed)
+	assert.Equal(t, s.starts, s.config.Queues[0].MaxAttempts)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -33,7 +33,8 @@
 }
 
 // unasked reports whether some worker may still run work that an earlier term started and didn't
-// record: one that hasn't answered yet and whose lease may not have lapsed.
+// record: one that hasn't answered yet and whose lease may not have lapsed. The list of workers isn't
+// enough to know them all: entries lapse while workers can't write to the store, and run on.
 func (c *Core) unasked(now time.Duration) bool {
 	if c.term == 1 || now > c.inheritedLease() {
 		return false
@@ -43,7 +44,12 @@
 			return true
 		}
 	}
-	return false
+	for id := range c.hosts.byWorker {
+		if w := c.workers[id]; w == nil || !w.known && !w.gone && w.born < c.startedMs {
+			return true
+		}
+	}
+	return len(c.hosts.hosts) == 0
 }
 
 // poolOf is the pool that runs the job: that of its queue now, or of its queue when it was accepted
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -35,6 +35,7 @@
 	Step       int
 	Index      int
 	State      itemState
+	// Run is the last run that is accounted for, Worker where it is placed.
 	Run        int64
 	Worker     string
 	Failures   int
@@ -49,13 +50,13 @@
 	}
 	for _, step := range j.steps {
 		for _, i := range step.items {
-			if i.state == itemWaiting && i.failures == 0 && i.checkpoint == "" {
+			if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
 				continue
 			}
 			entry := itemRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, State: i.state,
-				Failures: i.failures, Checkpoint: i.checkpoint}
+				Run: i.run, Failures: i.failures, Checkpoint: i.checkpoint}
 			if i.worker != nil {
-				entry.Run, entry.Worker = i.run, i.worker.entry.ID
+				entry.Worker = i.worker.entry.ID
 			}
 			record.Items = append(record.Items, entry)
 		}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -294,7 +294,7 @@
 
 func (c *Core) takeRunning(w *worker, row infra.Running, listed map[*item]bool, now time.Duration) {
 	i := c.find(&Order{Item: row.Item})
-	if i != nil && i.state == itemWaiting && i.step.job.inherited && !i.step.job.over() && row.Run <= (c.term-1)*runsPerTerm && row.Run > i.run {
+	if i != nil && i.state == itemWaiting && !i.step.job.over() && c.unrecorded(i, row.Run) {
 		// An earlier term started it and its record was lost.
 		i.run, i.placed = row.Run, now
 		c.place(i, w)
@@ -323,6 +323,11 @@
 	}
 }
 
+// unrecorded reports whether an earlier term began the run and its record was lost.
+func (c *Core) unrecorded(i *item, run int64) bool {
+	return i.step.job.inherited && run > i.accounted && run <= (c.term-1)*runsPerTerm
+}
+
 func (c *Core) takeEnded(w *worker, row infra.Ended, listed map[*item]bool, now time.Duration) {
 	i := c.find(&Order{Item: row.Item})
 	if i != nil && i.worker == w && i.run == row.Run {
@@ -336,7 +341,7 @@
 		return
 	}
 	current := i.worker == w && i.run == row.Run
-	if !current && !i.dropGhost(w.entry.ID, row.Run) && row.Cause != infra.EndDone {
+	if !current && !i.dropGhost(w.entry.ID, row.Run) && row.Cause != infra.EndDone && !c.unrecorded(i, row.Run) {
 		return
 	}
 	if row.Checkpoint != "" && i.state != itemDone {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -50,6 +50,8 @@
 	ended   []infra.Ended
 	lastN   int64
 	failAll bool
+	// unlisted workers are missing from the list of workers.
+	unlisted bool
 }
 
 // clockMs is the worker's clock, which is 2% slow.
@@ -307,7 +309,7 @@
 	if s.now%(300*time.Millisecond) == 0 {
 		update := infra.WorkerUpdate{Reset: true}
 		for _, w := range s.workers {
-			if w.up {
+			if w.up && !w.unlisted {
 				update.Entries = append(update.Entries, w.entry)
 			}
 		}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -30,6 +30,8 @@
 	// worker is where a placed item runs or may run.
 	worker *worker
 	run    int64
+	// accounted is the last run of earlier terms of which this term read a record.
+	accounted int64
 	// runs counts the runs of this term.
 	runs       int64
 	failures   int
