--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -213,8 +213,8 @@
 	Run        int64
 	Spec       string
 	Checkpoint string
-	// UntilMs is the end of the lease on the worker's clock.
-	UntilMs int64
+	// LeaseEndMs is the end of the lease on the worker's clock.
+	LeaseEndMs int64
 	Token   int64
 	// Ticket is needed for queues whose hosts an advice service grants.
 	Ticket string
@@ -261,8 +261,8 @@
 	Token int64
 	// Seen confirms the ends up to this number.
 	Seen int64
-	// UntilMs is the end of the lease on the worker's clock; 0 doesn't renew it.
-	UntilMs int64
+	// LeaseEndMs is the end of the lease on the worker's clock; 0 doesn't renew it.
+	LeaseEndMs int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
 }
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -162,19 +162,25 @@
 	playFaults(t, func(s *sim) { s.workers[0].failAll = true }, func(*sim, int) {})
 }
 
-// Guards against a second run of a work item whose start was sent but not recorded when the
-// scheduler was killed, on a worker that its successor can't reach.
-func TestUnrecordedStartOnUnreachableWorker(t *testing.T) {
-	s := newSim(t, 1, 2)
+// startUnrecorded starts a job of one work item, and takes the log down before the start is recorded.
+func (s *sim) startUnrecorded(estimate time.Duration) *work.Job {
 	s.run(time.Second)
 	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
-		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 20 * time.Second}}}
+		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: estimate}}}
 	s.submit(job)
 	for s.starts == 0 {
 		// The log holds the job before its start is sent; the record of the start never comes.
 		s.logDown = s.accepted[job.ID]
 		s.run(simTick)
 	}
+	return job
+}
+
+// Guards against a second run of a work item whose start was sent but not recorded when the
+// scheduler was killed, on a worker that its successor can't reach.
+func TestUnrecordedStartOnUnreachableWorker(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.startUnrecorded(20 * time.Second)
 	for _, w := range s.workers {
 		w.cut = len(w.running) > 0
 	}
@@ -189,14 +195,7 @@
 // had trouble: the list of hosts still shows it (TWICE on a hunted day of parelnet-zaan).
 func TestUnrecordedStartOnUnlistedWorker(t *testing.T) {
 	s := newSim(t, 1, 2)
-	s.run(time.Second)
-	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
-		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 20 * time.Second}}}
-	s.submit(job)
-	for s.starts == 0 {
-		s.logDown = s.accepted[job.ID]
-		s.run(simTick)
-	}
+	s.startUnrecorded(20 * time.Second)
 	for _, w := range s.workers {
 		w.unlisted = len(w.running) > 0
 	}
@@ -210,15 +209,8 @@
 // recorded (BUDGET on a hunted day of parelnet-zaan).
 func TestUnrecordedFailureCounts(t *testing.T) {
 	s := newSim(t, 1, 1)
-	s.run(time.Second)
-	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
-		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 100 * time.Millisecond}}}
 	s.workers[0].failAll = true
-	s.submit(job)
-	for s.starts == 0 {
-		s.logDown = s.accepted[job.ID]
-		s.run(simTick)
-	}
+	job := s.startUnrecorded(100 * time.Millisecond)
 	s.run(500 * time.Millisecond)
 	s.leader().over, s.logDown = true, false
 	s.takeOver()
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -388,7 +388,7 @@
 		}
 		c.touchWave(w)
 	case infra.Fenced:
-		c.deposed("machine-upkeep", order.Host)
+		c.deposed("upkeep", order.Host)
 	default:
 		// The order is repeated with the same effect; until then the host stays empty.
 		w.retryAt[order.Host] = now + orderPause
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -127,7 +127,7 @@
 		return infra.WorkerReport{}, &infra.Error{Kind: infra.Fenced, Op: "hold"}
 	}
 	w.token = request.Token
-	w.until = max(w.until, request.UntilMs)
+	w.until = max(w.until, request.LeaseEndMs)
 	w.ended = slices.DeleteFunc(w.ended, func(e infra.Ended) bool {
 		if e.Number <= request.Seen && e.Cause == infra.EndDone {
 			w.sim.noted[e.Item] = true
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -302,7 +302,7 @@
 			c.end(worker)
 		}
 	case infra.Fenced:
-		c.deposed("machine-move", order.Host)
+		c.deposed("move", order.Host)
 	case infra.Unknown:
 		// The host may have moved already, or may do so later: the order is repeated until it is known.
 		m.retryAt = now + orderPause
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -197,9 +197,9 @@
 	}
 	uncertain := false
 	for try := 1; ; try++ {
-		if start.UntilMs = s.core.StartLease(order, s.writer.Confirmed()); start.UntilMs == 0 {
+		if start.LeaseEndMs = s.core.StartLease(order, s.writer.Confirmed()); start.LeaseEndMs == 0 {
 			if uncertain {
-				s.core.StartResult(order, &infra.Error{Kind: infra.Unknown, Op: "run-start", Detail: "no lease may be given any more"}, true)
+				s.core.StartResult(order, &infra.Error{Kind: infra.Unknown, Op: "start", Detail: "no lease may be given any more"}, true)
 			} else {
 				s.core.NotSent(order)
 			}
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -15,18 +15,19 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	end     chan struct{}
 	dropped atomic.Int64
 	done    sync.WaitGroup
 }
 
 // NewAsyncWriter returns a writer to out. Close must be called to write what still waits.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines)}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines), end: make(chan struct{})}
 	w.done.Go(w.write)
 	return w
 }
 
-// Write takes one line.
+// Write takes one line. Lines that come after Close are lost.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -36,20 +37,18 @@
 	return len(line), nil
 }
 
-// write writes the lines that wait, many with one call.
+// write writes the lines that wait, many with one call, until Close.
 func (w *AsyncWriter) write() {
 	var buffer []byte
-	for line := range w.lines {
-		buffer = append(buffer[:0], line...)
-		for more := true; more; {
-			select {
-			case next, open := <-w.lines:
-				buffer = append(buffer, next...)
-				more = open
-			default:
-				more = false
-			}
+	for open := true; open; {
+		buffer = buffer[:0]
+		select {
+		case line := <-w.lines:
+			buffer = append(buffer, line...)
+		case <-w.end:
+			open = false
 		}
+		buffer = w.drain(buffer)
 		if dropped := w.dropped.Swap(0); dropped > 0 {
 			buffer = append(buffer, "level=warning event=log_lines_dropped lines="+strconv.FormatInt(dropped, 10)+"\n"...)
 		}
@@ -58,8 +57,20 @@
 	}
 }
 
-// Close writes what waits. Nothing may be written after it.
+// drain appends all lines that wait.
+func (w *AsyncWriter) drain(buffer []byte) []byte {
+	for {
+		select {
+		case line := <-w.lines:
+			buffer = append(buffer, line...)
+		default:
+			return buffer
+		}
+	}
+}
+
+// Close writes what waits.
 func (w *AsyncWriter) Close() {
-	close(w.lines)
+	close(w.end)
 	w.done.Wait()
 }
