Count a failed run without a record once over all terms

A term counted a failed run that it found at the worker, and the next one, which didn't see it in the record, counted it again. Before: the new test fails (a job fails after two starts). After: it passes.

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericyoke/internal/infra"
 	"turmericyoke/internal/work"
 )
 
@@ -219,3 +220,38 @@
 	assert.Equal(t, state, JobFailed)
 	assert.Equal(t, s.starts, s.config.Queues[0].MaxAttempts)
 }
+
+// Guards against a failed run that each of two terms counts: the first one recorded it, and ended
+// before it confirmed the end to the worker (LOST on a hunted day of parelnet-zaan).
+func TestUnrecordedFailureCountsOnce(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.workers[0].failAll = true
+	// The second worker has no room, so that the item waits after its failure.
+	s.workers[1].entry.Capacity.CPUMilli = 100
+	job := s.startUnrecorded(100 * time.Millisecond)
+	s.run(500 * time.Millisecond)
+	s.leader().over, s.logDown = true, false
+	s.takeOver()
+	for s.recordedFailures(job.ID) == 0 {
+		s.run(simTick)
+	}
+	assert.Assert(t, len(s.workers[0].ended) > 0, "the end is confirmed already")
+	s.leader().over = true
+	s.takeOver()
+	s.run(30 * time.Second)
+	state, _ := s.leader().core.State(job.ID)
+	assert.Equal(t, state, JobFailed)
+	assert.Equal(t, s.starts, s.config.Queues[0].MaxAttempts)
+}
+
+// recordedFailures sums the failures of the job's work items in the log.
+func (s *sim) recordedFailures(job string) int {
+	jobs, _ := decodeJobs([]infra.Record{{Key: progressPrefix + job, Value: s.log[progressPrefix+job]}})
+	failures := 0
+	for _, entry := range jobs {
+		for _, i := range entry.progress.Items {
+			failures += i.Failures
+		}
+	}
+	return failures
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -141,6 +141,9 @@
 	if !current && !i.dropGhost(w.entry.ID, row.Run) && row.Cause != infra.EndDone && !c.unrecorded(i, row.Run) {
 		return
 	}
+	// The record of the item names the last run that is accounted for, so that a later term doesn't
+	// count this one again.
+	i.run = max(i.run, row.Run)
 	if row.Checkpoint != "" && i.state != itemDone {
 		i.checkpoint = row.Checkpoint
 	}
