--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -215,7 +215,7 @@
 	Checkpoint string
 	// LeaseEndMs is the end of the lease on the worker's clock.
 	LeaseEndMs int64
-	Token   int64
+	Token      int64
 	// Ticket is needed for queues whose hosts an advice service grants.
 	Ticket string
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -240,7 +240,7 @@
 		w := c.workers[record.Worker]
 		if w == nil {
 			w = newWorker(infra.WorkerEntry{ID: record.Worker})
-			w.leaseEnd = c.inheritedLease()
+			w.leaseEnd, w.added, w.contact = c.inheritedLease(), now, now
 			c.workers[record.Worker] = w
 		}
 		c.place(i, w)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -37,7 +37,7 @@
 	w := c.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
-		w.listed, w.added = true, c.clock()
+		w.listed, w.added, w.contact = true, c.clock(), c.clock()
 		c.workers[entry.ID] = w
 		c.logger.WithFields(logrus.Fields{"event": "worker_listed", "worker": entry.ID, "pool": entry.Pool, "zone": entry.Zone, "rack": w.rack}).Info("worker is new")
 		return true
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -27,6 +27,8 @@
 	// confirmInterval is how often a term without anything to write confirms that it isn't fenced. It
 	// is well below scheduler.SelfLease.
 	confirmInterval = 500 * time.Millisecond
+	// fenceInterval is how often a term looks whether a higher token was seen.
+	fenceInterval = 50 * time.Millisecond
 	// directoryInterval is how often the list of workers is read.
 	directoryInterval = 150 * time.Millisecond
 	// hostOrderConfirmed is how old the term's last confirmation may be for an order to a host.
@@ -103,6 +105,7 @@
 	s.Logger.WithFields(logrus.Fields{"event": "term_open", "took_ms": (s.Clock() - s.started).Milliseconds()}).Info("state is loaded")
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.commit(inner) })
+	group.Go(func() error { return s.watchFence(inner) })
 	group.Go(func() error { return s.followWorkers(inner, group) })
 	group.Go(func() error { return s.tendHosts(inner, group) })
 	return group.Wait()
@@ -134,6 +137,17 @@
 // errFenced ends a term of which a worker or host has seen a successor.
 var errFenced = errors.New("a higher token was seen")
 
+// watchFence ends the term once a higher token was seen, also while an append is under way.
+func (s *session) watchFence(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s.core.Fenced() {
+			return errFenced
+		}
+		_ = periodic.Pause(ctx, fenceInterval)
+	}
+	return ctx.Err()
+}
+
 // commit makes batches durable and releases their effects.
 func (s *session) commit(ctx context.Context) error {
 	timer := time.NewTimer(idleTick)
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,56 @@
+package session
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/infra/infratest"
+	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/work"
+)
+
+// fencing is a worker that has seen a higher token, and a list with only that worker.
+type fencing struct{ infra.Workers }
+
+func (fencing) Hold(context.Context, infra.WorkerRef, infra.HoldRequest) (infra.WorkerReport, error) {
+	return infra.WorkerReport{}, &infra.Error{Kind: infra.Fenced, Op: "hold"}
+}
+
+func (fencing) Poll(context.Context) (infra.WorkerUpdate, error) {
+	// The append under way has begun by then.
+	time.Sleep(200 * time.Millisecond)
+	entry := infra.WorkerEntry{ID: "w", Pool: "p", Address: "a:1", Capacity: work.Resources{CPUMilli: 1000}}
+	return infra.WorkerUpdate{Reset: true, Entries: []infra.WorkerEntry{entry}}, nil
+}
+
+type noHosts struct{ infra.Hosts }
+
+func (noHosts) List(context.Context) ([]infra.Host, error) { return nil, nil }
+
+// Guards against a term that goes on although a worker has seen its successor, since its own append
+// waits for a log that doesn't answer it (incident 0002).
+func TestFencedTermEndsWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		log := &infratest.Log{}
+		start := time.Now()
+		config := Config{Log: log, Workers: fencing{}, Hosts: noHosts{}, Directory: func() infra.Directory { return fencing{} },
+			Clock: func() time.Duration { return time.Since(start) }, Wall: time.Now, Logger: logrus.NewEntry(logger),
+			Options: scheduler.Options{Lease: 5 * time.Second},
+			Prepare: func(*scheduler.Core) {}, Closed: func() {},
+			Opened: func(core *scheduler.Core) {
+				log.SetDown(true)
+				core.Submit(&work.Job{ID: "j", Steps: []work.Step{{Count: 1}}}, make(chan scheduler.Outcome, 1))
+			}}
+		Run(t.Context(), config, 1)
+		assert.Assert(t, time.Since(start) < time.Second, "the term went on for %s", time.Since(start))
+	})
+}
