Stagger the members in the test of a group that forgets them

The test passed without the change that it guards, since all members renewed at the same moment. It now fails without it (two terms) and passes with it.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -182,6 +182,8 @@
 	playFleet(t, func(ctx context.Context, f *fleet) {
 		for n := range 8 {
 			f.join(ctx, fmt.Sprint("host-", n), 400)
+			// Members renew at different moments.
+			time.Sleep(47 * time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
 		before := f.count()
