--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -26,6 +26,8 @@
 	spareHosts = 1
 	// restAfter is how long a host is idle before it rests: two moves cost about as much as a host does in that time.
 	restAfter = 2 * time.Second
+	// peakRise is how long it takes until the load of a peak shows in full: two time constants of its rate.
+	peakRise = 2 * rateWindow
 	// loadLogInterval is how often the load of the pools is logged.
 	loadLogInterval = time.Second
 	// settleTime is how long a move that succeeded counts although the list doesn't show it yet.
@@ -78,11 +80,22 @@
 	for i := range loads {
 		l := &loads[i]
 		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(open[l.name]), "empty": len(l.empty),
-			"target": l.present(), "expected": l.future(), "least": l.least, "need": int(l.need), "offered": int(c.turns.pool(l.name).now(now)),
+			"target": l.present(), "expected": l.future(), "least": l.least, "need": int(l.need), "used": int(c.usedCores(l.name)), "offered": int(c.turns.pool(l.name).now(now)),
 			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.inTime(now))), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.pool(l.name).ratio)}).Info("load of a pool")
 	}
 }
 
+// usedCores are those that placed work takes in the pool.
+func (c *Core) usedCores(pool string) float64 {
+	milli := int64(0)
+	for _, w := range c.workers {
+		if w.entry.Pool == pool && !w.gone {
+			milli += w.used.CPUMilli
+		}
+	}
+	return float64(milli) / 1000
+}
+
 // repeatMoves forgets moves that the list shows or that settled, and repeats those without an outcome.
 func (c *Core) repeatMoves(now time.Duration) []HostOrder {
 	var orders []HostOrder
@@ -143,8 +156,9 @@
 // mayRest reports whether the host was idle long enough to rest.
 func (c *Core) mayRest(host string, now time.Duration) bool {
 	since, idle := c.hosts.idleSince[host]
-	// Before the first peak nothing is known of the load, and hosts stay where operators put them.
-	return idle && now-since >= restAfter && c.turns.lastPeak > 0
+	// Before the first peak nothing is known of the load, and hosts stay where operators put them. A
+	// peak that has just begun doesn't show yet how many it takes, and a host on its way is lost to it.
+	return idle && now-since >= restAfter && c.turns.lastPeak > 0 && now-c.turns.lastPeak >= peakRise
 }
 
 // loads describes the pools that run work.
