Tell peaks of a pool from blips by the fleet's highest load

Ruled out: the forecast's time; it was right once the turns were. TestBlipIsNoPeak fails without it.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -18,6 +18,9 @@
 	rateWindow = time.Second
 	// highShare of its highest load begins a peak of a pool, lowShare ends it.
 	highShare, lowShare = 0.5, 0.25
+	// fleetShare of the highest load of any pool counts as the least high load of a pool: a few jobs in a
+	// trough are no peak, and would put the turns out of order.
+	fleetShare = 0.6
 	// minPeakRate is the least load, in cores, that counts as a peak: about that of one host.
 	minPeakRate = 48.0
 	// usualRate is the weight of a new sample in the mean load of peaks; there are about seven a second.
@@ -55,7 +58,9 @@
 
 // turns follows the peaks of all pools.
 type turns struct {
-	pools     map[string]*offered
+	pools map[string]*offered
+	// highest is the highest load of any pool so far.
+	highest   float64
 	lastPeak  time.Duration
 	intervals []time.Duration
 }
@@ -76,11 +81,13 @@
 	for _, o := range t.pools {
 		rate := o.now(now)
 		o.highest = max(o.highest, rate)
+		t.highest = max(t.highest, rate)
+		begins := highShare * max(o.highest, fleetShare*t.highest)
 		if o.high && rate > highShare*o.highest {
 			o.usual += usualRate * (rate - o.usual)
 		}
 		switch {
-		case !o.high && rate > minPeakRate && rate >= highShare*o.highest:
+		case !o.high && rate > minPeakRate && rate >= begins:
 			o.high, o.lastPeak, o.usual = true, now, max(o.usual, rate)
 			if interval := now - t.lastPeak; t.lastPeak > 0 && interval < maxInterval {
 				t.intervals = append(t.intervals, interval)
--- a/internal/scheduler/demand_test.go
+++ b/internal/scheduler/demand_test.go
@@ -152,3 +152,33 @@
 	assert.Assert(t, math.Abs(o.now(now)-100) < 12, "rate %f", o.now(now))
 	assert.Assert(t, o.now(now+2500*time.Millisecond) < 10)
 }
+
+// Guards against a few jobs in a trough that count as a peak: they put the turns out of order, and
+// hosts were sent to pools whose turn it wasn't.
+func TestBlipIsNoPeak(t *testing.T) {
+	forecasts := newTurns()
+	now := time.Minute
+	load := func(pool string, cores float64, span time.Duration) {
+		for end := now + span; now < end; now += 40 * time.Millisecond {
+			forecasts.pool("pool-b").add(0, now)
+			forecasts.pool("pool-c").add(0, now)
+			forecasts.pool(pool).add(cores*0.04, now)
+			forecasts.observe(now)
+		}
+	}
+	load("pool-a", 900, 5*time.Second)
+	load("pool-b", 120, 2*time.Second)
+	load("pool-a", 40, 2*time.Second)
+	assert.Equal(t, forecasts.pool("pool-b").lastPeak, time.Duration(0))
+	assert.Equal(t, len(forecasts.intervals), 0)
+}
+
+// Guards against hosts that leave for standby just when a peak begins, and are under way when it
+// needs them.
+func TestHostsStayWhileAPeakRises(t *testing.T) {
+	b := newBed(1)
+	b.Core.turns.lastPeak = b.now
+	b.Core.hosts.idleSince["host-1"] = b.now - time.Minute
+	assert.Assert(t, !b.Core.mayRest("host-1", b.now+peakRise/2))
+	assert.Assert(t, b.Core.mayRest("host-1", b.now+peakRise))
+}
