Size pools by what their jobs can use at once

Ruled out: limits of customers (used 670 of 2,487 cores at most), bounds per host. TestPoolNeedsNoMoreThanItsJobsCanUse fails without it (a need of 256 cores instead of 96).

--- a/internal/scheduler/demand_test.go
+++ b/internal/scheduler/demand_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	_ "turmericyoke/internal/fixedseed"
+	"turmericyoke/internal/work"
 )
 
 // peaksInTurn offers load to four pools that peak one after the other for five seconds each, and calls
@@ -182,3 +183,25 @@
 	assert.Assert(t, !b.Core.mayRest("host-1", b.now+peakRise/2))
 	assert.Assert(t, b.Core.mayRest("host-1", b.now+peakRise))
 }
+
+// Guards against hosts that are brought in for work that can't run yet: the steps of a job run one
+// after the other, and in a peak of large jobs half of the hosts stood idle.
+func TestPoolNeedsNoMoreThanItsJobsCanUse(t *testing.T) {
+	b := newBed(1)
+	b.addWorker(1, 64)
+	var steps []work.Step
+	for number := range 4 {
+		step := work.Step{Count: 10, Need: work.Resources{CPUMilli: 8000}, Estimate: time.Second}
+		if number > 0 {
+			step.After = []int{number - 1}
+		}
+		steps = append(steps, step)
+	}
+	outcome := b.submit("0000000000000001", "big", steps...)
+	assert.Equal(t, outcome.Kind, Done)
+	assert.Equal(t, b.usable(simPool, b.now), 80.0)
+	load := poolLoad{name: simPool, hosts: 1}
+	b.turns = newTurns()
+	b.fillLoad(&load, 64, b.now)
+	assert.Equal(t, load.need, sizeHeadroom*80)
+}
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -235,7 +235,8 @@
 			}
 		}
 	}
-	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), c.backlog(load.name, now, c.inTime(now))/drainTime.Seconds()) + lasting
+	waits := min(c.backlog(load.name, now, c.inTime(now))/drainTime.Seconds(), c.usable(load.name, now))
+	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), waits) + lasting
 	load.expected = sizeHeadroom*c.forecast(load.name, now) + lasting
 	if load.hosts > 0 {
 		load.coresPerHost = cores / float64(load.hosts)
@@ -244,6 +245,26 @@
 	load.coresPerHost = c.meanCores()
 }
 
+// usable is how many cores the jobs that can be in time are able to use at once: the steps of a job
+// run one after the other, so that much of a backlog can't use hosts yet.
+func (c *Core) usable(pool string, now time.Duration) float64 {
+	inTime := c.inTime(now)
+	milli := int64(0)
+	for j := range c.active {
+		if j.over() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 || !inTime(j) {
+			continue
+		}
+		widest := int64(0)
+		for _, step := range j.steps {
+			if !step.def.Lasting {
+				widest = max(widest, int64(len(step.items)-step.done)*step.def.Need.CPUMilli)
+			}
+		}
+		milli += widest
+	}
+	return float64(milli) / 1000
+}
+
 // lastingHosts returns how many hosts the lasting work of the pool needs at least by its bounds for one
 // host, and how many items of one of its steps wait for a host at most.
 func (c *Core) lastingHosts(pool string) (spread, waiting int) {
