Hold hosts back by the time of their last order, not of the change of term

Cause: a new term ordered no host for 4.5 s that its predecessor had ordered within 15 s. Ruled out: the takeover itself (1.5 s from the loss to the new term, 0.05 to 0.15 s to load the state); asking the workers. Change: a host is held back until the platform's bound plus the margin and the skew of clocks has passed since the recorded order, and no longer than before. TestNewTermHoldsBackHostsOrderedLately fails without it.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -151,6 +151,23 @@
 	assert.Equal(t, upkeeps(orders), 1)
 }
 
+// Guards against hosts that a new term leaves alone longer than the platform asks for: in a peak, eleven
+// of them stood idle in other pools for seconds. The last order to them counts, not the change of term.
+func TestNewTermHoldsBackHostsOrderedLately(t *testing.T) {
+	first := newBed(1)
+	first.recordOrder("host-old")
+	first.now += 6 * time.Second
+	first.recordOrder("host-new")
+	records := first.Collect().Records
+
+	second := newBed(2)
+	second.now = first.now + time.Second
+	second.LoadWaves(records)
+	assert.Assert(t, second.hosts.heldBack["host-old"] <= second.now)
+	held := second.hosts.heldBack["host-new"] - second.now
+	assert.Assert(t, held >= simOptions().HostOrderDelay-time.Second+clockSkew/2 && held <= simOptions().HostOrderDelay, "held back for %s", held)
+}
+
 // Guards against a wave that never ends since hosts in standby have no worker to wait for.
 func TestHostsInStandbyHaveTheirUpkeep(t *testing.T) {
 	b := newBed(1)
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -19,9 +19,9 @@
 	wavePrefix = "w/"
 	// hostPrefix is the prefix of the keys under which the last order to each host is kept.
 	hostPrefix = "h/"
-	// recentOrder is how far back an order of an earlier term counts: the clocks of two processes may
-	// differ by some seconds.
-	recentOrder = 15 * time.Second
+	// clockSkew is by how much the clocks of two processes may differ when an order of an earlier term
+	// is dated; the platform's clocks are close to true time, and its drills step them by 2 s.
+	clockSkew = 2 * time.Second
 	// cordonAhead is how many hosts of a wave are emptied besides those that are down.
 	cordonAhead = 2
 	// downUnseen is how long a host that was ordered down counts as down although the list, which
@@ -138,9 +138,13 @@
 	for _, record := range records {
 		if host, ok := strings.CutPrefix(record.Key, hostPrefix); ok && record.Value != nil {
 			var body hostOrderRecord
-			if err := cbor.Unmarshal(record.Value, &body); err != nil || c.wall().Sub(time.UnixMilli(body.AtMs)).Abs() < recentOrder {
-				c.hosts.heldBack[host] = c.started + c.options.HostOrderDelay
+			hold := c.options.HostOrderDelay
+			if err := cbor.Unmarshal(record.Value, &body); err != nil {
+				c.logger.WithFields(logrus.Fields{"event": "host_record_skipped", "key": record.Key}).WithError(err).Error("record of an order to a host can't be read")
+			} else {
+				hold = min(hold, time.UnixMilli(body.AtMs).Sub(c.wall())+c.options.HostOrderDelay+clockSkew)
 			}
+			c.hosts.heldBack[host] = c.clock() + hold
 			continue
 		}
 		name, ok := strings.CutPrefix(record.Key, wavePrefix)
