--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,31 +24,35 @@
 // playFaults hands in jobs for 20 s while the faults happen, and checks afterwards that every
 // accepted job is known, and completed unless its work items failed too often.
 func playFaults(t *testing.T, setUp func(s *sim), fault func(s *sim, second int)) {
-	seeds := failedSeeds
+	playFleets(t, 6, func(s *sim) {
+		setUp(s)
+		s.run(time.Second)
+		n := 0
+		for second := range 20 {
+			fault(s, second)
+			for range 5 {
+				n++
+				s.submit(s.randomJob(n))
+				s.run(200 * time.Millisecond)
+			}
+		}
+		for _, w := range s.workers {
+			w.cut = false
+		}
+		s.logDown = false
+		s.run(40 * time.Second)
+		s.checkEnds()
+	})
+}
+
+// playFleets plays one fleet for each seed.
+func playFleets(t *testing.T, workers int, play func(s *sim)) {
+	seeds := slices.Clone(failedSeeds)
 	for seed := uint64(1); seed <= faultSeeds; seed++ {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			s := newSim(t, seed, 6)
-			setUp(s)
-			s.run(time.Second)
-			n := 0
-			for second := range 20 {
-				fault(s, second)
-				for range 5 {
-					n++
-					s.submit(s.randomJob(n))
-					s.run(200 * time.Millisecond)
-				}
-			}
-			for _, w := range s.workers {
-				w.cut = false
-			}
-			s.logDown = false
-			s.run(40 * time.Second)
-			s.checkEnds()
-		})
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(newSim(t, seed, workers)) })
 	}
 }
 
--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -175,42 +175,40 @@
 
 // playWaves hands lasting and other jobs in, has a wave of upkeep of all hosts, and lets the faults happen.
 func playWaves(t *testing.T, setUp func(s *sim), fault func(s *sim, second int)) {
-	seeds := append([]uint64(nil), failedSeeds...)
-	for seed := uint64(1); seed <= faultSeeds; seed++ {
-		seeds = append(seeds, seed)
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			s := newSim(t, seed, 8)
-			setUp(s)
+	playFleets(t, 8, func(s *sim) {
+		setUp(s)
+		s.run(time.Second)
+		for n := range 3 {
+			s.submit(s.lastingJob(n))
+		}
+		s.run(2 * time.Second)
+		wave := infra.Wave{ID: 1, MaxDown: 2, Within: 25 * time.Second}
+		for _, w := range s.workers {
+			wave.Hosts = append(wave.Hosts, w.host)
+		}
+		s.waves = []infra.Wave{wave}
+		for second := range 24 {
+			fault(s, second)
+			s.submit(s.randomJob(second + 1))
 			s.run(time.Second)
-			for n := range 3 {
-				s.submit(s.lastingJob(n))
-			}
-			s.run(2 * time.Second)
-			wave := infra.Wave{ID: 1, MaxDown: 2, Within: 25 * time.Second}
-			for _, w := range s.workers {
-				wave.Hosts = append(wave.Hosts, w.host)
-			}
-			s.waves = []infra.Wave{wave}
-			for second := range 24 {
-				fault(s, second)
-				s.submit(s.randomJob(second + 1))
-				s.run(time.Second)
-			}
-			s.logDown = false
-			s.run(40 * time.Second)
-			for id := range s.lasting {
-				if !s.runs(id) {
-					t.Fatalf("lasting item %s doesn't run long after the faults", id)
-				}
-			}
-			for _, host := range wave.Hosts {
-				if !s.host(host).done[wave.ID] {
-					t.Fatalf("%s had no upkeep long after the faults", host)
-				}
-			}
-		})
+		}
+		s.logDown = false
+		s.run(40 * time.Second)
+		s.checkWaveEnded(wave)
+	})
+}
+
+// checkWaveEnded checks that all hosts had their upkeep, and that all lasting items run again.
+func (s *sim) checkWaveEnded(wave infra.Wave) {
+	for id := range s.lasting {
+		if !s.runs(id) {
+			s.t.Fatalf("lasting item %s doesn't run long after the faults", id)
+		}
+	}
+	for _, host := range wave.Hosts {
+		if !s.host(host).done[wave.ID] {
+			s.t.Fatalf("%s had no upkeep long after the faults", host)
+		}
 	}
 }
 
