--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -16,7 +16,8 @@
 const (
 	// sizeHeadroom is added to the load of a pool: items don't fill hosts to the last core.
 	sizeHeadroom = 1.2
-	// drainTime is in how much time a pool should have done what waits; it is within the usual slack.
+	// drainTime is in how much time a pool should have done what waits: short jobs may take 0.6 s and
+	// half of their run time longer than that (docs/MEASUREMENTS.md).
 	drainTime = 700 * time.Millisecond
 	// leadMargin is added to the time of a move for the list of workers and the first hold.
 	leadMargin = 900 * time.Millisecond
@@ -24,7 +25,7 @@
 	peakSpread = 1500 * time.Millisecond
 	// spareHosts are kept besides the hosts with lasting work, for items that must start elsewhere.
 	spareHosts = 1
-	// restAfter is how long a host is idle before it rests: two moves cost about as much as a host does in that time.
+	// restAfter is how long a host is idle before it rests: a move costs about what a host does in that time.
 	restAfter = time.Second
 	// peakRise is how long it takes until the load of a peak shows in full: two time constants of its rate.
 	peakRise = 2 * rateWindow
