Repeat an upkeep only on an empty host

Cause: found in reading the change: the order that is repeated after a call without an answer didn't look at what runs on the host, whose worker may have been replaced meanwhile. Ruled out: that a first order which did succeed does harm when repeated; the platform answers it as done. Conclusion: both ways to an order share the check. TestRepeatedUpkeepWaitsUntilTheHostIsEmpty fails without it.

--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -192,3 +192,29 @@
 	orders, _ = second.PlanHosts()
 	assert.Equal(t, upkeeps(orders), 1)
 }
+
+// Guards against an upkeep that is ordered again, after a call without an answer, while new work runs on
+// the host: the worker may have been replaced meanwhile.
+func TestRepeatedUpkeepWaitsUntilTheHostIsEmpty(t *testing.T) {
+	b := newBed(1)
+	host := func(worker string) []infra.Host {
+		return []infra.Host{{ID: "host-0", Pool: simPool, State: infra.HostUp, WorkerID: worker, Capacity: work.Resources{CPUMilli: 8000}}}
+	}
+	b.SetWaves([]infra.Wave{{ID: 1, Hosts: []string{"host-0"}, MaxDown: 1, Within: time.Minute}})
+	b.SetHosts(host(b.addWorker(0, 8)), b.now)
+	orders, _ := b.PlanHosts()
+	assert.Equal(t, upkeeps(orders), 1)
+	b.HostOrdered(orders[0], &infra.Error{Kind: infra.Unknown, Op: "upkeep"})
+
+	second := b.addWorker(1, 8)
+	b.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
+	i := b.jobs["job"].steps[0].items[0]
+	assert.Equal(t, i.worker.entry.ID, second)
+	b.now += 2 * orderPause
+	b.SetHosts(host(second), b.now)
+	orders, _ = b.PlanHosts()
+	assert.Equal(t, upkeeps(orders), 0)
+	b.Report(second, infra.WorkerReport{ClockMs: 3000, Ended: []infra.Ended{{Number: 1, Item: i.id(), Run: i.run, Cause: infra.EndDone}}}, b.now)
+	orders, _ = b.PlanHosts()
+	assert.Equal(t, upkeeps(orders), 1)
+}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -112,7 +112,7 @@
 			down++
 			left++
 			c.hosts.pending[id] = true
-			if host.State == infra.HostUp && now >= w.retryAt[id] {
+			if host.State == infra.HostUp && now >= w.retryAt[id] && c.emptied(w, id) {
 				repeated = append(repeated, HostOrder{Wave: w.ID, Host: id})
 			}
 		default:
@@ -145,27 +145,31 @@
 		if n >= max(0, room)+cordonAhead {
 			break
 		}
-		if c.hosts.hosts[id].WorkerID == "" {
-			// A host in standby is off and runs nothing.
-			if len(orders) < room {
-				orders = append(orders, HostOrder{Wave: w.ID, Host: id})
-			}
-			continue
-		}
-		worker := c.workers[c.hosts.hosts[id].WorkerID]
-		if worker == nil || !worker.known {
-			// What runs there isn't known.
-			continue
-		}
-		w.cordoned[id], worker.cordoned = true, true
-		c.moveLasting(worker)
-		if len(worker.items) == 0 && len(orders) < room {
+		if c.emptied(w, id) && len(orders) < room {
 			orders = append(orders, HostOrder{Wave: w.ID, Host: id})
 		}
 	}
 	return orders
 }
 
+// emptied keeps new work from the host, moves its lasting work away as far as that may be, and reports
+// whether nothing runs there.
+func (c *Core) emptied(w *wave, id string) bool {
+	host := c.hosts.hosts[id]
+	if host.WorkerID == "" {
+		// A host in standby is off and runs nothing.
+		return true
+	}
+	worker := c.workers[host.WorkerID]
+	if worker == nil || !worker.known {
+		// What runs there isn't known.
+		return false
+	}
+	w.cordoned[id], worker.cordoned = true, true
+	c.moveLasting(worker)
+	return len(worker.items) == 0
+}
+
 // moveLasting stops lasting work of a cordoned worker as far as its availability budget allows; it
 // starts again elsewhere.
 func (c *Core) moveLasting(w *worker) {
