--- a/internal/controller/schedule/outbox.go
+++ b/internal/controller/schedule/outbox.go
@@ -7,6 +7,7 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/periodic"
 )
 
 // proposal is a record to propose.
@@ -38,10 +39,7 @@
 		o.others = append(o.others, p)
 	}
 	o.mu.Unlock()
-	select {
-	case o.filled <- struct{}{}:
-	default:
-	}
+	periodic.Wake(o.filled)
 }
 
 func (o *outbox) take() (proposal, bool) {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -187,9 +187,9 @@
 		k.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: body.Name, Zone: body.Zone, Address: body.Address}, Nonce: body.Nonce, Resigned: body.Resigned}
 		k.missingSince, k.claimSeen = 0, k.Clock()
 		k.Logger.WithFields(logrus.Fields{"event": "scheduler_changed", "term": k.claim.Term, "holder": body.Name, "address": body.Address}).Info("scheduler known")
-		wake(k.changed)
+		periodic.Wake(k.changed)
 		if body.Resigned {
-			wake(k.free)
+			periodic.Wake(k.free)
 		}
 	}
 	k.loaded, k.next = true, max(k.next, next)
@@ -219,7 +219,7 @@
 		k.mu.Unlock()
 		_ = periodic.Pause(ctx, pause)
 	}
-	// A join that arrives after the leave would make this process a member again.
+	// A join that arrives after the leave would make this process a member again. Joins return no error.
 	_ = joins.Wait()
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
@@ -248,22 +248,11 @@
 		if due && k.Eligible() {
 			k.append(ctx, claim, next, false)
 		}
-		k.pauseWatch(ctx, pause)
+		_ = periodic.Wait(ctx, pause, k.free)
 	}
 	return ctx.Err()
 }
 
-// pauseWatch waits for the pause, or until a holder resigns.
-func (k *Keeper) pauseWatch(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	case <-k.free:
-	}
-}
-
 // rank is the place of this process among those that may take over: the strongest hosts first, and
 // then those that started last, which a rolling restart isn't about to stop. k.mu is held.
 func (k *Keeper) rank() int {
@@ -384,14 +373,6 @@
 	defer k.mu.Unlock()
 	k.resigned = term
 	if k.claim.Term > term && k.claim.Nonce == k.Nonce {
-		wake(k.changed)
-	}
-}
-
-// wake leaves a value in a channel that holds one.
-func wake(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
+		periodic.Wake(k.changed)
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
+	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/proposer"
 )
 
@@ -169,10 +170,7 @@
 func (f *Follower) awaitRecord(ctx context.Context, changed <-chan struct{}) error {
 	f.waiting.Add(1)
 	defer f.waiting.Add(-1)
-	select {
-	case f.wanted <- struct{}{}:
-	default:
-	}
+	periodic.Wake(f.wanted)
 	select {
 	case <-changed:
 		return nil
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -22,8 +22,12 @@
 	return ctx.Err()
 }
 
-// Pause waits for span, or returns the error of ctx when that ends first.
-func Pause(ctx context.Context, span time.Duration) error {
+// Pause waits for span, or returns the error of ctx when that ends first. Loops that look at ctx
+// themselves need not look at the error.
+func Pause(ctx context.Context, span time.Duration) error { return Wait(ctx, span, nil) }
+
+// Wait is a Pause that a value in wake ends early.
+func Wait(ctx context.Context, span time.Duration, wake <-chan struct{}) error {
 	if span <= 0 {
 		return ctx.Err()
 	}
@@ -32,7 +36,17 @@
 	select {
 	case <-timer.C:
 		return nil
+	case <-wake:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
+
+// Wake leaves a value in a channel that holds one, unless one is there already.
+func Wake(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/proposer/proposer.go
+++ b/internal/proposer/proposer.go
@@ -10,6 +10,7 @@
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
+	"turmericyoke/internal/periodic"
 )
 
 // Limits of the queue and of one append.
@@ -153,10 +154,7 @@
 		return fault.New(fault.LogUnavailable, "%d proposals wait for the log", len(p.queue))
 	}
 	p.queue = append(p.queue, item)
-	select {
-	case p.queued <- struct{}{}:
-	default:
-	}
+	periodic.Wake(p.queued)
 	return nil
 }
 
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"turmericyoke/internal/infra"
 	"turmericyoke/internal/work"
 )
 
@@ -124,12 +123,7 @@
 	if len(c.active) >= maxActive {
 		return verdict{reason: "too_many_jobs", retryAfter: minRetryAfter}
 	}
-	for i := range def.Steps {
-		if def.Steps[i].Lasting {
-			return verdict{accept: true}
-		}
-	}
-	if def.Recurrence.Times > 0 {
+	if def.Lasting() || def.Recurrence.Times > 0 {
 		return verdict{accept: true}
 	}
 	cores := c.coresOf(def.Queue.Pool, now) + c.spareCores()
@@ -139,7 +133,8 @@
 	}
 	chain := c.chainOf(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*orderOverhead
 	room := lateFactor*c.allowance(def) - chain
-	before := c.backlog(def.Queue.Pool, now, func(j *job) bool { return j.ahead <= c.ahead(def, now) })
+	ahead := c.ahead(def, now)
+	before := c.backlog(def.Queue.Pool, now, func(j *job) bool { return j.ahead <= ahead })
 	wait := time.Duration(before / cores * float64(time.Second))
 	if wait <= room {
 		return verdict{accept: true, wait: wait, room: room}
@@ -151,7 +146,7 @@
 func (c *Core) spareCores() float64 {
 	milli := int64(0)
 	for _, host := range c.hosts.hosts {
-		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp {
+		if c.inStandby(host) {
 			milli += host.Capacity.CPUMilli
 		}
 	}
@@ -165,12 +160,7 @@
 		if w.entry.Pool != pool || !w.open(now) {
 			continue
 		}
-		milli += w.entry.Capacity.CPUMilli
-		for i := range w.items {
-			if i.step.def.Lasting && !i.step.def.Filling {
-				milli -= i.step.def.Need.CPUMilli
-			}
-		}
+		milli += w.entry.Capacity.CPUMilli - w.lastingMilli()
 	}
 	return float64(milli) / 1000
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -8,6 +8,7 @@
 
 	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/work"
 )
 
@@ -127,10 +128,12 @@
 	options   Options
 	logger    *logrus.Entry
 
-	config  *work.Config
-	jobs    map[string]*job
-	active  map[*job]struct{}
-	workers map[string]*worker
+	config *work.Config
+	// queuePools maps the queues of config to their pools.
+	queuePools map[string]string
+	jobs       map[string]*job
+	active     map[*job]struct{}
+	workers    map[string]*worker
 	// used is what each customer has running.
 	used map[string]work.Resources
 
@@ -170,10 +173,7 @@
 func (c *Core) Kick() <-chan struct{} { return c.kick }
 
 func (c *Core) poke() {
-	select {
-	case c.kick <- struct{}{}:
-	default:
-	}
+	periodic.Wake(c.kick)
 }
 
 // SetConfig takes a newer configuration.
@@ -182,6 +182,13 @@
 	defer c.mu.Unlock()
 	if c.config == nil || config.Version > c.config.Version {
 		c.config = config
+		c.queuePools = make(map[string]string, len(config.Queues))
+		for i := range config.Queues {
+			// Of queues with one name the first counts.
+			if name := config.Queues[i].Name; c.queuePools[name] == "" {
+				c.queuePools[name] = config.Queues[i].Pool
+			}
+		}
 		c.poke()
 	}
 }
@@ -257,11 +264,7 @@
 func (j *job) placed() int {
 	n := 0
 	for _, step := range j.steps {
-		for _, i := range step.items {
-			if i.state == itemPlaced {
-				n++
-			}
-		}
+		n += step.count(itemPlaced)
 	}
 	return n
 }
@@ -294,22 +297,12 @@
 	if i.state == itemPlaced {
 		i.state = itemWaiting
 	}
-	if i.step.def.SameRack && i.step.placed() == 0 {
+	if i.step.def.SameRack && i.step.count(itemPlaced) == 0 {
 		i.step.rack = ""
 	}
 	c.touch(i.step.job)
 }
 
-func (s *stepRun) placed() int {
-	n := 0
-	for _, i := range s.items {
-		if i.state == itemPlaced {
-			n++
-		}
-	}
-	return n
-}
-
 // touch marks the job for the next batch.
 func (c *Core) touch(j *job) {
 	c.dirty[j] = struct{}{}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -151,7 +151,7 @@
 			b.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: 10 * time.Second})
 			assert.Equal(t, len(b.workers[id].items), 1)
 			b.now += 2 * time.Second
-			b.HoldFailed(id, b.now, &infra.Error{Kind: infra.Unknown, Op: "hold"})
+			b.HoldFailed(id, &infra.Error{Kind: infra.Unknown, Op: "hold"})
 			host := infra.Host{ID: "host-0", Pool: simPool, State: infra.HostDown}
 			if listed {
 				host.State, host.WorkerID = infra.HostUp, id
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -206,13 +206,13 @@
 	return job
 }
 
-// Guards against a second run of a work item whose start was sent but not recorded when the
-// scheduler was killed, on a worker that its successor can't reach.
-func TestUnrecordedStartOnUnreachableWorker(t *testing.T) {
+// takeOverUnrecordedStart kills the scheduler after a start without a record, hides the worker that
+// runs it, and lets a successor go on.
+func takeOverUnrecordedStart(t *testing.T, hide func(w *simWorker, runs bool)) {
 	s := newSim(t, 1, 2)
 	s.startUnrecorded(20 * time.Second)
 	for _, w := range s.workers {
-		w.cut = len(w.running) > 0
+		hide(w, len(w.running) > 0)
 	}
 	s.leader().over, s.logDown = true, false
 	s.takeOver()
@@ -221,18 +221,16 @@
 	assert.Assert(t, s.starts > 1, "the work item never ran again")
 }
 
+// Guards against a second run of a work item whose start was sent but not recorded when the
+// scheduler was killed, on a worker that its successor can't reach.
+func TestUnrecordedStartOnUnreachableWorker(t *testing.T) {
+	takeOverUnrecordedStart(t, func(w *simWorker, runs bool) { w.cut = runs })
+}
+
 // Guards against a second run of an unrecorded start on a worker whose entry lapsed while the store
 // had trouble: the list of hosts still shows it (TWICE on a hunted day of parelnet-zaan).
 func TestUnrecordedStartOnUnlistedWorker(t *testing.T) {
-	s := newSim(t, 1, 2)
-	s.startUnrecorded(20 * time.Second)
-	for _, w := range s.workers {
-		w.unlisted = len(w.running) > 0
-	}
-	s.leader().over, s.logDown = true, false
-	s.takeOver()
-	s.run(2 * simOptions().Lease)
-	assert.Assert(t, s.starts > 1, "the work item never ran again")
+	takeOverUnrecordedStart(t, func(w *simWorker, runs bool) { w.unlisted = runs })
 }
 
 // Guards against a run beyond the attempts of a queue when the failed run of an earlier term was never
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/work"
 )
 
 const (
@@ -113,22 +114,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[order.Worker.ID]
-	i := c.find(order)
+	i := c.find(order.Item)
 	if w == nil || w.gone || i == nil || i.worker != w || i.run != order.Run || i.stopping {
 		return 0
 	}
 	return c.extend(w, c.clock(), confirmed)
 }
 
-// find returns the item of an order.
-func (c *Core) find(order *Order) *item {
-	j := c.jobs[order.Item.Job]
+// find returns the item with the ID, or nil.
+func (c *Core) find(id work.ItemID) *item {
+	j := c.jobs[id.Job]
 	if j == nil {
 		return nil
 	}
-	step := j.stepOf(order.Item.Occurrence, order.Item.Step)
-	if step == nil || order.Item.Index >= len(step.items) {
+	step := j.stepOf(id.Occurrence, id.Step)
+	if step == nil || id.Index >= len(step.items) {
 		return nil
 	}
-	return step.items[order.Item.Index]
+	return step.items[id.Index]
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -41,7 +41,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	w, i := c.workers[order.Worker.ID], c.find(order)
+	w, i := c.workers[order.Worker.ID], c.find(order.Item)
 	if w == nil || i == nil || i.worker != w || i.run != order.Run {
 		return
 	}
@@ -82,7 +82,7 @@
 func (c *Core) NotSent(order *Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if i := c.find(order); i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.answered == 0 && !i.stopping {
+	if i := c.find(order.Item); i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.answered == 0 && !i.stopping {
 		c.release(i)
 	}
 }
@@ -91,7 +91,7 @@
 func (c *Core) StopResult(order *Order, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w, i := c.workers[order.Worker.ID], c.find(order)
+	w, i := c.workers[order.Worker.ID], c.find(order.Item)
 	if w == nil {
 		return
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -55,10 +55,8 @@
 // poolOf is the pool that runs the job: that of its queue now, or of its queue when it was accepted
 // if the queue is dropped.
 func (c *Core) poolOf(j *job) string {
-	for i := range c.config.Queues {
-		if c.config.Queues[i].Name == j.def.Queue.Name {
-			return c.config.Queues[i].Pool
-		}
+	if pool, known := c.queuePools[j.def.Queue.Name]; known {
+		return pool
 	}
 	return j.def.Queue.Pool
 }
@@ -126,7 +124,7 @@
 		if slack < 0 {
 			slack = time.Duration(c.workOf(j.def) * float64(time.Second))
 		}
-		list = append(list, ranked{job: j, lasting: j.lasting(), tier: tier, begun: j.begun, priority: j.def.Queue.Priority, ahead: j.ahead, slack: slack})
+		list = append(list, ranked{job: j, lasting: j.def.Lasting(), tier: tier, begun: j.begun, priority: j.def.Queue.Priority, ahead: j.ahead, slack: slack})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(falseFirst(!a.lasting, !b.lasting), cmp.Compare(a.tier, b.tier), falseFirst(!a.begun, !b.begun),
@@ -164,7 +162,7 @@
 func (c *Core) planJob(j *job, workers []*worker, now time.Duration) {
 	wall := c.wall()
 	for _, step := range j.steps {
-		waiting := step.waiting()
+		waiting := step.count(itemWaiting)
 		if waiting == 0 || !j.ready(step, wall) {
 			continue
 		}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -35,7 +35,7 @@
 	Step       int
 	Index      int
 	State      itemState
-	// Run is the last run that is accounted for, Worker where it is placed.
+	// Run is the last run. Worker is where it is placed; without one, its end is accounted for.
 	Run        int64
 	Worker     string
 	Failures   int
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -21,7 +21,7 @@
 )
 
 // HoldFailed notes that a hold had no success.
-func (c *Core) HoldFailed(id string, sent time.Duration, err error) {
+func (c *Core) HoldFailed(id string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
@@ -90,7 +90,7 @@
 }
 
 func (c *Core) takeRunning(w *worker, row infra.Running, listed map[*item]bool, now time.Duration) {
-	i := c.find(&Order{Item: row.Item})
+	i := c.find(row.Item)
 	if i != nil && !i.step.job.over() && c.unrecorded(i, row.Run) && (i.state == itemWaiting || i.inherited && row.Run > i.run) {
 		// An earlier term started it and its record was lost. The recorded run has ended: an item runs
 		// once at a time, and its end is counted when its worker lists it.
@@ -129,7 +129,7 @@
 }
 
 func (c *Core) takeEnded(w *worker, row infra.Ended, listed map[*item]bool, now time.Duration) {
-	i := c.find(&Order{Item: row.Item})
+	i := c.find(row.Item)
 	if i != nil && i.worker == w && i.run == row.Run {
 		listed[i] = true
 	}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -373,12 +373,12 @@
 	}
 	request := d.core.HoldNow(w.entry.ID, d.confirmed)
 	if !w.up || w.cut {
-		d.core.HoldFailed(w.entry.ID, s.now, &infra.Error{Kind: infra.Unknown, Op: "hold"})
+		d.core.HoldFailed(w.entry.ID, &infra.Error{Kind: infra.Unknown, Op: "hold"})
 		return
 	}
 	report, err := w.hold(request)
 	if err != nil {
-		d.core.HoldFailed(w.entry.ID, s.now, err)
+		d.core.HoldFailed(w.entry.ID, err)
 		return
 	}
 	d.core.Report(w.entry.ID, report, s.now)
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -123,7 +123,7 @@
 	}
 	var hosts []string
 	for id, host := range c.hosts.hosts {
-		if p, known := c.config.Pools[host.Pool]; known && p.Standby && host.State == infra.HostUp && c.hosts.moves[id] == nil && !c.inUpkeep(id) && c.clock() >= c.hosts.heldBack[id] {
+		if c.inStandby(host) && c.movable(id) {
 			hosts = append(hosts, id)
 		}
 	}
@@ -134,6 +134,16 @@
 	return pool, hosts
 }
 
+// inStandby reports whether the host rests.
+func (c *Core) inStandby(host infra.Host) bool {
+	return c.config.Pools[host.Pool].Standby && host.State == infra.HostUp
+}
+
+// movable reports whether no order to the host is under way or was given lately by an earlier term.
+func (c *Core) movable(id string) bool {
+	return c.hosts.moves[id] == nil && !c.inUpkeep(id) && c.clock() >= c.hosts.heldBack[id]
+}
+
 // inUpkeep reports whether an order for the host's upkeep is under way.
 func (c *Core) inUpkeep(host string) bool {
 	for _, w := range c.hosts.waves {
@@ -185,7 +195,7 @@
 		}
 		load.hosts++
 		cores[pool] += float64(host.Capacity.CPUMilli) / 1000
-		c.noteIdle(id, host, load, moving == nil, now)
+		c.noteIdle(id, host, load, now)
 	}
 	for name, load := range byName {
 		c.fillLoad(load, cores[name], now)
@@ -202,14 +212,14 @@
 }
 
 // noteIdle follows since when a host is idle, and lists it as empty when it may move.
-func (c *Core) noteIdle(id string, host infra.Host, load *poolLoad, mayMove bool, now time.Duration) {
+func (c *Core) noteIdle(id string, host infra.Host, load *poolLoad, now time.Duration) {
 	w := c.workers[host.WorkerID]
 	if w != nil && w.hasLasting() {
 		load.least++
 	}
 	if w == nil || len(w.items) > 0 || host.State != infra.HostUp {
 		delete(c.hosts.idleSince, id)
-		if w != nil && mayMove && host.State == infra.HostUp && !w.hasLasting() && !c.inUpkeep(id) && now >= c.hosts.heldBack[id] {
+		if w != nil && host.State == infra.HostUp && !w.hasLasting() && c.movable(id) {
 			load.busy = append(load.busy, id)
 		}
 		return
@@ -217,7 +227,7 @@
 	if _, idle := c.hosts.idleSince[id]; !idle {
 		c.hosts.idleSince[id] = now
 	}
-	if mayMove && w.known && w.failing == 0 && !w.entry.Draining && !c.inUpkeep(id) && now >= c.hosts.heldBack[id] {
+	if w.known && w.failing == 0 && !w.entry.Draining && c.movable(id) {
 		load.empty = append(load.empty, id)
 	}
 }
@@ -226,16 +236,13 @@
 func (c *Core) fillLoad(load *poolLoad, cores float64, now time.Duration) {
 	spread, waiting := c.lastingHosts(load.name)
 	load.least = max(load.least, spread) + spareHosts + waiting
-	lasting := 0.0
+	milli := int64(0)
 	for _, w := range c.workers {
 		if w.entry.Pool == load.name {
-			for i := range w.items {
-				if i.step.def.Lasting && !i.step.def.Filling {
-					lasting += float64(i.step.def.Need.CPUMilli) / 1000
-				}
-			}
+			milli += w.lastingMilli()
 		}
 	}
+	lasting := float64(milli) / 1000
 	waits := min(c.backlog(load.name, now, c.inTime(now))/drainTime.Seconds(), c.usable(load.name, now))
 	load.need = sizeHeadroom*max(c.turns.pool(load.name).now(now), waits) + lasting
 	load.expected = sizeHeadroom*c.forecast(load.name, now) + lasting
@@ -277,7 +284,7 @@
 			if !step.def.Lasting {
 				continue
 			}
-			waiting = max(waiting, step.waiting())
+			waiting = max(waiting, step.count(itemWaiting))
 			if step.def.MaxPerHost > 0 {
 				spread = max(spread, int(math.Ceil(float64(step.def.Count)/float64(step.def.MaxPerHost))))
 			}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/work"
 )
 
@@ -30,7 +31,7 @@
 	// worker is where a placed item runs or may run.
 	worker *worker
 	run    int64
-	// accounted is the last run of earlier terms of which this term read a record.
+	// accounted is the last run of earlier terms whose end is in the record that this term read.
 	accounted int64
 	// runs counts the runs of this term.
 	runs       int64
@@ -98,11 +99,11 @@
 	return n
 }
 
-// waiting counts the items that wait.
-func (s *stepRun) waiting() int {
+// count counts the items in the state.
+func (s *stepRun) count(state itemState) int {
 	n := 0
 	for _, i := range s.items {
-		if i.state == itemWaiting {
+		if i.state == state {
 			n++
 		}
 	}
@@ -151,16 +152,6 @@
 // over reports whether nothing of the job is to be started any more.
 func (j *job) over() bool { return j.cancelled || j.failed || j.completed }
 
-// lasting reports whether the job runs until it is cancelled.
-func (j *job) lasting() bool {
-	for i := range j.def.Steps {
-		if j.def.Steps[i].Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // stepOf returns the step, or nil for numbers that the job doesn't have.
 func (j *job) stepOf(occurrence, number int) *stepRun {
 	at := occurrence*len(j.def.Steps) + number
@@ -246,6 +237,17 @@
 // free is the capacity without what is placed.
 func (w *worker) free() work.Resources { return w.entry.Capacity.Minus(w.used) }
 
+// lastingMilli is what lasting work takes of the worker's capacity, in thousandths of a core.
+func (w *worker) lastingMilli() int64 {
+	milli := int64(0)
+	for i := range w.items {
+		if i.step.def.Lasting {
+			milli += i.step.need().CPUMilli
+		}
+	}
+	return milli
+}
+
 // need is what the item takes of a worker.
 func (s *stepRun) need() work.Resources {
 	need := s.def.Need
@@ -256,8 +258,5 @@
 }
 
 func (w *worker) nudge() {
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	periodic.Wake(w.wake)
 }
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -122,7 +122,7 @@
 				// An earlier term's order of which there is no record.
 				down++
 			}
-			if host.State == infra.HostUp && now >= max(w.retryAt[id], c.hosts.heldBack[id]) && c.hosts.moves[id] == nil {
+			if host.State == infra.HostUp && now >= w.retryAt[id] && c.hosts.moves[id] == nil {
 				candidates = append(candidates, id)
 			}
 		}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -281,34 +281,19 @@
 		if next.Over {
 			return
 		}
-		if waitFor(ctx, next.Pause, next.Wake) != nil || next.Worker.Address == "" {
+		if periodic.Wait(ctx, next.Pause, next.Wake) != nil || next.Worker.Address == "" {
 			continue
 		}
 		sent := s.Clock()
 		report, err := s.Workers.Hold(ctx, next.Worker, s.core.HoldNow(id, s.writer.Confirmed()))
 		if err != nil {
-			s.core.HoldFailed(id, sent, err)
+			s.core.HoldFailed(id, err)
 			continue
 		}
 		s.core.Report(id, report, sent)
 	}
 }
 
-// waitFor waits for the pause or the wake-up, whichever comes first.
-func waitFor(ctx context.Context, pause time.Duration, wake <-chan struct{}) error {
-	if pause <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-wake:
-	case <-ctx.Done():
-	}
-	return ctx.Err()
-}
-
 // orderHost sends one order to a host. A term that hasn't confirmed itself lately sends none: its
 // successor waits before its first order, so that two holders don't take turns at a host.
 func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder) error {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -104,6 +105,11 @@
 	Accepted time.Time `cbor:"7,keyasint"`
 }
 
+// Lasting reports whether a step of the job runs until the job is cancelled.
+func (j *Job) Lasting() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Lasting })
+}
+
 // Occurrences is how often the steps run: at least 1.
 func (j *Job) Occurrences() int { return max(1, j.Recurrence.Times) }
 
