List the leader and the large hosts of a group with more members than partitions

Each process now joins with a topic of its processor power, so that the 15 large hosts are always listed, and the leader with a topic of its own as well.

With the list that large, processes of low rank read it as seldom as they would wait before a claim, and a process without the log asks eight peers for the configuration instead of all.

Ruled out: a topic for each zone (rows for all partitions of five topics in each of 147 reads); a record for each process (147 writes a second); several topics with the same members (each topic deals its partitions to the same few members).

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -33,9 +33,12 @@
 	// maxConcurrentJoins bounds the join calls in flight.
 	maxConcurrentJoins = 4
 	// watchInterval is the time between reads of the member list by the highest-ranked processes, or by all
-	// processes while the leader is missing. The others read it every idleWatchInterval, to know their peers.
-	watchInterval     = 250 * time.Millisecond
-	idleWatchInterval = time.Second
+	// processes while the leader is missing. The others read it less often: at least every minIdleWatchInterval,
+	// and those that would wait longer than that before a claim, because of their rank, as often as they would
+	// wait, up to maxIdleWatchInterval.
+	watchInterval        = 250 * time.Millisecond
+	minIdleWatchInterval = time.Second
+	maxIdleWatchInterval = 4 * time.Second
 	// rankDelay is the additional delay per rank before a claim, so that the highest-ranked
 	// process claims first.
 	rankDelay = 300 * time.Millisecond
@@ -216,7 +219,7 @@
 	joins.SetLimit(maxConcurrentJoins)
 	for ctx.Err() == nil {
 		joins.TryGo(func() error {
-			if err := e.Group.Join(ctx, e.Self, memberTTL); err == nil {
+			if err := e.Group.Join(ctx, e.Self, e.leads(), memberTTL); err == nil {
 				e.mu.Lock()
 				defer e.mu.Unlock()
 				e.joinSucceededAt = e.Clock()
@@ -252,10 +255,7 @@
 			e.members = members
 		}
 		claimDue := err == nil && e.claimsLoaded && !e.stopClaiming && e.shouldClaim(now)
-		pause := idleWatchInterval
-		if e.leaderMissingSince > 0 || e.rank() < frequentWatchRanks {
-			pause = watchInterval
-		}
+		pause := e.watchPause()
 		claim, nextOffset := e.claim, e.nextOffset
 		e.mu.Unlock()
 		if claimDue && e.Eligible() {
@@ -266,6 +266,27 @@
 	return ctx.Err()
 }
 
+// leads reports whether this process has claimed the current term and still leads it.
+func (e *Elector) leads() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isCurrentLeader()
+}
+
+// isCurrentLeader is leads with e.mu held.
+func (e *Elector) isCurrentLeader() bool {
+	return e.claim.Term > 0 && e.claim.Nonce == e.Nonce && !e.claim.Resigned && e.claim.Term != e.endedTerm
+}
+
+// watchPause returns the time until the next read of the member list. e.mu must be held.
+func (e *Elector) watchPause() time.Duration {
+	rank := e.rank()
+	if e.leaderMissingSince > 0 || rank < frequentWatchRanks {
+		return watchInterval
+	}
+	return min(max(minIdleWatchInterval, time.Duration(rank)*rankDelay), maxIdleWatchInterval)
+}
+
 // rank returns the position of this process, from 0, among those that may take over. Processes on the most
 // powerful hosts come first. Among equals, the process that started last comes first, since a rolling restart
 // won't stop it soon. e.mu must be held.
@@ -288,7 +309,7 @@
 // been missing. e.mu must be held.
 func (e *Elector) shouldClaim(now time.Duration) bool {
 	selfIsLeader := e.claim.Holder.Name == e.Self.Name
-	if selfIsLeader && !e.claim.Resigned && e.claim.Nonce == e.Nonce && e.claim.Term != e.endedTerm {
+	if e.isCurrentLeader() {
 		e.leaderMissingSince = 0
 		return false
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -194,3 +194,46 @@
 		assert.Assert(t, f.termCount() <= countBefore+1, "%d terms began after the group lost its members", f.termCount()-countBefore)
 	})
 }
+
+// Guards against a leader that is elected again and again because the platform lists only some members of a
+// large group: in a simulated day of vaalkant-ops-large, 25 terms began 1.56 s apart, one after the other.
+func TestLeaderThatTheGroupCrowdsOut(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		f.group.ListLimit = 64
+		kills := map[string]context.CancelFunc{}
+		for n := range 132 {
+			name := fmt.Sprint("host-", n)
+			_, kills[name] = f.startProcess(ctx, name, 192)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		// The youngest process ranks first for the next term, and isn't among those that the platform lists.
+		kills[f.lastTerm().name]()
+		time.Sleep(5 * time.Second)
+		settled := f.termCount()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, f.termCount(), settled)
+	})
+}
+
+// Guards against a fleet without a scheduler when every process that the platform lists has failed together
+// with the leader.
+func TestTakeoverByAnUnlistedProcess(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		f.group.ListLimit = 4
+		kills := map[string]context.CancelFunc{}
+		for n := range 20 {
+			name := fmt.Sprint("host-", n)
+			_, kills[name] = f.startProcess(ctx, name, 192)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		led := f.lastTerm().name
+		kills[led]()
+		for n := range 4 {
+			kills[fmt.Sprint("host-", n)]()
+		}
+		time.Sleep(memberTTL + maxIdleWatchInterval + 2*time.Second)
+		assert.Assert(t, f.lastTerm().name != led, "no process took over")
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	// peers for it. A process whose reads the platform's store rejects must still apply a new configuration
 	// within the platform's time limit.
 	peerFallbackDelay = 700 * time.Millisecond
+	// maxConfigPeers is the number of peers that are asked for the configuration at the same time. When the log
+	// rejects a third of the processes, one in several thousand such samples has no peer that can read it.
+	maxConfigPeers = 8
 	// peerConfigTimeout is the time limit of requests to peers for the configuration.
 	peerConfigTimeout = 500 * time.Millisecond
 	// schedulerLookupTimeout is the time for which a call retries to find the scheduler while the scheduler
@@ -158,7 +162,8 @@
 	}
 }
 
-// fetchConfigFromPeers asks all other entry processes in parallel for a newer configuration.
+// fetchConfigFromPeers asks maxConfigPeers other entry processes, chosen at random, in parallel for a newer
+// configuration.
 func (e *Entry) fetchConfigFromPeers(ctx context.Context) {
 	version := int64(0)
 	if config := e.Config(); config != nil {
@@ -167,7 +172,9 @@
 	ctx, cancel := context.WithTimeout(ctx, peerConfigTimeout)
 	defer cancel()
 	var requests sync.WaitGroup
-	for _, member := range e.Election.Peers() {
+	peers := e.Election.Peers()
+	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
+	for _, member := range peers[:min(len(peers), maxConfigPeers)] {
 		requests.Go(func() {
 			response, err := e.PeerClients.At(member.Address).Config(ctx, &peer.ConfigRequest{Version: version})
 			if err != nil || len(response.Source) == 0 {
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -143,10 +143,12 @@
 
 // Group is the membership of the entry processes, through which they find each other.
 type Group interface {
-	// Join adds self to the group or renews its membership, which expires after ttl.
-	Join(ctx context.Context, self Member, ttl time.Duration) error
+	// Join adds self to the group or renews its membership, which expires after ttl. leads is set by the
+	// process that schedules.
+	Join(ctx context.Context, self Member, leads bool, ttl time.Duration) error
 	Leave(ctx context.Context, self Member) error
-	// Members returns all current members.
+	// Members returns the members that joined with leads set, and the other members as far as the platform
+	// lists them: in a large group, members may be missing.
 	Members(ctx context.Context) ([]Member, error)
 }
 
--- a/internal/infra/infratest/log.go
+++ b/internal/infra/infratest/log.go
@@ -149,27 +149,46 @@
 
 // Group implements infra.Group in memory. The zero value is ready for use.
 type Group struct {
+	// ListLimit is the number of members of each processor power that Members returns besides the leaders, those
+	// that joined first; 0 means all.
+	ListLimit int
+
 	mu sync.Mutex
-	// members maps each member to the time at which its membership expires.
-	members map[infra.Member]time.Time
+	// memberships are in the order of their first joins.
+	memberships []*membership
+}
+
+// membership is a member of a Group until it expires.
+type membership struct {
+	member  infra.Member
+	leads   bool
+	expires time.Time
 }
 
 // Join implements infra.Group.
-func (g *Group) Join(_ context.Context, self infra.Member, ttl time.Duration) error {
+func (g *Group) Join(_ context.Context, self infra.Member, leads bool, ttl time.Duration) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.members == nil {
-		g.members = map[infra.Member]time.Time{}
+	g.remove(func(m *membership) bool { return !time.Now().Before(m.expires) })
+	for _, m := range g.memberships {
+		if m.member == self {
+			m.leads, m.expires = leads, time.Now().Add(ttl)
+			return nil
+		}
 	}
-	g.members[self] = time.Now().Add(ttl)
+	g.memberships = append(g.memberships, &membership{member: self, leads: leads, expires: time.Now().Add(ttl)})
 	return nil
 }
 
+func (g *Group) remove(match func(*membership) bool) {
+	g.memberships = slices.DeleteFunc(g.memberships, match)
+}
+
 // Leave implements infra.Group.
 func (g *Group) Leave(_ context.Context, self infra.Member) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.members, self)
+	g.remove(func(m *membership) bool { return m.member == self })
 	return nil
 }
 
@@ -178,10 +197,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var members []infra.Member
-	for member, expires := range g.members {
-		if time.Now().Before(expires) {
-			members = append(members, member)
+	listed := map[int64]int{}
+	for _, m := range g.memberships {
+		if !time.Now().Before(m.expires) {
+			continue
+		}
+		power := m.member.CPUMilli
+		if !m.leads && g.ListLimit > 0 && listed[power] >= g.ListLimit {
+			continue
 		}
+		listed[power]++
+		members = append(members, m.member)
 	}
 	return members, nil
 }
@@ -190,5 +216,5 @@
 func (g *Group) ExpireAll() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	clear(g.members)
+	g.memberships = nil
 }
