--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -49,6 +49,10 @@
 	// frequentWatchRanks is the number of highest-ranked processes that read the member list every
 	// watchInterval.
 	frequentWatchRanks = 3
+	// rejoinTime is how long after an outage of the group a leader that isn't listed may still rejoin: its
+	// membership has lapsed, and its next join may come maxUnansweredJoin later. A takeover from a leader that is
+	// alive costs more than this wait.
+	rejoinTime = maxUnansweredJoin
 	// retryDelay is the pause after a failed read of the claims.
 	retryDelay = 150 * time.Millisecond
 	// maxUnansweredJoin is how long a process continues to renew its membership without any response. After
@@ -101,6 +105,9 @@
 	claimsLoaded bool
 	// claimChanged is signalled when a newer claim was read.
 	claimChanged chan struct{}
+	// joinDue is signalled when the store responds again after joins without a response, so that the next join isn't
+	// delayed by maxUnansweredJoin.
+	joinDue chan struct{}
 	// leaderResigned is signalled when the leader's resignation was read, to wake watchMembers.
 	leaderResigned chan struct{}
 	// members is the group as it was last read.
@@ -109,6 +116,10 @@
 	joinSucceededAt time.Duration
 	// claimReadAt is when the newest claim was read.
 	claimReadAt time.Duration
+	// membersUnreadable is set while reads of the member list fail, and membersReadableSince is when they succeeded
+	// again; 0 if none has failed yet.
+	membersUnreadable    bool
+	membersReadableSince time.Duration
 	// leaderMissingSince is when the leader was first found missing from the group; 0 while it is present.
 	leaderMissingSince time.Duration
 	// stopClaiming is set by Resign; this process then makes no further claims.
@@ -139,7 +150,7 @@
 
 // Run takes part in the election until ctx ends, and then leaves the group.
 func (e *Elector) Run(ctx context.Context) error {
-	e.claimChanged, e.leaderResigned = make(chan struct{}, 1), make(chan struct{}, 1)
+	e.claimChanged, e.leaderResigned, e.joinDue = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.followClaims(groupCtx) })
 	group.Go(func() error { return e.keepJoined(groupCtx) })
@@ -220,9 +231,7 @@
 	for ctx.Err() == nil {
 		joins.TryGo(func() error {
 			if err := e.Group.Join(ctx, e.Self, e.leads(), memberTTL); err == nil {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				e.joinSucceededAt = e.Clock()
+				e.noteJoined()
 			}
 			return nil
 		})
@@ -232,7 +241,7 @@
 			pause = memberTTL + joinInterval
 		}
 		e.mu.Unlock()
-		_ = periodic.Pause(ctx, pause)
+		_ = periodic.Wait(ctx, pause, e.joinDue)
 	}
 	// A join that arrives after the leave would make this process a member again, so all of them have to
 	// return first. The functions in joins never return an error.
@@ -245,15 +254,24 @@
 	return ctx.Err()
 }
 
+// noteJoined records a successful join.
+func (e *Elector) noteJoined() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock()
+	if now-e.joinSucceededAt > maxUnansweredJoin {
+		periodic.Wake(e.joinDue)
+	}
+	e.joinSucceededAt = now
+}
+
 // watchMembers reads the member list until ctx ends, and claims leadership when it is this process's turn.
 func (e *Elector) watchMembers(ctx context.Context) error {
 	for ctx.Err() == nil {
 		members, err := e.Group.Members(ctx)
 		now := e.Clock()
 		e.mu.Lock()
-		if err == nil {
-			e.members = members
-		}
+		e.noteMembersRead(members, err, now)
 		claimDue := err == nil && e.claimsLoaded && !e.stopClaiming && e.shouldClaim(now)
 		pause := e.watchPause()
 		claim, nextOffset := e.claim, e.nextOffset
@@ -266,6 +284,19 @@
 	return ctx.Err()
 }
 
+// noteMembersRead records the result of a read of the member list. e.mu must be held.
+func (e *Elector) noteMembersRead(members []infra.Member, err error, now time.Duration) {
+	if err != nil {
+		e.membersUnreadable = true
+		return
+	}
+	e.members = members
+	if e.membersUnreadable {
+		e.membersUnreadable, e.membersReadableSince, e.leaderMissingSince = false, now, 0
+		periodic.Wake(e.joinDue)
+	}
+}
+
 // leads reports whether this process has claimed the current term and still leads it.
 func (e *Elector) leads() bool {
 	e.mu.Lock()
@@ -318,6 +349,9 @@
 		// recent was just alive, even if it isn't listed yet.
 		return false
 	}
+	if !selfIsLeader && !e.claim.Resigned && e.membersReadableSince > 0 && now-e.membersReadableSince < rejoinTime {
+		return false
+	}
 	if !selfIsLeader && e.claim.Term > 0 && !e.claim.Resigned {
 		for _, member := range e.members {
 			if member.Name == e.claim.Holder.Name {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -195,6 +195,24 @@
 	})
 }
 
+// Guards against a takeover from a leader that is alive, after an outage of the store in which all memberships
+// lapsed. In a simulated day of ibarra-cuerdas-grown, that left the fleet without a scheduler for five seconds more.
+func TestLeaderOutlastsAnOutageOfTheStore(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		for n := range 12 {
+			f.startProcess(ctx, fmt.Sprint("host-", n), 400)
+			time.Sleep(47 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		countBefore := f.termCount()
+		f.group.SetDown(true)
+		time.Sleep(6 * time.Second)
+		f.group.SetDown(false)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, f.termCount(), countBefore)
+	})
+}
+
 // Guards against a leader that is elected again and again because the platform lists only some members of a
 // large group: in a simulated day of vaalkant-ops-large, 25 terms began 1.56 s apart, one after the other.
 func TestLeaderThatTheGroupCrowdsOut(t *testing.T) {
--- a/internal/infra/infratest/log.go
+++ b/internal/infra/infratest/log.go
@@ -154,6 +154,8 @@
 	ListLimit int
 
 	mu sync.Mutex
+	// down makes every call fail after groupCallLimit.
+	down bool
 	// memberships are in the order of their first joins.
 	memberships []*membership
 }
@@ -165,8 +167,33 @@
 	expires time.Time
 }
 
+// groupCallLimit is the time limit of calls to a Group that is down.
+const groupCallLimit = 1200 * time.Millisecond
+
+// SetDown sets whether every call fails with infra.Unknown after a time limit.
+func (g *Group) SetDown(down bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = down
+}
+
+// fail returns the error of a call while the group is down.
+func (g *Group) fail() error {
+	g.mu.Lock()
+	down := g.down
+	g.mu.Unlock()
+	if !down {
+		return nil
+	}
+	time.Sleep(groupCallLimit)
+	return &infra.Error{Kind: infra.Unknown, Op: "group"}
+}
+
 // Join implements infra.Group.
 func (g *Group) Join(_ context.Context, self infra.Member, leads bool, ttl time.Duration) error {
+	if err := g.fail(); err != nil {
+		return err
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remove(func(m *membership) bool { return !time.Now().Before(m.expires) })
@@ -194,6 +221,9 @@
 
 // Members implements infra.Group.
 func (g *Group) Members(context.Context) ([]infra.Member, error) {
+	if err := g.fail(); err != nil {
+		return nil, err
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var members []infra.Member
