--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -97,23 +97,15 @@
 	return longest
 }
 
-// remainingCriticalPath returns the critical path of the unfinished steps of the job's last occurrence.
-func (c *Core) remainingCriticalPath(j *job) time.Duration {
-	last := j.def.Occurrences() - 1
-	return c.criticalPath(j.def, func(number int) bool {
-		step := j.stepAt(last, number)
-		return step.doneCount == len(step.items)
-	})
-}
-
 // relativeDeadline returns the time from acceptance in which a job should be completed.
 func (c *Core) relativeDeadline(def *work.Job) time.Duration {
-	pathTime := c.criticalPath(def, func(int) bool { return false })
-	return time.Duration(max(1, def.Queue.Slack)*float64(pathTime)) + def.Queue.Target
+	return relativeDeadlineFor(def, c.criticalPath(def, func(int) bool { return false }))
 }
 
-// deadline returns when the job should be completed, on the core's clock.
-func (c *Core) deadline(j *job) time.Duration { return j.acceptedAt + c.relativeDeadline(j.def) }
+// relativeDeadlineFor is relativeDeadline for a job with the given critical path.
+func relativeDeadlineFor(def *work.Job, path time.Duration) time.Duration {
+	return time.Duration(max(1, def.Queue.Slack)*float64(path)) + def.Queue.Target
+}
 
 // admission is the decision on a submitted job.
 type admission struct {
@@ -134,17 +126,14 @@
 	if def.Lasting() || def.Recurrence.Times > 0 {
 		return admission{accepted: true}
 	}
-	cores := c.availableCores(def.Queue.Pool, now) + c.standbyCores()
+	supply, cores := c.supplyOf(def.Queue.Pool, now)
 	if cores <= 0 {
 		// The workers of the pool aren't known yet, as right after the start of a term.
 		return admission{accepted: true}
 	}
 	pathTime := c.criticalPath(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*stepOverhead
 	maxWait := latenessCutoff*c.relativeDeadline(def) - pathTime
-	level := c.overuseLevel(def, now)
-	// Jobs of customers with a higher overuse level are placed after this one.
-	coreSeconds := c.backlog(def.Queue.Pool, now, func(j *job) bool { return j.overuseLevel <= level })
-	predictedWait := time.Duration(coreSeconds / cores * float64(time.Second))
+	predictedWait := supply.waitAt(c.overuseLevel(def, now), cores)
 	if predictedWait <= maxWait {
 		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait}
 	}
@@ -163,24 +152,15 @@
 	return float64(milli) / 1000
 }
 
-// availableCores returns the cores of the pool's schedulable workers that aren't taken by lasting work.
-func (c *Core) availableCores(pool string, now time.Duration) float64 {
-	milli := int64(0)
-	for _, w := range c.workers {
-		if w.entry.Pool != pool || !w.schedulable(now) {
-			continue
-		}
-		milli += w.entry.Capacity.CPUMilli - w.lastingCPUMilli()
-	}
-	return float64(milli) / 1000
-}
-
 // anyJob is a filter for backlog that matches every job.
 func anyJob(*job) bool { return true }
 
 // canMeetDeadline returns a filter for backlog that matches the jobs that can still meet their deadline.
 func (c *Core) canMeetDeadline(now time.Duration) func(*job) bool {
-	return func(j *job) bool { return c.deadline(j)-now >= c.remainingCriticalPath(j) }
+	return func(j *job) bool {
+		prediction := c.predict(j)
+		return j.acceptedAt+prediction.relativeDeadline-now >= prediction.remainingPath
+	}
 }
 
 // backlog returns the core-seconds that accepted jobs of the pool still need: for the placed work items
@@ -192,22 +172,10 @@
 		if j.finished() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 {
 			continue
 		}
-		countWaiting := match(j)
-		for _, step := range j.steps {
-			if step.def.Lasting {
-				continue
-			}
-			runTime := c.predictRunTime(j.def, step.def)
-			for _, i := range step.items {
-				remaining := runTime
-				switch {
-				case i.state == itemDone, !countWaiting && i.state == itemWaiting:
-					continue
-				case i.state == itemPlaced:
-					remaining = max(runTime/10, runTime-(now-i.placedAt))
-				}
-				total += remaining.Seconds() * float64(step.def.Need.CPUMilli) / 1000
-			}
+		waiting, placed := c.remainingWork(j, now)
+		total += placed
+		if waiting > 0 && match(j) {
+			total += waiting
 		}
 	}
 	return total
--- /dev/null
+++ b/internal/scheduler/candidates.go
@@ -0,0 +1,45 @@
+package scheduler
+
+import "turmericyoke/internal/work"
+
+// candidatePool holds the workers of a pool that may get new work in one planning cycle. When a pool is full,
+// hundreds of jobs wait, and most cycles can place few of them or none. The pool therefore keeps what the cycle
+// has learnt of its free capacity, so that a waiting work item usually costs a comparison instead of a pass over
+// all workers.
+type candidatePool struct {
+	workers []*worker
+	// maxFree is the largest free amount of each resource on any worker, as of the start of the cycle. Within a
+	// cycle free capacity only shrinks, except for what a gang that couldn't be placed gives back.
+	maxFree work.Resources
+	// tooLarge holds the needs that fitted on no worker in this cycle.
+	tooLarge []work.Resources
+}
+
+func (p *candidatePool) add(w *worker) {
+	p.workers = append(p.workers, w)
+	free := w.freeCapacity()
+	p.maxFree = work.Resources{
+		CPUMilli: max(p.maxFree.CPUMilli, free.CPUMilli), MemoryMiB: max(p.maxFree.MemoryMiB, free.MemoryMiB), Accelerators: max(p.maxFree.Accelerators, free.Accelerators),
+	}
+}
+
+// excludes reports whether no worker can have the needed resources free in this cycle.
+func (p *candidatePool) excludes(need work.Resources) bool {
+	if !need.Fits(p.maxFree) {
+		return true
+	}
+	for _, known := range p.tooLarge {
+		if known.CPUMilli <= need.CPUMilli && known.MemoryMiB <= need.MemoryMiB && known.Accelerators <= need.Accelerators {
+			return true
+		}
+	}
+	return false
+}
+
+// size returns the number of workers. It is 0 for a nil pool.
+func (p *candidatePool) size() int {
+	if p == nil {
+		return 0
+	}
+	return len(p.workers)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -27,6 +27,14 @@
 	// logStallTimeout is how long an append may take before new jobs are rejected. A slow log takes up to
 	// half a second. While the log is down, a caller can't tell whether its job was accepted.
 	logStallTimeout = 700 * time.Millisecond
+	// jobExpiryInterval is the interval at which jobs are checked for the end of their retention, and
+	// workerCheckInterval the interval at which the runs of all workers are checked for unconfirmed stops,
+	// stragglers and draining workers. Both checks pass over everything that the core keeps.
+	jobExpiryInterval   = time.Second
+	workerCheckInterval = 50 * time.Millisecond
+	// maxDelay is how late this process may be before new jobs are rejected. Several such delays add up in the
+	// time of a submission, of which callers wait for 3 s.
+	maxDelay = 250 * time.Millisecond
 	// runsPerTerm is the range of run numbers reserved for each term. It keeps the run numbers of an item
 	// increasing across terms even if the record of a start was lost.
 	runsPerTerm = 10000
@@ -41,6 +49,9 @@
 	// HostOrderDelay is how long after an order by an earlier term a new term waits before it orders the
 	// same host, so that two schedulers don't alternate as the host's controller.
 	HostOrderDelay time.Duration
+	// HostOrdersPerSecond is the number of orders to hosts that the platform accepts each second; 0 means no
+	// limit.
+	HostOrdersPerSecond float64
 	// HostMoveTime is how long a host is unavailable while it moves to another pool.
 	HostMoveTime time.Duration
 }
@@ -98,8 +109,10 @@
 type Order struct {
 	Kind   OrderKind
 	Worker infra.WorkerRef
-	Item   work.ItemID
-	Run    int64
+	// Zone is the availability zone of the worker. It is set for OrderStart.
+	Zone string
+	Item work.ItemID
+	Run  int64
 	// Spec and Checkpoint are set for OrderStart, Percent for OrderPace.
 	Spec       string
 	Checkpoint string
@@ -141,6 +154,10 @@
 	jobs       map[string]*job
 	activeJobs map[*job]struct{}
 	workers    map[string]*worker
+	// workersByID are all workers sorted by ID; nil after a worker was added or removed.
+	workersByID []*worker
+	// examinedWorkers is the number of workers that the last planning cycle considered for work items.
+	examinedWorkers int64
 	// customerUsage is the sum of the resources of each customer's placed items.
 	customerUsage map[string]work.Resources
 
@@ -158,12 +175,18 @@
 	appendStartedAt time.Duration
 	// fenced is set when a worker or host refused a call because it has seen a higher fencing token.
 	fenced bool
+	// delay is how late this process has recently been, see ObserveDelay.
+	delay time.Duration
 	// closed is set by Abandon. The core then takes no further submissions or cancellations.
 	closed bool
 
 	statsByPool map[string]*poolStats
 	fleet       fleetState
 	peakTracker peakTracker
+	// nextJobExpiry and nextWorkerCheck are when the checks of jobExpiryInterval and workerCheckInterval are due.
+	nextJobExpiry, nextWorkerCheck time.Duration
+	// supply caches what admission needs to know of the pools.
+	supply supplyCache
 	// offeredJobs maps job IDs to the time at which their work was added to the offered load. Retries of
 	// rejected jobs are thus counted once.
 	offeredJobs map[string]time.Duration
@@ -177,7 +200,7 @@
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, workers: map[string]*worker{}, customerUsage: map[string]work.Resources{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
-		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{},
+		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
 }
 
@@ -242,7 +265,7 @@
 		}
 		c.restoreItem(step.items[record.Index], record, now)
 	}
-	if !j.finished() || j.placedCount() > 0 {
+	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
 	}
 }
@@ -253,8 +276,7 @@
 	i.failures, i.checkpoint, i.run, i.lastAccountedRun = record.Failures, record.Checkpoint, record.Run, record.Run
 	switch record.State {
 	case itemDone:
-		i.state = itemDone
-		i.step.doneCount++
+		i.setState(itemDone)
 	case itemPlaced:
 		// The recorded run has no known end yet, so only the runs before it are accounted for.
 		i.inherited, i.placedAt, i.lastAccountedRun = true, now, record.Run-1
@@ -262,7 +284,7 @@
 		if w == nil {
 			w = newWorker(infra.WorkerEntry{ID: record.Worker})
 			w.leaseEnd, w.addedAt, w.lastReportAt = c.inheritedLeaseEnd(), now, now
-			c.workers[record.Worker] = w
+			c.addWorker(w)
 		}
 		c.place(i, w)
 	}
@@ -275,20 +297,11 @@
 	return c.startedAt + LeaderLease + lease + 2*leaseEndMargin
 }
 
-// placedCount returns the number of items that run or may run.
-func (j *job) placedCount() int {
-	n := 0
-	for _, step := range j.steps {
-		n += step.countInState(itemPlaced)
-	}
-	return n
-}
-
 // place assigns the item to the worker and reserves its resources.
 func (c *Core) place(i *item, w *worker) {
-	i.state, i.worker = itemPlaced, w
-	w.items[i] = struct{}{}
-	w.used = w.used.Plus(i.step.reservation())
+	i.setState(itemPlaced)
+	i.worker = w
+	w.add(i)
 	customer := i.step.job.def.Customer
 	c.customerUsage[customer] = c.customerUsage[customer].Plus(i.step.def.Need)
 	if i.step.def.SameRack && i.step.rack == "" {
@@ -303,15 +316,14 @@
 	if w == nil {
 		return
 	}
-	delete(w.items, i)
-	w.used = w.used.Minus(i.step.reservation())
+	w.remove(i)
 	customer := i.step.job.def.Customer
 	c.customerUsage[customer] = c.customerUsage[customer].Minus(i.step.def.Need)
 	i.worker, i.inherited, i.startConfirmedAt, i.reported = nil, false, 0, false
 	i.stopping, i.stopOrderedAt, i.stopConfirmedAt, i.available = false, 0, 0, false
 	i.progressPercent, i.progressedAt, i.load, i.pacePercent, i.paceOrderedAt = 0, 0, 0, fullPacePercent, 0
 	if i.state == itemPlaced {
-		i.state = itemWaiting
+		i.setState(itemWaiting)
 	}
 	if i.step.def.SameRack && i.step.countInState(itemPlaced) == 0 {
 		i.step.rack = ""
@@ -407,6 +419,15 @@
 	}
 }
 
+// ObserveDelay records how late a periodic check of this process began. A process that has more to do than its
+// host can bear falls behind. Its submissions then reach their callers' time limits, so that callers can't tell
+// whether their jobs were accepted; jobs are rejected instead until it has caught up.
+func (c *Core) ObserveDelay(delay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = max(delay, c.delay/2)
+}
+
 // Fenced reports whether a worker or host has seen a higher fencing token than this term's.
 func (c *Core) Fenced() bool {
 	c.mu.Lock()
@@ -424,15 +445,26 @@
 		if len(w.items) == 0 && !w.listed && (w.ended || now > w.leaseEnd) {
 			w.ended = true
 			delete(c.workers, id)
+			c.workersByID = nil
 			w.wakeRenewalLoop()
 		}
 	}
-	for j := range c.activeJobs {
-		if j.finished() && j.placedCount() == 0 {
+	// Each change that leaves a finished job without placed items makes it dirty.
+	for j := range c.dirtyJobs {
+		if _, active := c.activeJobs[j]; active && j.finished() && j.placedCount == 0 {
 			delete(c.activeJobs, j)
 			j.endedAt = now
 		}
 	}
+	if now < c.nextJobExpiry {
+		return
+	}
+	c.nextJobExpiry = now + jobExpiryInterval
+	for id, at := range c.offeredJobs {
+		if now-at > offeredJobRetention {
+			delete(c.offeredJobs, id)
+		}
+	}
 	for id, j := range c.jobs {
 		if _, active := c.activeJobs[j]; !active && j.finished() && now-j.endedAt > c.options.EndedJobRetention {
 			delete(c.jobs, id)
--- /dev/null
+++ b/internal/scheduler/full_pool_test.go
@@ -0,0 +1,77 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/work"
+)
+
+// Guards against a scheduler that is busy with jobs that can't start: in a simulated day of vaalkant-ops-large,
+// each planning cycle of a full pool compared all waiting jobs with all workers, and the process was so far
+// behind that it rejected jobs and missed its callers' deadlines. A cycle may pass over the workers a few times,
+// whatever the number of waiting jobs.
+func TestFullPoolIsCheapToPlan(t *testing.T) {
+	const workers, waitingJobs = 200, 400
+	tc := newTestCore(1)
+	for n := range workers {
+		tc.addWorker(n, 8)
+	}
+	// One host has free processors, and all others have free memory.
+	tc.submit("lasting", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 100, MemoryMiB: 1 << 20}, Lasting: true},
+		work.Step{Count: workers - 1, Need: work.Resources{CPUMilli: 7500, MemoryMiB: 1}, Lasting: true})
+	for n := range waitingJobs {
+		// No job has work items of the size of another, and none fits.
+		outcome := tc.submit(fmt.Sprint("waiting-", n), "big", work.Step{Count: 4, Need: work.Resources{CPUMilli: int64(600 + (n*7)%waitingJobs), MemoryMiB: 64}, Estimate: 10 * time.Millisecond})
+		assert.Equal(t, outcome.Kind, OutcomeDone)
+	}
+	tc.now += time.Second
+	tc.commit()
+	assert.Equal(t, tc.jobs["waiting-0"].placedCount, 0)
+	assert.Assert(t, tc.examinedWorkers <= 10*workers, "a cycle considered %d workers of %d", tc.examinedWorkers, workers)
+}
+
+// Guards against work items that wait although there is room: what a cycle learns of too large needs must not
+// keep smaller work items, or those of a later cycle, from starting.
+func TestSmallerItemsStartBesideTooLargeOnes(t *testing.T) {
+	tc := newTestCore(1)
+	tc.addWorker(1, 8)
+	tc.submit("running", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 5000}, Estimate: time.Second})
+	tc.submit("large", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 4000}, Estimate: time.Second})
+	tc.submit("small", "big", work.Step{Count: 3, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
+	tc.commit()
+	assert.Equal(t, tc.jobs["small"].placedCount, 3)
+	assert.Equal(t, tc.jobs["large"].placedCount, 0)
+	tc.Cancel("running", make(chan Outcome, 1))
+	for i := range tc.jobs["running"].steps[0].items {
+		tc.release(tc.jobs["running"].steps[0].items[i])
+	}
+	tc.commit()
+	assert.Equal(t, tc.jobs["large"].placedCount, 1)
+}
+
+// Guards against jobs that a scheduler accepts while it is so far behind that their callers' time limits pass, and
+// against callers that are told that the log is down instead. On a simulated day of vaalkant-ops-large, 748 jobs
+// were rejected for the log while it took appends, and 600 submissions had no outcome in the same five seconds.
+func TestLateProcessRejectsAtOnce(t *testing.T) {
+	tc := newTestCore(1)
+	tc.addWorker(1, 8)
+	step := work.Step{Count: 1, Need: work.Resources{CPUMilli: 500}, Estimate: time.Second}
+	// An append takes so long that it looks like an outage of the log.
+	tc.Submit(&work.Job{ID: "first", Queue: tc.config.Queues[0], Customer: "big", Steps: []work.Step{step}}, make(chan Outcome, 1))
+	batch := tc.Collect()
+	tc.now += logStallTimeout + time.Millisecond
+	tc.ObserveDelay(maxDelay + time.Millisecond)
+	waiter := make(chan Outcome, 1)
+	tc.Submit(&work.Job{ID: "second", Queue: tc.config.Queues[0], Customer: "big", Steps: []work.Step{step}}, waiter)
+	outcome := <-waiter
+	assert.Equal(t, outcome.Kind, OutcomeRejected)
+	assert.Equal(t, outcome.Reason, "busy")
+	assert.Assert(t, outcome.RetryAfter > 0)
+	tc.Committed(&batch)
+	tc.ObserveDelay(0)
+	assert.Equal(t, tc.submit("third", "big", step).Kind, OutcomeDone, "the process has caught up")
+}
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -42,6 +42,10 @@
 	// heldBackUntil holds, by host, until when a host gets no orders because an earlier term ordered it
 	// recently.
 	heldBackUntil map[string]time.Duration
+	// orderAllowance is the number of orders that the platform accepts now, as of allowanceAt. Orders beyond it are
+	// refused and cost a call each.
+	orderAllowance float64
+	allowanceAt    time.Duration
 	// idleSince holds, by host, when an idle host became idle.
 	idleSince map[string]time.Duration
 }
@@ -56,6 +60,19 @@
 	retryAt  time.Duration
 }
 
+// allowanceTime is the time over which unused orders to hosts add up.
+const allowanceTime = 250 * time.Millisecond
+
+// allowedOrders returns the number of orders to hosts that may be sent now at a rate a second; 0 means no limit.
+func (f *fleetState) allowedOrders(rate float64, now time.Duration) int {
+	if rate <= 0 {
+		return math.MaxInt
+	}
+	f.orderAllowance = min(rate*allowanceTime.Seconds(), f.orderAllowance+rate*(now-f.allowanceAt).Seconds())
+	f.allowanceAt = now
+	return int(max(0, f.orderAllowance))
+}
+
 func newFleetState() fleetState {
 	return fleetState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pendingMaintenance: map[string]bool{},
 		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{}}
@@ -182,7 +199,9 @@
 	for _, order := range orders {
 		c.fleet.waves[order.Wave].inFlight[order.Host] = true
 	}
-	orders = append(orders, c.planPoolSizes(now)...)
+	allowed := c.fleet.allowedOrders(c.options.HostOrdersPerSecond, now)
+	orders = append(orders, c.planPoolSizes(now, max(0, allowed-len(orders)))...)
+	c.fleet.orderAllowance -= float64(len(orders))
 	for _, order := range orders {
 		c.recordHostOrder(order.Host)
 	}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -13,19 +13,21 @@
 	jobs       *prometheus.CounterVec
 	starts     *prometheus.CounterVec
 	ends       *prometheus.CounterVec
+	examined   prometheus.Counter
 	completion prometheus.Histogram
 }
 
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		jobs:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_total", Help: "Jobs by decision."}, []string{"decision"}),
-		starts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_starts_total", Help: "Starts of work items by outcome."}, []string{"outcome"}),
-		ends:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_ends_total", Help: "Ends of runs by cause."}, []string{"cause"}),
+		jobs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_total", Help: "Jobs by decision."}, []string{"decision"}),
+		starts:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_starts_total", Help: "Starts of work items by outcome."}, []string{"outcome"}),
+		ends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_ends_total", Help: "Ends of runs by cause."}, []string{"cause"}),
+		examined: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_workers_examined_total", Help: "Workers that were considered for work items."}),
 		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "scheduler_job_seconds", Help: "Time from acceptance to completion.",
 			Buckets: []float64{.25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60}}),
 	}
-	registry.MustRegister(m.jobs, m.starts, m.ends, m.completion)
+	registry.MustRegister(m.jobs, m.starts, m.ends, m.examined, m.completion)
 	return m
 }
 
@@ -65,3 +67,10 @@
 		m.ends.WithLabelValues(string(cause)).Inc()
 	}
 }
+
+// workersExamined counts the workers that a planning cycle considered for work items.
+func (m *Metrics) workersExamined(n int64) {
+	if m != nil {
+		m.examined.Add(float64(n))
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,20 +16,26 @@
 	if c.config == nil || c.fenced {
 		return
 	}
-	c.retryStops(now)
-	c.evacuateDraining()
-	c.stopStragglers(now)
-	workersByPool := c.schedulableWorkers(now)
-	if len(workersByPool) == 0 {
+	if now >= c.nextWorkerCheck {
+		c.nextWorkerCheck = now + workerCheckInterval
+		c.retryStops(now)
+		c.evacuateDraining()
+		c.stopStragglers(now)
+	}
+	jobs := c.rankJobs(now)
+	if len(jobs) == 0 {
 		return
 	}
+	c.examinedWorkers = 0
+	defer func() { c.metrics.workersExamined(c.examinedWorkers) }()
+	pools := c.candidatePools(now)
 	unrecordedRuns := c.mayHaveUnrecordedRuns(now)
-	for _, j := range c.rankJobs(now) {
-		workers := workersByPool[c.poolOf(j)]
-		if len(workers) == 0 || j.inherited && unrecordedRuns {
+	for _, j := range jobs {
+		pool := pools[c.poolOf(j)]
+		if pool == nil || j.inherited && unrecordedRuns {
 			continue
 		}
-		c.planJob(j, workers, now)
+		c.planJob(j, pool, now)
 	}
 }
 
@@ -62,18 +69,29 @@
 	return j.def.Queue.Pool
 }
 
-// schedulableWorkers returns the workers that may get new work, by pool and sorted by ID.
-func (c *Core) schedulableWorkers(now time.Duration) map[string][]*worker {
-	byPool := map[string][]*worker{}
-	for _, w := range c.workers {
-		if w.schedulable(now) {
-			byPool[w.entry.Pool] = append(byPool[w.entry.Pool], w)
+// candidatePools returns the workers that may get new work, by pool and sorted by ID.
+func (c *Core) candidatePools(now time.Duration) map[string]*candidatePool {
+	pools := map[string]*candidatePool{}
+	for _, w := range c.sortedWorkers() {
+		if !w.schedulable(now) {
+			continue
 		}
+		pool := pools[w.entry.Pool]
+		if pool == nil {
+			pool = &candidatePool{}
+			pools[w.entry.Pool] = pool
+		}
+		pool.add(w)
 	}
-	for _, workers := range byPool {
-		slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	return pools
+}
+
+// sortedWorkers returns all workers, sorted by ID.
+func (c *Core) sortedWorkers() []*worker {
+	if c.workersByID == nil {
+		c.workersByID = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	}
-	return byPool
+	return c.workersByID
 }
 
 // schedulable reports whether the worker may get new work.
@@ -109,22 +127,33 @@
 	slack time.Duration
 }
 
-// rankJobs returns the unfinished jobs in the order in which they get resources: lasting jobs first, since
+// hasReadyItems reports whether work items of the job wait and may start.
+func (j *job) hasReadyItems(wallTime time.Time) bool {
+	for _, step := range j.steps {
+		if step.countInState(itemWaiting) > 0 && j.stepReady(step, wallTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// rankJobs returns the jobs with ready work items in the order in which they get resources: lasting jobs first, since
 // their service is interrupted while they wait; then the jobs that can still meet their deadline; then the
 // late ones whose completion is still of use; then the others. In each of these groups, started jobs go first,
 // since a job that is partly done is of no use yet. Further keys are the queue's priority, the customer's
 // overuse level, and the slack or, for late jobs, the size.
 func (c *Core) rankJobs(now time.Duration) []*job {
 	var list []rankedJob
+	wallTime := c.wallClock()
 	for j := range c.activeJobs {
-		if j.finished() || !j.durable {
+		if !j.durable || !j.hasReadyItems(wallTime) {
 			continue
 		}
-		remaining := c.remainingCriticalPath(j)
-		slack := c.deadline(j) - now - remaining
-		tier := c.latenessTier(j, slack)
+		predicted := c.predict(j)
+		slack := j.acceptedAt + predicted.relativeDeadline - now - predicted.remainingPath
+		tier := latenessTier(predicted.relativeDeadline, slack)
 		if slack < 0 {
-			slack = time.Duration(c.predictCoreSeconds(j.def) * float64(time.Second))
+			slack = time.Duration(predicted.coreSeconds * float64(time.Second))
 		}
 		list = append(list, rankedJob{job: j, lasting: j.def.Lasting(), tier: tier, started: j.started, priority: j.def.Queue.Priority, overuseLevel: j.overuseLevel, slack: slack})
 	}
@@ -141,11 +170,11 @@
 
 // latenessTier returns 0 while the job can meet its deadline, 1 while it is late but its completion is still
 // of use, and 2 after that. slack is the time left before its remaining critical path must start.
-func (c *Core) latenessTier(j *job, slack time.Duration) int {
+func latenessTier(relativeDeadline, slack time.Duration) int {
 	switch {
 	case slack >= 0:
 		return 0
-	case slack >= -(latenessCutoff-1)*c.relativeDeadline(j.def):
+	case slack >= -(latenessCutoff-1)*relativeDeadline:
 		return 1
 	}
 	return 2
@@ -163,7 +192,7 @@
 }
 
 // planJob places the waiting work items of the job whose steps are ready to start.
-func (c *Core) planJob(j *job, workers []*worker, now time.Duration) {
+func (c *Core) planJob(j *job, pool *candidatePool, now time.Duration) {
 	wallTime := c.wallClock()
 	for _, step := range j.steps {
 		waiting := step.countInState(itemWaiting)
@@ -171,7 +200,7 @@
 			continue
 		}
 		if step.def.Gang {
-			c.planGang(step, workers, now)
+			c.planGang(step, pool, now)
 			continue
 		}
 		placed := 0
@@ -179,7 +208,7 @@
 			if i.state != itemWaiting {
 				continue
 			}
-			w := c.chooseWorker(i, workers)
+			w := c.chooseWorker(i, pool)
 			if w == nil {
 				// The other items of the step have the same needs. None of them can be placed either,
 				// unless a worker was excluded for this item only.
@@ -199,7 +228,7 @@
 }
 
 // planGang places and starts all items of a gang, or none.
-func (c *Core) planGang(step *stepInstance, workers []*worker, now time.Duration) {
+func (c *Core) planGang(step *stepInstance, pool *candidatePool, now time.Duration) {
 	var placed []*item
 	maxRuns := int64(0)
 	for _, i := range step.items {
@@ -210,7 +239,7 @@
 			// An item of the gang's previous run hasn't ended yet.
 			return
 		}
-		w := c.chooseWorker(i, workers)
+		w := c.chooseWorker(i, pool)
 		if w == nil {
 			break
 		}
@@ -222,6 +251,8 @@
 		for _, i := range placed {
 			c.release(i)
 		}
+		// What the gang had taken is free again.
+		pool.tooLarge = nil
 		return
 	}
 	checkpoint := step.items[0].checkpoint
@@ -244,7 +275,7 @@
 	i.placedAt, i.progressedAt = now, now
 	j := i.step.job
 	j.started = true
-	c.pendingOrders = append(c.pendingOrders, Order{Kind: OrderStart, Worker: i.worker.ref(), Item: i.id(), Run: i.run, Spec: j.def.Spec,
+	c.pendingOrders = append(c.pendingOrders, Order{Kind: OrderStart, Worker: i.worker.ref(), Zone: i.worker.entry.Zone, Item: i.id(), Run: i.run, Spec: j.def.Spec,
 		Checkpoint: i.checkpoint, NeedsAdvice: j.def.Queue.NeedsAdvice})
 	c.markDirty(j)
 }
@@ -261,7 +292,7 @@
 
 // chooseWorker returns the worker for a waiting item, or nil if no worker has enough free capacity or the
 // customer's limit is reached.
-func (c *Core) chooseWorker(i *item, workers []*worker) *worker {
+func (c *Core) chooseWorker(i *item, pool *candidatePool) *worker {
 	step := i.step
 	customer := step.job.def.Customer
 	if limit, ok := c.config.Customers[customer]; ok {
@@ -270,11 +301,20 @@
 		}
 	}
 	need := step.reservation()
-	excluded := i.excludedWorker(c.clock(), len(workers))
+	if pool.excludes(need) {
+		return nil
+	}
+	excluded := i.excludedWorker(c.clock(), len(pool.workers))
 	var best *worker
 	bestScore := 0.0
-	for _, w := range workers {
-		if w == excluded || !need.Fits(w.freeCapacity()) || !w.satisfies(step) {
+	fits := false
+	for _, w := range pool.workers {
+		c.examinedWorkers++
+		if !need.Fits(w.freeCapacity()) {
+			continue
+		}
+		fits = true
+		if w == excluded || !w.satisfies(step) {
 			continue
 		}
 		score := c.score(i, w)
@@ -282,6 +322,9 @@
 			best, bestScore = w, score
 		}
 	}
+	if !fits {
+		pool.tooLarge = append(pool.tooLarge, need)
+	}
 	return best
 }
 
@@ -319,7 +362,7 @@
 	if i.avoidedWorker == w {
 		score += avoidedWorkerPenalty
 	}
-	if c.fleet.awaitsMaintenance(w.entry.ID) && step.def.Lasting {
+	if step.def.Lasting && c.fleet.awaitsMaintenance(w.entry.ID) {
 		score += maintenancePenalty
 	}
 	// Work is packed on few workers, and lasting work is kept apart from other work: this leaves whole
--- /dev/null
+++ b/internal/scheduler/predict.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"time"
+
+	"turmericyoke/internal/work"
+)
+
+// declaredWork is the work of a job's steps by the run times that its caller declared. The plan predicts the
+// run time of every job in each cycle; scaling the declared work by the pool's ratio of actual to declared run
+// times is cheaper than passing over the steps.
+type declaredWork struct {
+	// path is the longest chain of declared run times, and coreSeconds the work of the steps that don't last.
+	path        time.Duration
+	coreSeconds float64
+	// complete is set if every step declares a run time. Otherwise the prediction isn't proportional to path.
+	complete bool
+}
+
+// declaredWorkOf returns the declared work of one occurrence of the job. Steps for which done returns true need
+// no more work.
+func declaredWorkOf(def *work.Job, done func(step int) bool) *declaredWork {
+	declared := &declaredWork{complete: true}
+	ends := make([]time.Duration, len(def.Steps))
+	for number := range def.Steps {
+		step := &def.Steps[number]
+		declared.complete = declared.complete && step.Estimate > 0
+		for _, dependency := range step.After {
+			if dependency >= 0 && dependency < number {
+				ends[number] = max(ends[number], ends[dependency])
+			}
+		}
+		if !done(number) {
+			ends[number] += step.Estimate
+			if !step.Lasting {
+				declared.coreSeconds += step.Estimate.Seconds() * float64(step.Need.CPUMilli) / 1000 * float64(step.Count)
+			}
+		}
+		declared.path = max(declared.path, ends[number])
+	}
+	return declared
+}
+
+// prediction is what the plan needs to know of a job's run time.
+type prediction struct {
+	// relativeDeadline is the time from acceptance in which the job should be completed, and remainingPath the
+	// critical path of the unfinished steps of its last occurrence.
+	relativeDeadline, remainingPath time.Duration
+	// coreSeconds is the work of one occurrence.
+	coreSeconds float64
+}
+
+// predict predicts the run time of the job.
+func (c *Core) predict(j *job) prediction {
+	stepDone := func(number int) bool { return j.stepAt(j.def.Occurrences()-1, number).done() }
+	if j.total == nil {
+		j.total = declaredWorkOf(j.def, func(int) bool { return false })
+	}
+	if !j.total.complete {
+		return prediction{relativeDeadline: c.relativeDeadline(j.def), remainingPath: c.criticalPath(j.def, stepDone), coreSeconds: c.predictCoreSeconds(j.def)}
+	}
+	if j.remaining == nil {
+		j.remaining = declaredWorkOf(j.def, stepDone)
+	}
+	ratio := c.statsOf(j.def.Queue.Pool).runTimeRatio
+	return prediction{
+		relativeDeadline: relativeDeadlineFor(j.def, time.Duration(ratio*float64(j.total.path))),
+		remainingPath:    time.Duration(ratio * float64(j.remaining.path)),
+		coreSeconds:      ratio * j.total.coreSeconds,
+	}
+}
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -95,16 +95,6 @@
 	return request
 }
 
-// hasLasting reports whether a lasting item is placed on the worker.
-func (w *worker) hasLasting() bool {
-	for i := range w.items {
-		if i.step.def.Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // extendLease returns the end, on the worker's clock, of a lease that begins now. It moves w.leaseEnd to
 // the latest time at which that lease lapses if the worker's clock is slow. It returns 0 if the last
 // confirmed append of this term, sent at confirmedAt, is too long ago to extend leases.
--- /dev/null
+++ b/internal/scheduler/replay_test.go
@@ -0,0 +1,221 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/work"
+)
+
+// replayQueue is the load of one queue: jobs of steps of equal work items. Each queue in turn peaks for
+// replayPeakTime at peakRate, and offers a twentieth of that otherwise.
+type replayQueue struct {
+	pool            string
+	hosts           int
+	priority        int
+	peakRate        float64
+	steps, width    int
+	cpuMilli        int64
+	runTime, target time.Duration
+}
+
+// replayPeakTime is how long each queue of a replay peaks.
+const replayPeakTime = 5 * time.Second
+
+// largeFleet is the load of vaalkant-ops-large: 923 hosts of 64 cores in four pools, which peak in turn.
+var largeFleet = []replayQueue{
+	{pool: "vaal", hosts: 195, peakRate: 193, steps: 2, width: 8, cpuMilli: 8900, runTime: 800 * time.Millisecond, target: 600 * time.Millisecond},
+	{pool: "orange", hosts: 219, priority: 1, peakRate: 50, steps: 2, width: 8, cpuMilli: 19000, runTime: 1300 * time.Millisecond, target: 600 * time.Millisecond},
+	{pool: "tugela", hosts: 243, peakRate: 241, steps: 2, width: 8, cpuMilli: 8900, runTime: 800 * time.Millisecond, target: 600 * time.Millisecond},
+	{pool: "olifants", hosts: 266, priority: 1, peakRate: 61, steps: 2, width: 8, cpuMilli: 19000, runTime: 1300 * time.Millisecond, target: 600 * time.Millisecond},
+}
+
+// replayEnd is a run that ends at a time.
+type replayEnd struct {
+	at     time.Duration
+	worker *replayWorker
+	run    infra.ActiveRun
+}
+
+type replayEnds []replayEnd
+
+func (e replayEnds) Len() int           { return len(e) }
+func (e replayEnds) Less(a, b int) bool { return e[a].at < e[b].at }
+func (e replayEnds) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
+func (e *replayEnds) Push(end any)      { *e = append(*e, end.(replayEnd)) }
+func (e *replayEnds) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// replayWorker executes every order at once.
+type replayWorker struct {
+	entry   infra.WorkerEntry
+	running []infra.ActiveRun
+	ended   []infra.EndedRun
+	endings int64
+}
+
+// replay offers a load to a core whose workers execute every order at once. Its clock is simulated.
+type replay struct {
+	core    *Core
+	now     time.Duration
+	rng     *rand.Rand
+	queues  []replayQueue
+	config  *work.Config
+	workers map[string]*replayWorker
+	ends    replayEnds
+	// runTimes holds the run time of the items of each job.
+	runTimes map[string]time.Duration
+	due      []float64
+	// deadlines holds the time of each submitted job by which it should be done; inTime counts those that were.
+	deadlines           map[string]time.Duration
+	submitted, rejected int
+	inTime, late        int
+	waiter              chan Outcome
+}
+
+func newReplay(seed uint64, queues []replayQueue) *replay {
+	r := &replay{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Hour, queues: queues, workers: map[string]*replayWorker{}, due: make([]float64, len(queues)),
+		runTimes: map[string]time.Duration{}, deadlines: map[string]time.Duration{}, waiter: make(chan Outcome, 1<<20)}
+	r.config = &work.Config{Version: 1, Pools: map[string]work.Pool{}, Customers: map[string]work.Customer{}}
+	r.core = New(1, simOptions(), func() time.Duration { return r.now }, func() time.Time { return simEpoch.Add(r.now) }, discardLogger(), nil)
+	var update infra.WorkerUpdate
+	for _, q := range queues {
+		r.config.Pools[q.pool] = work.Pool{Name: q.pool, AdmissionControl: true}
+		r.config.Queues = append(r.config.Queues, work.Queue{Name: q.pool, Pool: q.pool, Priority: q.priority, MaxAttempts: 3, Slack: 1.5, Target: q.target})
+		for n := range q.hosts {
+			id := fmt.Sprintf("%s-%03d", q.pool, n)
+			entry := infra.WorkerEntry{ID: id, Pool: q.pool, Address: id + ":1", Capacity: work.Resources{CPUMilli: 64000, MemoryMiB: 131072}, Labels: []string{"a", fmt.Sprint("rack-", n/12)}}
+			r.workers[id] = &replayWorker{entry: entry}
+			update.Entries = append(update.Entries, entry)
+		}
+	}
+	for n := range 60 {
+		r.config.Customers[fmt.Sprint("customer-", n)] = work.Customer{Name: fmt.Sprint("customer-", n), Share: 1}
+	}
+	r.core.SetConfig(r.config)
+	r.core.UpdateWorkers(update)
+	for _, w := range r.workers {
+		r.report(w)
+	}
+	return r
+}
+
+// report sends a worker's report to the core.
+func (r *replay) report(w *replayWorker) {
+	r.core.ApplyReport(w.entry.ID, infra.WorkerReport{ClockMs: (r.now - 59*time.Minute).Milliseconds(), Running: w.running, Ended: w.ended}, r.now)
+	w.ended = w.ended[:0]
+}
+
+// submit submits the jobs that are due within the tick.
+func (r *replay) submit(tick time.Duration) {
+	for n, q := range r.queues {
+		rate := q.peakRate
+		if int(r.now/replayPeakTime)%len(r.queues) != n {
+			rate /= 20
+		}
+		for r.due[n] += rate * tick.Seconds(); r.due[n] >= 1; r.due[n]-- {
+			r.submitted++
+			job := &work.Job{ID: fmt.Sprintf("%016x", r.submitted), Queue: r.config.Queues[n], Customer: fmt.Sprint("customer-", r.rng.IntN(60)), Spec: "spec"}
+			runTime := time.Duration(float64(q.runTime) * (0.5 + r.rng.Float64()))
+			for step := range q.steps {
+				def := work.Step{Count: q.width, Need: work.Resources{CPUMilli: int64(float64(q.cpuMilli) * (0.6 + 0.8*r.rng.Float64())), MemoryMiB: 16000}, Estimate: runTime}
+				if step > 0 {
+					def.After = []int{step - 1}
+				}
+				job.Steps = append(job.Steps, def)
+			}
+			r.runTimes[job.ID] = runTime
+			r.deadlines[job.ID] = r.now + time.Duration(1.5*float64(runTime)*float64(q.steps)) + q.target
+			r.core.Submit(job, r.waiter)
+		}
+	}
+}
+
+// endRuns ends the runs that are due, and sends the reports of their workers.
+func (r *replay) endRuns() {
+	touched := map[*replayWorker]bool{}
+	for len(r.ends) > 0 && r.ends[0].at <= r.now {
+		end := heap.Pop(&r.ends).(replayEnd)
+		w := end.worker
+		w.endings++
+		for i := range w.running {
+			if w.running[i].Item == end.run.Item {
+				w.running = append(w.running[:i], w.running[i+1:]...)
+				break
+			}
+		}
+		w.ended = append(w.ended, infra.EndedRun{Sequence: w.endings, Item: end.run.Item, Run: end.run.Run, Cause: infra.EndDone})
+		touched[w] = true
+	}
+	for w := range touched {
+		r.report(w)
+	}
+}
+
+// commit collects a batch, executes its orders, and makes it durable.
+func (r *replay) commit() {
+	batch := r.core.Collect()
+	for i := range batch.Orders {
+		order := &batch.Orders[i]
+		w := r.workers[order.Worker.ID]
+		if order.Kind != OrderStart || r.core.LeaseForStart(order, r.now) == 0 {
+			continue
+		}
+		run := infra.ActiveRun{Item: order.Item, Run: order.Run, ProgressPercent: 1}
+		w.running = append(w.running, run)
+		heap.Push(&r.ends, replayEnd{at: r.now + r.runTimes[order.Item.Job], worker: w, run: run})
+		r.core.ApplyStartResult(order, nil, false)
+	}
+	r.core.Committed(&batch)
+	for _, j := range batch.changedJobs {
+		if deadline, open := r.deadlines[j.def.ID]; open && j.completed {
+			delete(r.deadlines, j.def.ID)
+			if r.now <= deadline {
+				r.inTime++
+			} else {
+				r.late++
+			}
+		}
+	}
+	for len(r.waiter) > 0 {
+		if outcome := <-r.waiter; outcome.Kind == OutcomeRejected {
+			r.rejected++
+		}
+	}
+}
+
+// run advances the clock by span, in steps of tick.
+func (r *replay) run(span, tick time.Duration) {
+	for end := r.now + span; r.now < end; {
+		r.now += tick
+		r.submit(tick)
+		r.endRuns()
+		r.commit()
+	}
+}
+
+// BenchmarkPeaksOfLargeFleet measures the processor time that the core takes for ten seconds of the load of a
+// large fleet: each operation replays them.
+func BenchmarkPeaksOfLargeFleet(b *testing.B) {
+	for range b.N {
+		r := newReplay(1, largeFleet)
+		r.run(10*time.Second, 5*time.Millisecond)
+		b.ReportMetric(float64(r.inTime)/float64(r.submitted), "in-time/job")
+	}
+}
+
+// Guards against a replay that doesn't exercise the core.
+func TestReplayCompletesJobs(t *testing.T) {
+	r := newReplay(1, largeFleet)
+	r.run(5*time.Second, 10*time.Millisecond)
+	assert.Assert(t, r.inTime > 100, "%d jobs in time, %d late, %d rejected of %d", r.inTime, r.late, r.rejected, r.submitted)
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -218,10 +218,7 @@
 				c.release(member)
 			}
 		}
-		if member.state != itemDone {
-			member.state = itemDone
-			member.step.doneCount++
-		}
+		member.setState(itemDone)
 	}
 	c.completeJobIfDone(i.step.job, now)
 }
@@ -232,7 +229,7 @@
 		return
 	}
 	for _, step := range j.steps {
-		if step.doneCount < len(step.items) {
+		if !step.done() {
 			return
 		}
 	}
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -38,19 +38,23 @@
 	moveSettleTime = 3 * time.Second
 )
 
-// planPoolSizes plans the moves of hosts between pools and to and from standby, and returns the orders for them.
-func (c *Core) planPoolSizes(now time.Duration) []HostOrder {
+// planPoolSizes plans the moves of hosts between pools and to and from standby, and returns the orders for at most
+// maxOrders of them.
+func (c *Core) planPoolSizes(now time.Duration, maxOrders int) []HostOrder {
 	if c.config == nil || len(c.fleet.hosts) == 0 {
 		return nil
 	}
 	c.peakTracker.observe(now)
-	orders := c.reconcileMoves(now)
+	orders := c.reconcileMoves(now, maxOrders)
 	standbyPool, standbyHosts := c.standbyHosts()
 	loads := c.poolLoads(now)
 	c.logPoolLoads(loads, len(standbyHosts), now)
 	moves, vacate := planMoves(loads, standbyHosts, standbyPool, func(host string) bool { return c.mayEnterStandby(host, now) })
 	c.setVacating(vacate)
 	for _, m := range moves {
+		if len(orders) >= maxOrders {
+			break
+		}
 		host := c.fleet.hosts[m.host]
 		c.logger.WithFields(logrus.Fields{"event": "host_move_decided", "host": m.host, "from": host.Pool, "to": m.pool}).Info("moving host to another pool")
 		if w := c.workers[host.WorkerID]; w != nil {
@@ -80,10 +84,10 @@
 		return
 	}
 	c.fleet.loadsLoggedAt = now
-	schedulable := c.schedulableWorkers(now)
+	candidates := c.candidatePools(now)
 	for i := range loads {
 		l := &loads[i]
-		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": len(schedulable[l.name]), "empty": len(l.emptyHosts),
+		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": candidates[l.name].size(), "empty": len(l.emptyHosts),
 			"target": l.currentTarget(), "expected": l.expectedTarget(), "least": l.minHosts, "need": int(l.currentLoad), "used": int(c.usedCores(l.name)), "offered": int(c.peakTracker.loadOf(l.name).loadAt(now)),
 			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.canMeetDeadline(now))), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.statsOf(l.name).runTimeRatio)}).Info("load of a pool")
 	}
@@ -101,16 +105,16 @@
 }
 
 // reconcileMoves drops the moves of hosts that left the list, those whose effect the list shows, and those
-// that succeeded more than moveSettleTime ago. It returns the orders to repeat: those of moves with an unknown
-// outcome.
-func (c *Core) reconcileMoves(now time.Duration) []HostOrder {
+// that succeeded more than moveSettleTime ago. It returns the orders to repeat, at most maxOrders: those of moves
+// with an unknown outcome.
+func (c *Core) reconcileMoves(now time.Duration, maxOrders int) []HostOrder {
 	var orders []HostOrder
 	for id, m := range c.fleet.moves {
 		host, exists := c.fleet.hosts[id]
 		switch {
 		case !exists || m.succeededAt > 0 && (host.Pool == m.pool && host.State == infra.HostUp || now-m.succeededAt > moveSettleTime):
 			delete(c.fleet.moves, id)
-		case m.succeededAt == 0 && !m.inFlight && now >= m.retryAt:
+		case m.succeededAt == 0 && !m.inFlight && now >= m.retryAt && len(orders) < maxOrders:
 			m.inFlight = true
 			orders = append(orders, HostOrder{Host: id, Pool: m.pool})
 		}
@@ -247,7 +251,7 @@
 	milli := int64(0)
 	for _, w := range c.workers {
 		if w.entry.Pool == load.name {
-			milli += w.lastingCPUMilli()
+			milli += w.lastingCPUMilli
 		}
 	}
 	lastingCores := float64(milli) / 1000
@@ -274,7 +278,7 @@
 		widest := int64(0)
 		for _, step := range j.steps {
 			if !step.def.Lasting {
-				widest = max(widest, int64(len(step.items)-step.doneCount)*step.def.Need.CPUMilli)
+				widest = max(widest, int64(len(step.items)-step.countInState(itemDone))*step.def.Need.CPUMilli)
 			}
 		}
 		milli += widest
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -23,6 +23,8 @@
 	itemPlaced
 	// itemDone: the item succeeded.
 	itemDone
+	// itemStates is the number of states.
+	itemStates
 )
 
 // item is the scheduling state of one work item.
@@ -93,7 +95,8 @@
 	number     int
 	def        *work.Step
 	items      []*item
-	doneCount  int
+	// stateCounts is the number of items in each state.
+	stateCounts [itemStates]int
 	// rack is the rack of the first placed item of a step with SameRack; empty while no item is placed.
 	rack string
 }
@@ -110,14 +113,25 @@
 }
 
 // countInState returns the number of items in the state.
-func (s *stepInstance) countInState(state itemState) int {
-	n := 0
-	for _, i := range s.items {
-		if i.state == state {
-			n++
-		}
+func (s *stepInstance) countInState(state itemState) int { return s.stateCounts[state] }
+
+// done reports whether all items of the step are done.
+func (s *stepInstance) done() bool { return s.stateCounts[itemDone] == len(s.items) }
+
+// setState changes the item's state, and the counts of its step and its job.
+func (i *item) setState(state itemState) {
+	i.step.stateCounts[i.state]--
+	i.step.stateCounts[state]++
+	if i.state == itemPlaced {
+		i.step.job.placedCount--
+	}
+	if state == itemPlaced {
+		i.step.job.placedCount++
+	}
+	i.state = state
+	if state == itemDone && i.step.done() {
+		i.step.job.remaining = nil
 	}
-	return n
 }
 
 // job is an accepted job and its scheduling state.
@@ -145,6 +159,11 @@
 	endedAt    time.Duration
 	// overuseLevel is the customer's overuse level at submission.
 	overuseLevel int
+	// placedCount is the number of items that run or may run.
+	placedCount int
+	// total and remaining are the cached work of all steps of one occurrence, and of the unfinished steps of the
+	// last one; nil if they have to be computed.
+	total, remaining *declaredWork
 }
 
 func newJob(def *work.Job) *job {
@@ -155,6 +174,7 @@
 			for index := range step.def.Count {
 				step.items = append(step.items, &item{step: step, index: index, pacePercent: fullPacePercent})
 			}
+			step.stateCounts[itemWaiting] = len(step.items)
 			j.steps = append(j.steps, step)
 		}
 	}
@@ -180,7 +200,7 @@
 		return false
 	}
 	for _, number := range s.def.After {
-		if dependency := j.stepAt(s.occurrence, number); dependency != nil && dependency.doneCount < len(dependency.items) {
+		if dependency := j.stepAt(s.occurrence, number); dependency != nil && !dependency.done() {
 			return false
 		}
 	}
@@ -205,6 +225,10 @@
 
 	items map[*item]struct{}
 	used  work.Resources
+	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
+	// they reserve, in thousandths of a core.
+	lastingItems    int
+	lastingCPUMilli int64
 
 	// clockMs is the worker's clock in its last report, and clockReadAt is when that report arrived.
 	clockMs     int64
@@ -257,15 +281,27 @@
 // freeCapacity returns the capacity that isn't reserved by placed items.
 func (w *worker) freeCapacity() work.Resources { return w.entry.Capacity.Minus(w.used) }
 
-// lastingCPUMilli returns the processor capacity reserved by lasting items, in thousandths of a core.
-func (w *worker) lastingCPUMilli() int64 {
-	milli := int64(0)
-	for i := range w.items {
-		if i.step.def.Lasting {
-			milli += i.step.reservation().CPUMilli
-		}
+// hasLasting reports whether a lasting item is placed on the worker.
+func (w *worker) hasLasting() bool { return w.lastingItems > 0 }
+
+// add adds a placed item and reserves its resources.
+func (w *worker) add(i *item) {
+	w.items[i] = struct{}{}
+	w.used = w.used.Plus(i.step.reservation())
+	if i.step.def.Lasting {
+		w.lastingItems++
+		w.lastingCPUMilli += i.step.reservation().CPUMilli
+	}
+}
+
+// remove removes an item and frees its resources.
+func (w *worker) remove(i *item) {
+	delete(w.items, i)
+	w.used = w.used.Minus(i.step.reservation())
+	if i.step.def.Lasting {
+		w.lastingItems--
+		w.lastingCPUMilli -= i.step.reservation().CPUMilli
 	}
-	return milli
 }
 
 // reservation returns the resources that each item of the step reserves on its worker. Filling items use
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -8,6 +8,9 @@
 	"turmericyoke/internal/work"
 )
 
+// busyRetryAfter is the retry delay that callers are given while this process is too far behind.
+const busyRetryAfter = time.Second
+
 // Submit submits a job. It is idempotent: a job with a known ID isn't added again. The outcome is sent to
 // waiter: a rejection immediately, an acceptance when it is durable.
 func (c *Core) Submit(def *work.Job, waiter chan<- Outcome) {
@@ -27,6 +30,13 @@
 		return
 	}
 	now := c.clock()
+	if c.delay > maxDelay {
+		c.metrics.jobRejected("busy")
+		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "busy",
+			"delay_ms": c.delay.Milliseconds()}).Info("job rejected: this process is too far behind")
+		waiter <- Outcome{Kind: OutcomeRejected, RetryAfter: busyRetryAfter, Reason: "busy"}
+		return
+	}
 	if c.logStalled(now) {
 		c.metrics.jobRejected("log_down")
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "log_down",
@@ -46,7 +56,9 @@
 	j := newJob(def)
 	j.acceptedAt = now
 	j.overuseLevel = c.overuseLevel(def, now)
-	c.bookWork(def, c.availableCores(def.Queue.Pool, now)+c.standbyCores(), now)
+	supply, cores := c.supplyOf(def.Queue.Pool, now)
+	c.bookWork(def, cores, now)
+	supply.waiting[j.overuseLevel] += c.predictCoreSeconds(def)
 	c.jobs[def.ID] = j
 	c.activeJobs[j] = struct{}{}
 	c.waiters = append(c.waiters, waiter)
@@ -70,11 +82,6 @@
 	if _, seen := c.offeredJobs[def.ID]; seen || def.Recurrence.Times > 0 {
 		return
 	}
-	for id, at := range c.offeredJobs {
-		if now-at > offeredJobRetention {
-			delete(c.offeredJobs, id)
-		}
-	}
 	c.offeredJobs[def.ID] = now
 	c.peakTracker.loadOf(def.Queue.Pool).addWork(c.predictCoreSeconds(def), now)
 }
@@ -101,7 +108,7 @@
 	}
 	if !j.finished() {
 		j.cancelled, j.endedAt = true, c.clock()
-		c.logger.WithFields(logrus.Fields{"event": "job_cancelled", "job": id, "queue": j.def.Queue.Name, "placed": j.placedCount()}).Info("job cancelled")
+		c.logger.WithFields(logrus.Fields{"event": "job_cancelled", "job": id, "queue": j.def.Queue.Name, "placed": j.placedCount}).Info("job cancelled")
 		c.orderJobStops(j)
 	}
 	c.waiters = append(c.waiters, waiter)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -39,7 +39,7 @@
 	if w == nil {
 		w = newWorker(entry)
 		w.listed, w.addedAt, w.lastReportAt = true, c.clock(), c.clock()
-		c.workers[entry.ID] = w
+		c.addWorker(w)
 		c.logger.WithFields(logrus.Fields{"event": "worker_listed", "worker": entry.ID, "pool": entry.Pool, "zone": entry.Zone, "rack": w.rack}).Info("new worker in the platform's list")
 		return true
 	}
@@ -55,6 +55,11 @@
 	return added
 }
 
+// addWorker adds a worker that wasn't known.
+func (c *Core) addWorker(w *worker) {
+	c.workers[w.entry.ID], c.workersByID = w, nil
+}
+
 // resetRestartedWorker resets the state of a worker that has restarted under the same ID. The runs of the
 // earlier process have ended with it.
 func (c *Core) resetRestartedWorker(w *worker, startedUnixMs int64) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -47,6 +47,10 @@
 	// startRetryPause is the pause before a refused start, such as one whose connection was refused, is sent
 	// again.
 	startRetryPause = 40 * time.Millisecond
+	// maxStartsInFlight bounds the starts that are sent to the workers of one availability zone at the same time.
+	// After a takeover thousands are due at once; sent together, most would reach their time limit in this
+	// process. The bound is per zone, so that a zone that is cut off doesn't delay the starts in others.
+	maxStartsInFlight = 64
 	// termKey is the key of confirmation records.
 	termKey = "term"
 )
@@ -87,15 +91,18 @@
 	writer    *journal.Writer
 	startedAt time.Duration
 
-	// mu protects renewalLoops, the IDs of the workers for which renewLeases runs.
-	mu           sync.Mutex
+	// mu protects the fields below.
+	mu sync.Mutex
+	// renewalLoops holds the IDs of the workers for which renewLeases runs.
 	renewalLoops map[string]bool
+	// startSlots holds, by availability zone, a token for each start that is being sent.
+	startSlots map[string]chan struct{}
 }
 
 // Run runs the scheduler for the term until ctx ends or the term is fenced.
 func Run(ctx context.Context, config Config, term int64) {
 	logger := config.Logger.WithField("term", term)
-	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startedAt: config.Clock(),
+	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startSlots: map[string]chan struct{}{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
 	s.Logger = logger
@@ -150,13 +157,15 @@
 var errFenced = errors.New("fenced: a worker or host has seen a higher fencing token")
 
 // watchFence ends the term once a higher fencing token was seen. Unlike commitBatches, it does so even while an
-// append is in progress.
+// append is in progress. It also tells the core how late its checks begin.
 func (s *session) watchFence(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if s.core.Fenced() {
 			return errFenced
 		}
+		checkedAt := s.Clock()
 		_ = periodic.Pause(ctx, fenceCheckInterval)
+		s.core.ObserveDelay(s.Clock() - checkedAt - fenceCheckInterval)
 	}
 	return ctx.Err()
 }
@@ -212,8 +221,32 @@
 	}
 }
 
+// acquireStartSlot waits until a start may be sent to a worker of the zone. The returned function must be called
+// when the start's outcome is known. It returns false if ctx ends first.
+func (s *session) acquireStartSlot(ctx context.Context, zone string) (release func(), ok bool) {
+	s.mu.Lock()
+	slots := s.startSlots[zone]
+	if slots == nil {
+		slots = make(chan struct{}, maxStartsInFlight)
+		s.startSlots[zone] = slots
+	}
+	s.mu.Unlock()
+	select {
+	case slots <- struct{}{}:
+		return func() { <-slots }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // sendStart sends a start until its outcome is known, but at most maxStartAttempts times.
 func (s *session) sendStart(ctx context.Context, order *scheduler.Order) {
+	release, ok := s.acquireStartSlot(ctx, order.Zone)
+	if !ok {
+		s.core.StartNotSent(order)
+		return
+	}
+	defer release()
 	start := infra.StartOrder{Item: order.Item, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Token: s.term}
 	if order.NeedsAdvice && s.Advice != nil {
 		tickets, _, err := s.Advice.RequestTickets(ctx, order.Item.Job, order.Item.Occurrence, order.Item.Step, []string{order.Worker.ID})
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +57,67 @@
 		assert.Assert(t, time.Since(start) < time.Second, "the fenced term ended only after %s", time.Since(start))
 	})
 }
+
+// slowStarts is a worker that takes 10 ms for each start, and the directory and the fleet that list only it. It
+// counts the starts that it works on at the same time.
+type slowStarts struct {
+	infra.Workers
+	mu                        sync.Mutex
+	starting, started, atOnce int
+}
+
+func (w *slowStarts) RenewLease(_ context.Context, _ infra.WorkerRef, request infra.LeaseRenewal) (infra.WorkerReport, error) {
+	time.Sleep(request.Wait)
+	return infra.WorkerReport{ClockMs: time.Now().UnixMilli()}, nil
+}
+
+func (w *slowStarts) Start(context.Context, infra.WorkerRef, infra.StartOrder) (int64, error) {
+	w.mu.Lock()
+	w.starting++
+	w.atOnce = max(w.atOnce, w.starting)
+	w.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starting--
+	w.started++
+	return 0, nil
+}
+
+func (w *slowStarts) Stop(context.Context, infra.WorkerRef, work.ItemID, int64, int64) (int64, error) {
+	return 0, nil
+}
+
+func (w *slowStarts) Poll(context.Context) (infra.WorkerUpdate, error) {
+	entry := infra.WorkerEntry{ID: "w", Pool: "p", Zone: "z", Address: "a:1", Capacity: work.Resources{CPUMilli: 1 << 30}}
+	return infra.WorkerUpdate{Full: true, Entries: []infra.WorkerEntry{entry}}, nil
+}
+
+// Guards against starts that time out because thousands are sent at once, as after a takeover: on a simulated day
+// of vaalkant-ops-large, 1,275 starts timed out within two seconds.
+func TestStartsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		worker := &slowStarts{}
+		begin := time.Now()
+		const items = 1000
+		config := Config{Log: &infratest.Log{}, Workers: worker, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return worker },
+			Clock: func() time.Duration { return time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
+			Options: scheduler.Options{Lease: 5 * time.Second},
+			ConfigureCore: func(core *scheduler.Core) {
+				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{{Name: "q", Pool: "p"}}})
+			},
+			DetachCore: func() {},
+			AttachCore: func(core *scheduler.Core) {
+				core.Submit(&work.Job{ID: "j", Queue: work.Queue{Name: "q", Pool: "p"}, Steps: []work.Step{{Count: items, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+			}}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		Run(ctx, config, 1)
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		assert.Equal(t, worker.started, items, "not all work items were started")
+		assert.Assert(t, worker.atOnce <= maxStartsInFlight, "%d starts at the same time", worker.atOnce)
+	})
+}
