--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -70,6 +70,9 @@
 	entry    *entry.Entry
 	elector  *election.Elector
 	draining atomic.Bool
+	// closingAt is when the connections of callers will be closed, as Unix time in nanoseconds; 0 before a stop
+	// signal.
+	closingAt atomic.Int64
 }
 
 // run starts all components and serves until SIGTERM or an interrupt.
@@ -91,10 +94,11 @@
 		Log: services.Log, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
 		Clock: boottime.Now, WallClock: time.Now, Logger: logger, Metrics: scheduler.NewMetrics(registry),
 		Options: scheduler.Options{
-			Lease:             time.Duration(leaseFraction * float64(platform.Millis(settings.Bounds.HoldMaxMs))),
-			EndedJobRetention: platform.Seconds(settings.Bounds.StatusS + 1),
-			HostMoveTime:      platform.Seconds(settings.Bounds.MoveS),
-			HostOrderDelay:    platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
+			Lease:               time.Duration(leaseFraction * float64(platform.Millis(settings.Bounds.HoldMaxMs))),
+			EndedJobRetention:   platform.Seconds(settings.Bounds.StatusS + 1),
+			HostMoveTime:        platform.Seconds(settings.Bounds.MoveS),
+			HostOrdersPerSecond: settings.Cloud.DutyPerS,
+			HostOrderDelay:      platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
 		},
 		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore,
 	}
@@ -110,7 +114,7 @@
 // time after SIGTERM has passed and the servers are closed.
 func (p *process) serve(registry *prometheus.Registry) error {
 	callerServer := &fasthttp.Server{
-		Handler: platform.NewCallerAPI(p.entry, p.draining.Load, p.logger, registry).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: platform.NewCallerAPI(p.entry, p.callersClosingAt, p.logger, registry).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
 	}
@@ -176,15 +180,29 @@
 				continue
 			}
 		}
+		p.closingAt.Store(time.Now().Add(p.drainTime() + closeTimeout).UnixNano())
 		p.draining.Store(true)
 		p.logger.WithField("event", "stopping").Info("stopping gracefully")
 		p.resign()
 		stopElection()
-		_ = periodic.Pause(ctx, time.Duration(drainFraction*float64(platform.Seconds(p.settings.Bounds.GraceS))))
+		_ = periodic.Pause(ctx, p.drainTime())
 		return errStopSignal
 	}
 }
 
+// drainTime returns how long open connections are served after a stop signal.
+func (p *process) drainTime() time.Duration {
+	return time.Duration(drainFraction * float64(platform.Seconds(p.settings.Bounds.GraceS)))
+}
+
+// callersClosingAt returns when the connections of callers will be closed, and the zero time before a stop signal.
+func (p *process) callersClosingAt() time.Time {
+	if nanos := p.closingAt.Load(); nanos != 0 {
+		return time.Unix(0, nanos)
+	}
+	return time.Time{}
+}
+
 // resign gives up leadership, if this process has it, within resignTimeout.
 func (p *process) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
