--- a/internal/scheduler/full_pool_test.go
+++ b/internal/scheduler/full_pool_test.go
@@ -100,3 +100,49 @@
 	assert.Equal(t, tc.jobs["x-new"].placedCount, 1)
 	assert.Equal(t, tc.jobs["returns"].placedCount, 0)
 }
+
+// Guards against counts that drift from the items: the plan trusts them instead of passing over all items.
+func TestCountsMatchTheItems(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(t, seed, 6)
+		s.failedRunShare, s.lostResponseShare, s.delayedOrderShare = 0.1, 0.1, 0.05
+		for n := range 30 {
+			s.submit(s.randomJob(n))
+			s.advance(100 * time.Millisecond)
+			if n == 20 {
+				s.takeOver()
+			}
+			checkCounts(t, s.leader().core)
+		}
+	}
+}
+
+// checkCounts compares the counts that the core keeps with its items.
+func checkCounts(t *testing.T, c *Core) {
+	for _, j := range c.jobs {
+		placed := 0
+		for _, step := range j.steps {
+			counts := [itemStates]int{}
+			for _, i := range step.items {
+				counts[i.state]++
+			}
+			placed += counts[itemPlaced]
+			assert.Equal(t, step.stateCounts, counts)
+		}
+		assert.Equal(t, j.placedCount, placed)
+		_, active := c.activeJobs[j]
+		_, dirty := c.dirtyJobs[j]
+		assert.Assert(t, active || dirty || j.finished() && placed == 0, "job %s isn't active", j.def.ID)
+	}
+	for _, w := range c.workers {
+		lasting, used := int64(0), work.Resources{}
+		for i := range w.items {
+			used = used.Plus(i.step.reservation())
+			if i.step.def.Lasting {
+				lasting += i.step.reservation().CPUMilli
+			}
+		}
+		assert.Equal(t, w.used, used)
+		assert.Equal(t, w.lastingCPUMilli, lasting)
+	}
+}
