--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,12 +29,24 @@
 // replayPeakTime is how long each queue of a replay peaks.
 const replayPeakTime = 5 * time.Second
 
-// largeFleet is the load of vaalkant-ops-large: 923 hosts of 64 cores in four pools, which peak in turn.
+// largeFleet is the load of vaalkant-ops-large: 1,100 hosts of 64 cores, in four pools that peak in turn and one
+// without a queue.
 var largeFleet = []replayQueue{
 	{pool: "vaal", hosts: 195, peakRate: 193, steps: 2, width: 8, cpuMilli: 8900, runTime: 800 * time.Millisecond, target: 600 * time.Millisecond},
 	{pool: "orange", hosts: 219, priority: 1, peakRate: 50, steps: 2, width: 8, cpuMilli: 19000, runTime: 1300 * time.Millisecond, target: 600 * time.Millisecond},
 	{pool: "tugela", hosts: 243, peakRate: 241, steps: 2, width: 8, cpuMilli: 8900, runTime: 800 * time.Millisecond, target: 600 * time.Millisecond},
 	{pool: "olifants", hosts: 266, priority: 1, peakRate: 61, steps: 2, width: 8, cpuMilli: 19000, runTime: 1300 * time.Millisecond, target: 600 * time.Millisecond},
+	{pool: "spare", hosts: 177},
+}
+
+// scaledFleet returns largeFleet with its hosts and its load multiplied by the factors.
+func scaledFleet(hosts, load float64) []replayQueue {
+	queues := slices.Clone(largeFleet)
+	for n := range queues {
+		queues[n].hosts = int(hosts * float64(queues[n].hosts))
+		queues[n].peakRate *= load
+	}
+	return queues
 }
 
 // replayEnd is a run that ends at a time.
@@ -79,7 +92,10 @@
 	deadlines           map[string]time.Duration
 	submitted, rejected int
 	inTime, late        int
-	waiter              chan Outcome
+	// starts is the number of starts, and examined the number of workers that the core considered.
+	starts   int
+	examined int64
+	waiter   chan Outcome
 }
 
 func newReplay(seed uint64, queues []replayQueue) *replay {
@@ -119,7 +135,8 @@
 func (r *replay) submit(tick time.Duration) {
 	for n, q := range r.queues {
 		rate := q.peakRate
-		if int(r.now/replayPeakTime)%len(r.queues) != n {
+		// The last queue is that of the spare pool, which has no turn.
+		if int(r.now/replayPeakTime)%(len(r.queues)-1) != n {
 			rate /= 20
 		}
 		for r.due[n] += rate * tick.Seconds(); r.due[n] >= 1; r.due[n]-- {
@@ -163,7 +180,9 @@
 
 // commit collects a batch, executes its orders, and makes it durable.
 func (r *replay) commit() {
+	r.core.examinedWorkers = 0
 	batch := r.core.Collect()
+	r.examined += r.core.examinedWorkers
 	for i := range batch.Orders {
 		order := &batch.Orders[i]
 		w := r.workers[order.Worker.ID]
@@ -172,6 +191,7 @@
 		}
 		run := infra.ActiveRun{Item: order.Item, Run: order.Run, ProgressPercent: 1}
 		w.running = append(w.running, run)
+		r.starts++
 		heap.Push(&r.ends, replayEnd{at: r.now + r.runTimes[order.Item.Job], worker: w, run: run})
 		r.core.ApplyStartResult(order, nil, false)
 	}
@@ -203,13 +223,20 @@
 	}
 }
 
-// BenchmarkPeaksOfLargeFleet measures the processor time that the core takes for ten seconds of the load of a
-// large fleet: each operation replays them.
+// BenchmarkPeaksOfLargeFleet measures the processor time that the core takes for ten seconds of the load of
+// fleets of different sizes, with their usual load and half as much again: each operation replays them.
 func BenchmarkPeaksOfLargeFleet(b *testing.B) {
-	for range b.N {
-		r := newReplay(1, largeFleet)
-		r.run(10*time.Second, 5*time.Millisecond)
-		b.ReportMetric(float64(r.inTime)/float64(r.submitted), "in-time/job")
+	for _, size := range []float64{0.25, 0.5, 1, 2} {
+		for _, load := range []float64{size, 1.5 * size} {
+			b.Run(fmt.Sprintf("hosts=%d/load=%.2f", int(1100*size), load), func(b *testing.B) {
+				for range b.N {
+					r := newReplay(1, scaledFleet(size, load))
+					r.run(10*time.Second, 5*time.Millisecond)
+					b.ReportMetric(float64(r.inTime)/float64(r.submitted), "in-time/job")
+					b.ReportMetric(float64(r.starts), "starts")
+				}
+			})
+		}
 	}
 }
 
@@ -219,3 +246,14 @@
 	r.run(5*time.Second, 10*time.Millisecond)
 	assert.Assert(t, r.inTime > 100, "%d jobs in time, %d late, %d rejected of %d", r.inTime, r.late, r.rejected, r.submitted)
 }
+
+// Guards against the collapse of a large fleet at its peaks: when they ask for half as much again, most jobs wait, and
+// the core must not compare them with all workers in each cycle. A pass over the workers of the largest pool for each
+// start is the work that placing them takes.
+func TestPeaksOfOverloadedLargeFleet(t *testing.T) {
+	const largest = 266
+	r := newReplay(1, scaledFleet(1, 1.5))
+	r.run(10*time.Second, 5*time.Millisecond)
+	assert.Assert(t, r.starts > 5000, "only %d starts", r.starts)
+	assert.Assert(t, r.examined <= int64(2*r.starts*largest), "%d workers considered for %d starts in pools of up to %d", r.examined, r.starts, largest)
+}
