Compute the longest chain of a job's steps in one place

declaredWorkOf repeated the loop of criticalPath; both now call longestChain. Admission computed the same path twice for each submission, and the test of a need against those that fitted nowhere repeated Resources.Fits.

Left as they are: the scenarios of the outage and of the crowded group in the election's tests, and two submissions in full_pool_test.go, share their shape but not their content.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -78,32 +78,33 @@
 // criticalPath returns the longest chain of predicted run times through the steps of one occurrence.
 // Steps for which done returns true take no time.
 func (c *Core) criticalPath(def *work.Job, done func(step int) bool) time.Duration {
+	return longestChain(def, func(number int) time.Duration {
+		if done(number) {
+			return 0
+		}
+		return c.predictRunTime(def, &def.Steps[number])
+	})
+}
+
+// longestChain returns the longest chain of run times through the steps of one occurrence.
+func longestChain(def *work.Job, runTime func(step int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	ends := make([]time.Duration, len(def.Steps))
 	for number := range def.Steps {
-		step := &def.Steps[number]
-		start := time.Duration(0)
-		for _, dependency := range step.After {
+		for _, dependency := range def.Steps[number].After {
 			if dependency >= 0 && dependency < number {
-				start = max(start, ends[dependency])
+				ends[number] = max(ends[number], ends[dependency])
 			}
 		}
-		ends[number] = start
-		if !done(number) {
-			ends[number] += c.predictRunTime(def, step)
-		}
+		ends[number] += runTime(number)
 		longest = max(longest, ends[number])
 	}
 	return longest
 }
 
-// relativeDeadline returns the time from its first submission in which a job should be completed.
-func (c *Core) relativeDeadline(def *work.Job) time.Duration {
-	return relativeDeadlineFor(def, c.criticalPath(def, func(int) bool { return false }))
-}
-
-// relativeDeadlineFor is relativeDeadline for a job with the given critical path.
-func relativeDeadlineFor(def *work.Job, path time.Duration) time.Duration {
+// relativeDeadline returns the time from its first submission in which a job with the critical path should be
+// completed.
+func relativeDeadline(def *work.Job, path time.Duration) time.Duration {
 	return time.Duration(max(1, def.Queue.Slack)*float64(path)) + def.Queue.Target
 }
 
@@ -131,8 +132,9 @@
 		// The workers of the pool aren't known yet, as right after the start of a term.
 		return admission{accepted: true}
 	}
-	pathTime := c.criticalPath(def, func(int) bool { return false }) + time.Duration(len(def.Steps))*stepOverhead
-	maxWait := latenessCutoff*c.relativeDeadline(def) - pathTime - (now - offeredAt)
+	path := c.criticalPath(def, func(int) bool { return false })
+	runTime := path + time.Duration(len(def.Steps))*stepOverhead
+	maxWait := latenessCutoff*relativeDeadline(def, path) - runTime - (now - offeredAt)
 	predictedWait := supply.waitAt(c.overuseLevel(def, now), cores)
 	if predictedWait <= maxWait {
 		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -29,7 +29,7 @@
 		return true
 	}
 	for _, known := range p.tooLarge {
-		if known.CPUMilli <= need.CPUMilli && known.MemoryMiB <= need.MemoryMiB && known.Accelerators <= need.Accelerators {
+		if known.Fits(need) {
 			return true
 		}
 	}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -21,23 +21,17 @@
 // no more work.
 func declaredWorkOf(def *work.Job, done func(step int) bool) *declaredWork {
 	declared := &declaredWork{complete: true}
-	ends := make([]time.Duration, len(def.Steps))
-	for number := range def.Steps {
+	declared.path = longestChain(def, func(number int) time.Duration {
 		step := &def.Steps[number]
 		declared.complete = declared.complete && step.Estimate > 0
-		for _, dependency := range step.After {
-			if dependency >= 0 && dependency < number {
-				ends[number] = max(ends[number], ends[dependency])
-			}
+		if done(number) {
+			return 0
 		}
-		if !done(number) {
-			ends[number] += step.Estimate
-			if !step.Lasting {
-				declared.coreSeconds += step.Estimate.Seconds() * float64(step.Need.CPUMilli) / 1000 * float64(step.Count)
-			}
+		if !step.Lasting {
+			declared.coreSeconds += step.Estimate.Seconds() * float64(step.Need.CPUMilli) / 1000 * float64(step.Count)
 		}
-		declared.path = max(declared.path, ends[number])
-	}
+		return step.Estimate
+	})
 	return declared
 }
 
@@ -57,14 +51,15 @@
 		j.total = declaredWorkOf(j.def, func(int) bool { return false })
 	}
 	if !j.total.complete {
-		return prediction{relativeDeadline: c.relativeDeadline(j.def), remainingPath: c.criticalPath(j.def, stepDone), coreSeconds: c.predictCoreSeconds(j.def)}
+		path := c.criticalPath(j.def, func(int) bool { return false })
+		return prediction{relativeDeadline: relativeDeadline(j.def, path), remainingPath: c.criticalPath(j.def, stepDone), coreSeconds: c.predictCoreSeconds(j.def)}
 	}
 	if j.remaining == nil {
 		j.remaining = declaredWorkOf(j.def, stepDone)
 	}
 	ratio := c.statsOf(j.def.Queue.Pool).runTimeRatio
 	return prediction{
-		relativeDeadline: relativeDeadlineFor(j.def, time.Duration(ratio*float64(j.total.path))),
+		relativeDeadline: relativeDeadline(j.def, time.Duration(ratio*float64(j.total.path))),
 		remainingPath:    time.Duration(ratio * float64(j.remaining.path)),
 		coreSeconds:      ratio * j.total.coreSeconds,
 	}
