Log each run that is lost with its worker

The log named the worker that ended and the number of its runs. It now has a line for each run, with its item, whether its start was confirmed and reported, and how long ago it was placed, so that the hypotheses on work items that crash their workers can be told apart.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -479,7 +479,15 @@
 	c.logger.WithFields(logrus.Fields{"event": "worker_lapsed", "worker": w.entry.ID, "items": len(w.items), "gone": w.ended,
 		"silent_ms": (now - w.lastReportAt).Milliseconds()}).Warn("worker ended or its lease lapsed; releasing its work items")
 	for i := range w.items {
+		c.logLostRun(i, now)
 		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
 		c.release(i)
 	}
 }
+
+// logLostRun logs the run of a placed item whose worker has ended or restarted, or whose lease has lapsed.
+func (c *Core) logLostRun(i *item, now time.Duration) {
+	w := i.worker
+	c.logger.WithFields(logrus.Fields{"event": "run_lost", "item": i.id().String(), "run": i.run, "worker": w.entry.ID, "gone": w.ended, "confirmed": i.startConfirmedAt > 0,
+		"reported": i.reported, "inherited": i.inherited, "placed_ms": (now - i.placedAt).Milliseconds()}).Info("run was lost with its worker")
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -65,6 +65,7 @@
 func (c *Core) resetRestartedWorker(w *worker, startedUnixMs int64) {
 	c.logger.WithFields(logrus.Fields{"event": "worker_reborn", "worker": w.entry.ID, "born": startedUnixMs, "items": len(w.items)}).Warn("worker restarted under the same ID; its work items wait again")
 	for i := range w.items {
+		c.logLostRun(i, c.clock())
 		c.release(i)
 	}
 	w.startedUnixMs, w.appliedEnd, w.durableEnd, w.hasReported, w.ended = startedUnixMs, 0, 0, false, false
