Fail a job whose work item crashes the workers that start it

Cause: a run that ends with its worker counted as nothing. Its item waited again and was placed in the next planning cycle, and nothing bounds such starts; only runs that end as failed count as attempts. Ruled out with the line of each lost run: lost counts (one term throughout) and repeated orders (each run number was on one worker only).

Now each crash of a worker counts against the items whose runs were on it, by what is known of their starts, and is kept in the job's record. Most of these items are innocent. So a suspect starts again on trial: on a worker of which all runs have been reported, and which gets no other start for 0.3 s. A crash in that time is the suspect's alone, and fails its job. Three crashes in all do so in any case. Silence, lapsed leases, draining workers and hosts that are ordered away are no crashes. A start that a crashed worker refused counts for nothing, one without a response as possible.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -257,11 +257,14 @@
 	j.endedAt = now
 	c.jobs[j.def.ID] = j
 	for _, record := range progress.Items {
-		step := j.stepAt(record.Occurrence, record.Step)
-		if step == nil || record.Index >= len(step.items) {
-			continue
+		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+			c.restoreItem(i, record, now)
+		}
+	}
+	for _, record := range progress.Crashes {
+		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+			i.crashes = crashCounts{known: record.Known, possible: record.Possible}
 		}
-		c.restoreItem(step.items[record.Index], record, now)
 	}
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
@@ -441,6 +444,7 @@
 			c.releaseAllItems(w, now)
 		}
 		if len(w.items) == 0 && !w.listed && (w.ended || now > w.leaseEnd) {
+			c.countCrash(w)
 			w.ended = true
 			delete(c.workers, id)
 			c.workersByID = nil
@@ -481,6 +485,9 @@
 	for i := range w.items {
 		c.logLostRun(i, now)
 		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
+		if !w.ended {
+			w.lapsedItems = append(w.lapsedItems, i)
+		}
 		c.release(i)
 	}
 }
--- a/internal/scheduler/full_pool_test.go
+++ b/internal/scheduler/full_pool_test.go
@@ -135,8 +135,11 @@
 		assert.Assert(t, active || dirty || j.finished() && placed == 0, "job %s isn't active", j.def.ID)
 	}
 	for _, w := range c.workers {
-		lasting, used := int64(0), work.Resources{}
+		lasting, used, unreported := int64(0), work.Resources{}, 0
 		for i := range w.items {
+			if !i.reported {
+				unreported++
+			}
 			used = used.Plus(i.step.reservation())
 			if i.step.def.Lasting {
 				lasting += i.step.reservation().CPUMilli
@@ -144,5 +147,7 @@
 		}
 		assert.Equal(t, w.used, used)
 		assert.Equal(t, w.lastingCPUMilli, lasting)
+		assert.Equal(t, w.unreportedItems, unreported)
+		assert.Assert(t, w.trial == nil || w.trial.worker == w)
 	}
 }
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,7 @@
 	jobs       *prometheus.CounterVec
 	starts     *prometheus.CounterVec
 	ends       *prometheus.CounterVec
+	crashes    *prometheus.CounterVec
 	examined   prometheus.Counter
 	completion prometheus.Histogram
 }
@@ -23,11 +25,12 @@
 		jobs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_total", Help: "Jobs by decision."}, []string{"decision"}),
 		starts:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_starts_total", Help: "Starts of work items by outcome."}, []string{"outcome"}),
 		ends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_ends_total", Help: "Ends of runs by cause."}, []string{"cause"}),
+		crashes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_run_crashes_total", Help: "Crashes of workers that were counted against a work item."}, []string{"on_trial"}),
 		examined: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_workers_examined_total", Help: "Workers that were considered for work items."}),
 		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "scheduler_job_seconds", Help: "Time from acceptance to completion.",
 			Buckets: []float64{.25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60}}),
 	}
-	registry.MustRegister(m.jobs, m.starts, m.ends, m.examined, m.completion)
+	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion)
 	return m
 }
 
@@ -50,6 +53,13 @@
 	}
 }
 
+// jobFailed counts a failed job by its cause, failedByAttempts or failedByCrashes.
+func (m *Metrics) jobFailed(cause string) {
+	if m != nil {
+		m.jobs.WithLabelValues("failed_" + cause).Inc()
+	}
+}
+
 // startResult counts the outcome of a start order; kind is empty if it succeeded.
 func (m *Metrics) startResult(kind infra.ErrorKind) {
 	if m == nil {
@@ -68,6 +78,13 @@
 	}
 }
 
+// crashCounted counts a crash that was counted against a work item.
+func (m *Metrics) crashCounted(onTrial bool) {
+	if m != nil {
+		m.crashes.WithLabelValues(strconv.FormatBool(onTrial)).Inc()
+	}
+}
+
 // workersExamined counts the workers that a planning cycle considered for work items.
 func (m *Metrics) workersExamined(n int64) {
 	if m != nil {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -43,7 +43,11 @@
 	defer c.mu.Unlock()
 	now := c.clock()
 	w, i := c.workers[order.Worker.ID], c.findItem(order.Item)
-	if w == nil || i == nil || i.worker != w || i.run != order.Run {
+	if i == nil {
+		return
+	}
+	if w == nil || i.worker != w || i.run != order.Run {
+		c.decideCrash(i, order, err, uncertain)
 		return
 	}
 	kind := infra.KindOf(err)
@@ -83,7 +87,11 @@
 func (c *Core) StartNotSent(order *Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if i := c.findItem(order.Item); i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.startConfirmedAt == 0 && !i.stopping {
+	i := c.findItem(order.Item)
+	if i != nil && i.undecidedCrash != nil && i.undecidedCrash.run == order.Run {
+		i.undecidedCrash = nil
+	}
+	if i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.startConfirmedAt == 0 && !i.stopping {
 		c.release(i)
 	}
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -73,7 +73,7 @@
 func (c *Core) candidatePools(now time.Duration) map[string]*candidatePool {
 	pools := map[string]*candidatePool{}
 	for _, w := range c.sortedWorkers() {
-		if !w.schedulable(now) {
+		if !w.schedulable(now) || w.trial != nil {
 			continue
 		}
 		pool := pools[w.entry.Pool]
@@ -211,8 +211,8 @@
 			w := c.chooseWorker(i, pool)
 			if w == nil {
 				// The other items of the step have the same needs. None of them can be placed either,
-				// unless a worker was excluded for this item only.
-				if i.avoidedWorker == nil {
+				// unless workers were excluded for this item only.
+				if i.avoidedWorker == nil && !i.suspect() {
 					break
 				}
 				continue
@@ -273,6 +273,7 @@
 	i.termRuns++
 	i.run = (c.term-1)*runsPerTerm + i.termRuns
 	i.placedAt, i.progressedAt = now, now
+	i.beginTrial()
 	j := i.step.job
 	j.started = true
 	c.pendingOrders = append(c.pendingOrders, Order{Kind: OrderStart, Worker: i.worker.ref(), Zone: i.worker.entry.Zone, Item: i.id(), Run: i.run, Spec: j.def.Spec,
@@ -314,7 +315,7 @@
 			continue
 		}
 		fits = true
-		if w == excluded || !w.satisfies(step) {
+		if w == excluded || !w.satisfies(step) || !w.admits(i) {
 			continue
 		}
 		score := c.score(i, w)
@@ -368,6 +369,10 @@
 	// Work is packed on few workers, and lasting work is kept apart from other work: this leaves whole
 	// hosts free to move to other pools, and room for large work items.
 	free := freeFraction(w.freeCapacity(), w.entry.Capacity)
+	if i.suspect() {
+		// The fewer runs there are on the worker, the fewer are lost if the item crashes it.
+		free = -free
+	}
 	if step.def.Lasting != w.hasLasting() {
 		score += mixedWorkPenalty
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -26,6 +26,17 @@
 	Completed bool         `cbor:"3,keyasint,omitempty"`
 	Started   bool         `cbor:"4,keyasint,omitempty"`
 	Items     []itemRecord `cbor:"5,keyasint,omitempty"`
+	// Crashes has the items on whose workers crashes were counted.
+	Crashes []crashRecord `cbor:"6,keyasint,omitempty"`
+}
+
+// crashRecord holds the crash counts of one work item. It is encoded as an array.
+type crashRecord struct {
+	_               struct{} `cbor:",toarray"`
+	Occurrence      int
+	Step            int
+	Index           int
+	Known, Possible int
 }
 
 // itemRecord is the durable state of a work item that has changed since the job was accepted. It is
@@ -52,6 +63,9 @@
 	}
 	for _, step := range j.steps {
 		for _, i := range step.items {
+			if i.suspect() {
+				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, Known: i.crashes.known, Possible: i.crashes.possible})
+			}
 			if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
 				continue
 			}
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -87,6 +87,9 @@
 			if w.hasLasting() {
 				request.Wait = lastingRenewalWait
 			}
+			if w.trial != nil {
+				request.Wait = min(request.Wait, trialTime)
+			}
 		}
 	}
 	if len(w.items) > 0 && w.clockMs > 0 && now-w.lastReportAt < renewalSilenceLimit+maxRenewalWait && w.failedRenewals == 0 {
@@ -128,9 +131,5 @@
 	if j == nil {
 		return nil
 	}
-	step := j.stepAt(id.Occurrence, id.Step)
-	if step == nil || id.Index >= len(step.items) {
-		return nil
-	}
-	return step.items[id.Index]
+	return j.itemAt(id.Occurrence, id.Step, id.Index)
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -83,6 +84,7 @@
 	for _, end := range report.Ended {
 		c.applyEnd(w, end, listed, now)
 	}
+	w.lapsedItems = nil
 	if !report.Partial {
 		c.releaseAbsent(w, listed, sentAt)
 	}
@@ -114,6 +116,9 @@
 		return
 	}
 	listed[i] = true
+	if !i.reported {
+		w.unreportedItems--
+	}
 	i.reported, i.inherited = true, false
 	if i.startConfirmedAt == 0 {
 		i.startConfirmedAt = now
@@ -125,6 +130,7 @@
 		i.progressedAt = now
 	}
 	i.progressPercent, i.load, i.available = running.ProgressPercent, running.Load, running.ProgressPercent >= availablePercent
+	c.observeSurvival(i, now)
 	if i.step.job.finished() && !i.stopping {
 		c.orderStop(i)
 	}
@@ -177,6 +183,11 @@
 	c.markDirty(i.step.job)
 }
 
+// hasUnresolvedRun reports whether an unresolved run of the item is one on the worker.
+func (i *item) hasUnresolvedRun(worker string) bool {
+	return slices.ContainsFunc(i.unresolvedRuns, func(r unresolvedRun) bool { return r.worker == worker })
+}
+
 // removeUnresolvedRun removes the run from the item's unresolved runs, and reports whether it was there.
 func (i *item) removeUnresolvedRun(worker string, run int64) bool {
 	for index, unresolved := range i.unresolvedRuns {
@@ -258,8 +269,24 @@
 	if j.finished() || i.step.def.Lasting || j.def.Queue.MaxAttempts <= 0 || i.failures < j.def.Queue.MaxAttempts || i.state == itemDone {
 		return
 	}
-	j.failed, j.endedAt = true, now
-	c.logger.WithFields(logrus.Fields{"event": "job_failed", "job": j.def.ID, "queue": j.def.Queue.Name, "item": end.Item.String(), "failures": i.failures}).Warn("job failed: a work item has used up its attempts")
+	c.failJob(i, failedByAttempts)
+}
+
+// Causes of the failure of a job, for logs and metrics.
+const (
+	// failedByAttempts: runs of a work item failed as often as its queue allows.
+	failedByAttempts = "attempts"
+	// failedByCrashes: workers crashed with runs of a work item.
+	failedByCrashes = "crashes"
+)
+
+// failJob fails the job of the item for the given cause, and stops its runs.
+func (c *Core) failJob(i *item, cause string) {
+	j := i.step.job
+	j.failed, j.endedAt = true, c.clock()
+	c.metrics.jobFailed(cause)
+	c.logger.WithFields(logrus.Fields{"event": "job_failed", "job": j.def.ID, "queue": j.def.Queue.Name, "item": i.id().String(), "cause": cause,
+		"failures": i.failures, "crashes": i.crashes.known}).Warn("job failed: a work item has used up its attempts or crashed its workers")
 	c.orderJobStops(j)
 	c.markDirty(j)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -44,6 +44,9 @@
 	termRuns   int64
 	failures   int
 	checkpoint string
+	// crashes are the crashes of workers with a run of the item; undecidedCrash is one that isn't counted yet, or nil.
+	crashes        crashCounts
+	undecidedCrash *undecidedCrash
 	// avoidedWorker is the worker on which the last run failed or was a straggler; failedAt is when a run
 	// last failed.
 	avoidedWorker *worker
@@ -196,6 +199,15 @@
 	return j.steps[index]
 }
 
+// itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it.
+func (j *job) itemAt(occurrence, number, index int) *item {
+	step := j.stepAt(occurrence, number)
+	if step == nil || index >= len(step.items) {
+		return nil
+	}
+	return step.items[index]
+}
+
 // stepReady reports whether the items of the step may start: the occurrence is due, and the steps on
 // which this one depends are done.
 func (j *job) stepReady(s *stepInstance, wallTime time.Time) bool {
@@ -228,6 +240,12 @@
 
 	items map[*item]struct{}
 	used  work.Resources
+	// unreportedItems is the number of items that no report has listed since they were placed.
+	unreportedItems int
+	// trial is the suspect that is on trial on the worker, or nil.
+	trial *item
+	// lapsedItems are the items that were released because the lease lapsed while nothing was known of the worker.
+	lapsedItems []*item
 	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
 	// they reserve, in thousandths of a core.
 	lastingItems    int
@@ -291,6 +309,7 @@
 func (w *worker) add(i *item) {
 	w.items[i] = struct{}{}
 	w.used = w.used.Plus(i.step.reservation())
+	w.unreportedItems++
 	if i.step.def.Lasting {
 		w.lastingItems++
 		w.lastingCPUMilli += i.step.reservation().CPUMilli
@@ -301,6 +320,12 @@
 func (w *worker) remove(i *item) {
 	delete(w.items, i)
 	w.used = w.used.Minus(i.step.reservation())
+	if !i.reported {
+		w.unreportedItems--
+	}
+	if w.trial == i {
+		w.trial = nil
+	}
 	if i.step.def.Lasting {
 		w.lastingItems--
 		w.lastingCPUMilli -= i.step.reservation().CPUMilli
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -64,6 +64,7 @@
 // earlier process have ended with it.
 func (c *Core) resetRestartedWorker(w *worker, startedUnixMs int64) {
 	c.logger.WithFields(logrus.Fields{"event": "worker_reborn", "worker": w.entry.ID, "born": startedUnixMs, "items": len(w.items)}).Warn("worker restarted under the same ID; its work items wait again")
+	c.countCrash(w)
 	for i := range w.items {
 		c.logLostRun(i, c.clock())
 		c.release(i)
@@ -85,6 +86,7 @@
 
 // endWorker marks a worker as ended and releases its items.
 func (c *Core) endWorker(w *worker) {
+	c.countCrash(w)
 	w.ended, w.listed = true, false
 	c.releaseAllItems(w, c.clock())
 	w.wakeRenewalLoop()
