Test the scheduler with work items that crash their workers

The simulated workers can crash: at the start of given items, or together. The list of hosts shows such a host as down. The tests count the starts of an item that crashed three workers, and check that each job that is shown as failed has a cause.

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -66,17 +66,30 @@
 		if !known || state != JobCompleted && state != JobFailed {
 			s.t.Fatalf("accepted job %s is neither completed nor failed long after the faults ended: state %q, known %v", id, state, known)
 		}
-		if state != JobCompleted {
-			continue
+		if state == JobCompleted {
+			s.checkItemsDone(id)
 		}
-		for step := range s.jobs[id].Steps {
-			for index := range s.jobs[id].Steps[step].Count {
-				if !s.doneItems[work.ItemID{Job: id, Step: step, Index: index}] {
-					s.t.Fatalf("job %s is completed, but in step %d, work item %d has no successful run", id, step, index)
-				}
-			}
+	}
+}
+
+// checkItemsDone checks that all work items of a completed job have a successful run.
+func (s *sim) checkItemsDone(id string) {
+	for _, item := range s.itemsOf(id) {
+		if !s.doneItems[item] {
+			s.t.Fatalf("job %s is completed, but in step %d, work item %d has no successful run", id, item.Step, item.Index)
+		}
+	}
+}
+
+// itemsOf returns the IDs of the job's work items.
+func (s *sim) itemsOf(job string) []work.ItemID {
+	var items []work.ItemID
+	for step := range s.jobs[job].Steps {
+		for index := range s.jobs[job].Steps[step].Count {
+			items = append(items, work.ItemID{Job: job, Step: step, Index: index})
 		}
 	}
+	return items
 }
 
 func defaultSetUp(*sim) {}
--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -58,6 +58,8 @@
 	for _, w := range s.workers {
 		if w.up {
 			hosts = append(hosts, infra.Host{ID: w.host, Pool: simPool, State: infra.HostUp, WorkerID: w.entry.ID, Capacity: w.entry.Capacity})
+		} else if w.restartAt > 0 {
+			hosts = append(hosts, infra.Host{ID: w.host, Pool: simPool, State: infra.HostDown})
 		}
 	}
 	for id, h := range s.hosts {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -34,6 +34,8 @@
 	endsAt    time.Duration
 	fails     bool
 	lasting   bool
+	// crashesAt is when the run crashes its worker; 0 if it doesn't.
+	crashesAt time.Duration
 }
 
 // simWorker is a simulated worker that follows the platform's rules: it refuses orders with a token lower
@@ -58,6 +60,8 @@
 	failsAllRuns  bool
 	// unlisted workers are missing from the list of workers.
 	unlisted bool
+	// restartAt is when another process starts on the host of a worker that has ended; 0 if none does.
+	restartAt time.Duration
 }
 
 // clockMs returns the time of the worker's clock, which is 2% slow.
@@ -77,9 +81,10 @@
 	}
 }
 
-// tick ends the runs that are done, have failed, or whose lease has lapsed.
+// tick crashes the worker if a run does so, and ends the runs that are done, have failed, or whose lease has
+// lapsed.
 func (w *simWorker) tick() {
-	if !w.up {
+	if !w.up || w.crashIfDue() {
 		return
 	}
 	for id, r := range w.running {
@@ -116,6 +121,9 @@
 	step := w.sim.stepOf(order.Item)
 	w.running[order.Item] = &simRun{run: order.Run, startedAt: w.sim.now, lasting: step.Lasting, endsAt: w.sim.now + w.sim.randomRunTime(step),
 		fails: w.failsAllRuns || w.sim.rng.Float64() < w.sim.failedRunShare}
+	if w.sim.crashingItems[order.Item] {
+		w.sim.scheduleCrash(w.running[order.Item])
+	}
 	return nil
 }
 
@@ -165,6 +173,8 @@
 	sender     *simScheduler
 	// unanswered orders are executed, but their sender gets no response.
 	unanswered bool
+	// lost orders were sent to a process that has ended since.
+	lost bool
 }
 
 // simScheduler is the scheduler of one term.
@@ -204,8 +214,19 @@
 	waves        []infra.Wave
 	lastingItems map[work.ItemID]*simLastingItem
 	orders       []simOrder
-	config       *work.Config
-	waiters      map[string]chan Outcome
+	// crashingItems are the items that crash each worker that starts them, maxCrashDelay after the start at the
+	// latest.
+	crashingItems map[work.ItemID]bool
+	maxCrashDelay time.Duration
+	// crashTimes holds the times at which workers crashed while a run of the item was on them, causedCrashTimes
+	// those of the crashes that the item caused, and lostEndTimes those of the crashes after which an
+	// unacknowledged end of a run of the item is unknown.
+	crashTimes, causedCrashTimes, lostEndTimes map[work.ItemID][]time.Duration
+	// startsAfterLimit counts the starts of each item after it caused crashLimit crashes.
+	startsAfterLimit map[work.ItemID]int
+	crashCount       int
+	config           *work.Config
+	waiters          map[string]chan Outcome
 	// lostResponseShare and delayedOrderShare are the shares of orders that are executed without a response
 	// or seconds late, and failedRunShare is the share of runs that fail.
 	lostResponseShare, delayedOrderShare, failedRunShare float64
@@ -223,7 +244,9 @@
 func newSim(t *testing.T, seed uint64, workers int) *sim {
 	s := &sim{t: t, hosts: map[string]*simHost{}, lastingItems: map[work.ItemID]*simLastingItem{}, rng: rand.New(rand.NewPCG(seed, 1)), log: map[string][]byte{}, jobs: map[string]*work.Job{}, cancelled: map[string]bool{},
 		accepted: map[string]bool{}, doneItems: map[work.ItemID]bool{}, ackedItems: map[work.ItemID]bool{},
-		failureTimes: map[work.ItemID][]time.Duration{}, startTimes: map[work.ItemID][]time.Duration{}, waiters: map[string]chan Outcome{}, now: time.Hour}
+		failureTimes: map[work.ItemID][]time.Duration{}, startTimes: map[work.ItemID][]time.Duration{},
+		crashingItems: map[work.ItemID]bool{}, maxCrashDelay: 2 * simTickTime, crashTimes: map[work.ItemID][]time.Duration{}, causedCrashTimes: map[work.ItemID][]time.Duration{}, lostEndTimes: map[work.ItemID][]time.Duration{},
+		startsAfterLimit: map[work.ItemID]int{}, waiters: map[string]chan Outcome{}, now: time.Hour}
 	s.config = &work.Config{Version: 1, Pools: map[string]work.Pool{simPool: {Name: simPool, AdmissionControl: true}},
 		Customers: map[string]work.Customer{"clips": {Name: "clips", Share: 1}},
 		Queues:    []work.Queue{{Name: "review", Pool: simPool, MaxAttempts: 3, Slack: 2, Target: time.Second}}}
@@ -276,6 +299,7 @@
 	s.startCount++
 	s.startTimes[order.Item] = append(s.startTimes[order.Item], s.now)
 	s.checkAttempts(order.Item)
+	s.checkCrashBudget(order.Item)
 	if s.ackedItems[order.Item] {
 		s.t.Fatalf("%s: %s starts again on %s after its successful end was acknowledged", s.now, order.Item, target.entry.ID)
 	}
@@ -338,6 +362,7 @@
 		for _, w := range s.workers {
 			w.tick()
 		}
+		s.restartEndedWorkers()
 		s.trackLastingItems()
 		s.deliverOrders()
 		for _, scheduler := range s.schedulers {
@@ -482,7 +507,7 @@
 	switch {
 	case kind == timedOutOrder:
 		err, kind = unknown, OrderKind(o.order.Percent)
-	case !w.up || w.unreachable:
+	case !w.up || w.unreachable || o.lost:
 		err = unknown
 	case kind == OrderStart:
 		err = w.start(&o.order, o.leaseEndMs, o.token)
