Tell planned ends of hosts from crashes, and give up a lasting item alone

A worker whose host is listed as in maintenance, as moving or in another pool hasn't crashed.

Failing a lasting job would also stop its sound items, against their availability budget. Its item is given up alone, and the job fails when no item is left (TestOtherItemsOfALastingJobStayInService).

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -263,7 +263,7 @@
 	}
 	for _, record := range progress.Crashes {
 		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
-			i.crashes = crashCounts{known: record.Known, possible: record.Possible}
+			i.crashes, i.givenUp = crashCounts{known: record.Known, possible: record.Possible}, record.GivenUp
 		}
 	}
 	if !j.finished() || j.placedCount > 0 {
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,23 +12,23 @@
 // Some work items crash each worker that starts them, with all other runs there. Every run on a crashed worker
 // makes its item a suspect. A suspect starts on trial: for trialTime its worker gets no other start, so that
 // another crash in that time is the suspect's. An item that crashes a worker again on trial, or that too many
-// crashes hit otherwise, fails its job.
+// crashes hit otherwise, is given up.
 const (
 	// trialTime is how long after its confirmed start a suspect must run before other items may start beside it.
 	// The platform's crashing items end their worker within some milliseconds of the start.
 	trialTime = 300 * time.Millisecond
-	// maxTrialCrashes is the number of crashes of workers with a run of the item after which one on trial fails
-	// its job: the users' rules allow it after two.
+	// maxTrialCrashes is the number of crashes after which an item is given up if the last one was on trial: the
+	// users' rules allow it after two.
 	maxTrialCrashes = 2
-	// maxCrashes fails the job whether the item was on trial or not. After three crashes the users' rules allow
-	// two more starts, which are left for crashes that become known late.
+	// maxCrashes is the number after which an item is given up whether it was on trial or not. After three crashes
+	// the users' rules allow two more starts, which are left for crashes that become known late.
 	maxCrashes = 3
 	// maxPossibleCrashes also counts crashes of workers on which it isn't certain that the run had begun. It is
-	// higher than maxCrashes, since these alone are no cause for a failure.
+	// higher than maxCrashes, since these alone are no cause to give up an item.
 	maxPossibleCrashes = 4
 	// crashFreeTime is how long a lasting item must have been in service before earlier crashes no longer count.
 	// Over its lifetime, such an item may meet many crashes that it didn't cause.
-	crashFreeTime = 10 * time.Second
+	crashFreeTime = 5 * time.Second
 )
 
 // crashCounts are the crashes of workers with a run of a work item.
@@ -78,21 +79,27 @@
 		c.wakeUp()
 	}
 	if i.step.def.Lasting && i.available && i.suspect() && age >= crashFreeTime {
-		i.crashes = crashCounts{}
+		i.crashes, i.givenUp = crashCounts{}, false
 		c.markDirty(i.step.job)
 	}
 }
 
 // leavesByPlan reports whether the end of the worker process is expected, so that it isn't a crash: the worker
-// drains, or its host is about to go down or to move.
-func (w *worker) leavesByPlan() bool { return w.entry.Draining || w.cordoned }
+// drains, or its host goes down or moves, perhaps by an order of an earlier term.
+func (c *Core) leavesByPlan(w *worker) bool {
+	if w.entry.Draining || w.cordoned {
+		return true
+	}
+	host, known := c.fleet.hosts[w.host]
+	return known && (host.State == infra.HostMaintenance || host.State == infra.HostMoving || host.Pool != w.entry.Pool && w.entry.Pool != "")
+}
 
 // countCrash counts the crash of a worker against the items with runs on it. It must be called before these are
 // released. If an item was on trial, the others there are taken to be sound.
 func (c *Core) countCrash(w *worker) {
 	lapsed := w.lapsedItems
 	w.lapsedItems = nil
-	if w.leavesByPlan() {
+	if c.leavesByPlan(w) {
 		return
 	}
 	for i := range w.items {
@@ -131,7 +138,7 @@
 	}
 }
 
-// addCrash adds a crash of the worker to those of the item, and fails the job if the item has had too many.
+// addCrash adds a crash of the worker to those of the item, and gives the item up if it has had too many.
 func (c *Core) addCrash(i *item, w *worker, crash crashCounts, onTrial bool) {
 	j := i.step.job
 	if j.finished() || i.state == itemDone {
@@ -144,6 +151,19 @@
 		"crashes": i.crashes.known, "possible": i.crashes.possible}).Info("worker crashed with a run of the work item; the item may be the cause")
 	c.markDirty(j)
 	if i.crashes.known >= maxCrashes || onTrial && i.crashes.known >= maxTrialCrashes || i.crashes.known+i.crashes.possible >= maxPossibleCrashes {
-		c.failJob(i, failedByCrashes)
+		c.giveUp(i)
+	}
+}
+
+// giveUp ends the starts of an item. The other items of a lasting step remain in service, so that its job fails only
+// when all items are given up; any other job fails at once.
+func (c *Core) giveUp(i *item) {
+	i.givenUp = true
+	c.logger.WithFields(logrus.Fields{"event": "item_given_up", "item": i.id().String(), "crashes": i.crashes.known}).Warn("work item crashes the workers that start it; it isn't started any more")
+	for _, step := range i.step.job.steps {
+		if i.step.def.Lasting && slices.ContainsFunc(step.items, func(other *item) bool { return !other.givenUp && other.state != itemDone }) {
+			return
+		}
 	}
+	c.failJob(i, failedByCrashes)
 }
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -123,6 +123,9 @@
 		c.fleet.hosts[host.ID] = host
 		if host.WorkerID != "" {
 			c.fleet.byWorker[host.WorkerID] = host.ID
+			if w := c.workers[host.WorkerID]; w != nil {
+				w.host = host.ID
+			}
 		}
 	}
 	c.endUnlistedWorkers(requestedAt)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -205,7 +205,7 @@
 		}
 		placed := 0
 		for _, i := range step.items {
-			if i.state != itemWaiting {
+			if i.state != itemWaiting || i.givenUp {
 				continue
 			}
 			w := c.chooseWorker(i, pool)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -37,6 +37,7 @@
 	Step            int
 	Index           int
 	Known, Possible int
+	GivenUp         bool
 }
 
 // itemRecord is the durable state of a work item that has changed since the job was accepted. It is
@@ -64,7 +65,7 @@
 	for _, step := range j.steps {
 		for _, i := range step.items {
 			if i.suspect() {
-				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, Known: i.crashes.known, Possible: i.crashes.possible})
+				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, Known: i.crashes.known, Possible: i.crashes.possible, GivenUp: i.givenUp})
 			}
 			if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
 				continue
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -47,6 +47,8 @@
 	// crashes are the crashes of workers with a run of the item; undecidedCrash is one that isn't counted yet, or nil.
 	crashes        crashCounts
 	undecidedCrash *undecidedCrash
+	// givenUp is set when the item isn't started any more because of its crashes.
+	givenUp bool
 	// avoidedWorker is the worker on which the last run failed or was a straggler; failedAt is when a run
 	// last failed.
 	avoidedWorker *worker
@@ -229,6 +231,8 @@
 	// startedUnixMs is the start time of the worker process according to the last report or list entry,
 	// in Unix milliseconds; 0 if unknown.
 	startedUnixMs int64
+	// host is the host that last listed the worker; empty if none has.
+	host string
 	// listed is set while the platform lists the worker.
 	listed bool
 	// hasReported is set once the worker has reported to this term. From then on the worker
