Bound crashes that become known late, and try only what had just started

A review of the crash counts asked where a run could still end without counting.

Now a run that a report lists 0.3 s after its start, by the worker's clock, is no suspect; such late crashes count apart. The fourth crash of any kind gives an item up, which leaves one of the five starts that the users allow for a crash that nobody could count. Runs that lapsed before a crash count as possible if their start had been sent.

Not changed: four crashes before any response fail a job, although it isn't certain that a run had begun (TestCrashesBeforeTheResponseAreBounded).

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -263,7 +263,7 @@
 	}
 	for _, record := range progress.Crashes {
 		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
-			i.crashes, i.givenUp = crashCounts{known: record.Known, possible: record.Possible}, record.GivenUp
+			i.crashes, i.givenUp = crashCounts{known: record.Known, possible: record.Possible, late: record.Late}, record.GivenUp
 		}
 	}
 	if !j.finished() || j.placedCount > 0 {
@@ -320,7 +320,7 @@
 	w.remove(i)
 	customer := i.step.job.def.Customer
 	c.customerUsage[customer] = c.customerUsage[customer].Minus(i.step.def.Need)
-	i.worker, i.inherited, i.startConfirmedAt, i.reported = nil, false, 0, false
+	i.worker, i.inherited, i.startSent, i.startConfirmedAt, i.startClockMs, i.reported, i.survived = nil, false, false, 0, 0, false, false
 	i.stopping, i.stopOrderedAt, i.stopConfirmedAt, i.available = false, 0, 0, false
 	i.progressPercent, i.progressedAt, i.load, i.pacePercent, i.paceOrderedAt = 0, 0, 0, fullPacePercent, 0
 	if i.state == itemPlaced {
@@ -485,7 +485,7 @@
 	for i := range w.items {
 		c.logLostRun(i, now)
 		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
-		if !w.ended {
+		if !w.ended && !i.survived && (i.startSent || i.inherited) {
 			w.lapsedItems = append(w.lapsedItems, i)
 		}
 		c.release(i)
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -9,44 +9,68 @@
 	"turmericyoke/internal/infra"
 )
 
-// Some work items crash each worker that starts them, with all other runs there. Every run on a crashed worker
-// makes its item a suspect. A suspect starts on trial: for trialTime its worker gets no other start, so that
-// another crash in that time is the suspect's. An item that crashes a worker again on trial, or that too many
-// crashes hit otherwise, is given up.
+// Some work items crash each worker that starts them, with all other runs there. A crash makes suspects of the items
+// that had just started on the worker. A suspect starts on trial: for trialTime its worker gets no other start, so that
+// another crash in that time is the suspect's. An item that crashes a worker again on trial, or that too many crashes
+// hit otherwise, is given up.
 const (
-	// trialTime is how long after its confirmed start a suspect must run before other items may start beside it.
-	// The platform's crashing items end their worker within some milliseconds of the start.
+	// trialTime is how long after its confirmed start a suspect must run before other items may start beside it, and
+	// any item before it is taken not to be the cause of a crash.
 	trialTime = 300 * time.Millisecond
-	// maxTrialCrashes is the number of crashes after which an item is given up if the last one was on trial: the
+	// maxTrialCrashes is the number of known crashes after which an item is given up if the last one was on trial: the
 	// users' rules allow it after two.
 	maxTrialCrashes = 2
-	// maxCrashes is the number after which an item is given up whether it was on trial or not. After three crashes
-	// the users' rules allow two more starts, which are left for crashes that become known late.
+	// maxCrashes is the number of known crashes after which an item is given up whether it was on trial or not.
 	maxCrashes = 3
-	// maxPossibleCrashes also counts crashes of workers on which it isn't certain that the run had begun. It is
-	// higher than maxCrashes, since these alone are no cause to give up an item.
-	maxPossibleCrashes = 4
+	// maxUncertainCrashes is the number of crashes of all kinds after which an item is given up. The users' rules allow
+	// five starts; one is left for a crash that isn't counted because the term ended.
+	maxUncertainCrashes = 4
 	// crashFreeTime is how long a lasting item must have been in service before earlier crashes no longer count.
 	// Over its lifetime, such an item may meet many crashes that it didn't cause.
 	crashFreeTime = 5 * time.Second
 )
 
-// crashCounts are the crashes of workers with a run of a work item.
+// crashKind says how sure it is that a run of a work item was the cause of the crash of its worker.
+type crashKind uint8
+
+const (
+	// crashKnown: the run had just begun.
+	crashKnown crashKind = iota
+	// crashPossible: it isn't certain that the run had begun.
+	crashPossible
+	// crashLate: a report had listed the run trialTime after its start.
+	crashLate
+)
+
+// crashCounts are the crashes of workers with a run of a work item, by kind.
 type crashCounts struct {
-	// known counts the crashes after a confirmed start, and possible those of which it isn't certain that the
-	// run had begun.
-	known, possible int
+	known, possible, late int
+}
+
+// add counts a crash.
+func (n *crashCounts) add(kind crashKind) {
+	switch kind {
+	case crashKnown:
+		n.known++
+	case crashPossible:
+		n.possible++
+	case crashLate:
+		n.late++
+	}
 }
 
+// sum returns the number of crashes of all kinds.
+func (n *crashCounts) sum() int { return n.known + n.possible + n.late }
+
 // undecidedCrash is the crash of a worker while the start of a run was being sent to it.
 type undecidedCrash struct {
-	worker  *worker
+	worker  string
 	run     int64
 	onTrial bool
 }
 
-// suspect reports whether a worker may have crashed because of the item.
-func (i *item) suspect() bool { return i.crashes != crashCounts{} }
+// suspect reports whether a worker crashed when the item had, or may have, just started there.
+func (i *item) suspect() bool { return i.crashes.known+i.crashes.possible > 0 }
 
 // admits reports whether the worker may get a start of the item: no suspect is on trial there and, if the item is
 // a suspect itself, reports have listed all runs there. The items of a gang start together and are on trial together.
@@ -70,22 +94,34 @@
 	return trial == i || trial != nil && i.step.def.Gang && trial.step == i.step
 }
 
+// confirmStart notes that the placed item's run has begun, unless that is already known.
+func (i *item) confirmStart(now time.Duration) {
+	if i.startConfirmedAt == 0 {
+		i.startConfirmedAt = now
+		i.startClockMs = i.worker.clockMs + (now - i.worker.clockReadAt).Milliseconds()
+	}
+}
+
 // observeSurvival ends the trial of an item that a report has just listed, and clears the crashes of a lasting item
-// that has long been in service.
-func (c *Core) observeSurvival(i *item, now time.Duration) {
-	age := now - i.startConfirmedAt
-	if i.worker.trial == i && age >= trialTime {
-		i.worker.trial = nil
-		c.wakeUp()
+// that has long been in service. The age of the run is that on the worker's clock: the report may have been delayed.
+func (c *Core) observeSurvival(i *item) {
+	age := time.Duration(i.worker.clockMs-i.startClockMs) * time.Millisecond
+	if age >= trialTime {
+		i.survived = true
+		if i.worker.trial == i {
+			i.worker.trial = nil
+			c.wakeUp()
+		}
 	}
-	if i.step.def.Lasting && i.available && i.suspect() && age >= crashFreeTime {
+	if i.step.def.Lasting && i.available && i.crashes.sum() > 0 && age >= crashFreeTime {
 		i.crashes, i.givenUp = crashCounts{}, false
 		c.markDirty(i.step.job)
 	}
 }
 
 // leavesByPlan reports whether the end of the worker process is expected, so that it isn't a crash: the worker
-// drains, or its host goes down or moves, perhaps by an order of an earlier term.
+// drains, or its host goes down or moves, perhaps by an order of an earlier term. Such workers get no starts, so that
+// this bounds what isn't counted.
 func (c *Core) leavesByPlan(w *worker) bool {
 	if w.entry.Draining || w.cordoned {
 		return true
@@ -102,23 +138,30 @@
 	if c.leavesByPlan(w) {
 		return
 	}
+	// An earlier term may have ordered the host away.
+	uncertain := c.clock() < c.fleet.heldBackUntil[w.host]
 	for i := range w.items {
 		onTrial := i.onTrial()
 		switch {
-		case w.trial != nil && !onTrial:
-		case i.startConfirmedAt > 0 || i.reported:
-			c.addCrash(i, w, crashCounts{known: 1}, onTrial)
-		case i.inherited || i.stopping:
-			c.addCrash(i, w, crashCounts{possible: 1}, onTrial)
+		case w.trial != nil && !onTrial && w.trial.startConfirmedAt > 0:
+		case i.survived:
+			c.addCrash(i, w.entry.ID, crashLate, false)
+		case !uncertain && (i.startConfirmedAt > 0 || i.reported):
+			c.addCrash(i, w.entry.ID, crashKnown, onTrial)
+		case uncertain || i.inherited || i.stopping:
+			c.addCrash(i, w.entry.ID, crashPossible, onTrial)
 		default:
 			// The outcome of the start decides.
-			i.undecidedCrash = &undecidedCrash{worker: w, run: i.run, onTrial: onTrial}
+			if earlier := i.undecidedCrash; earlier != nil {
+				c.addCrash(i, earlier.worker, crashPossible, earlier.onTrial)
+			}
+			i.undecidedCrash = &undecidedCrash{worker: w.entry.ID, run: i.run, onTrial: onTrial}
 		}
 	}
 	for _, i := range lapsed {
-		// The run has probably ended with its lease, before the crash. Its item is only put on trial.
-		if i.hasUnresolvedRun(w.entry.ID) && !i.suspect() {
-			c.addCrash(i, w, crashCounts{possible: 1}, false)
+		// The run may have ended with its lease, before the crash.
+		if i.hasUnresolvedRun(w.entry.ID) {
+			c.addCrash(i, w.entry.ID, crashPossible, false)
 		}
 	}
 }
@@ -132,25 +175,24 @@
 	i.undecidedCrash = nil
 	switch kind := infra.KindOf(err); {
 	case kind == "":
-		c.addCrash(i, crash.worker, crashCounts{known: 1}, crash.onTrial)
+		c.addCrash(i, crash.worker, crashKnown, crash.onTrial)
 	case uncertain || kind == infra.Unknown:
-		c.addCrash(i, crash.worker, crashCounts{possible: 1}, crash.onTrial)
+		c.addCrash(i, crash.worker, crashPossible, crash.onTrial)
 	}
 }
 
 // addCrash adds a crash of the worker to those of the item, and gives the item up if it has had too many.
-func (c *Core) addCrash(i *item, w *worker, crash crashCounts, onTrial bool) {
+func (c *Core) addCrash(i *item, worker string, kind crashKind, onTrial bool) {
 	j := i.step.job
 	if j.finished() || i.state == itemDone {
 		return
 	}
-	i.crashes.known += crash.known
-	i.crashes.possible += crash.possible
+	i.crashes.add(kind)
 	c.metrics.crashCounted(onTrial)
-	c.logger.WithFields(logrus.Fields{"event": "run_crashed", "item": i.id().String(), "worker": w.entry.ID, "on_trial": onTrial,
-		"crashes": i.crashes.known, "possible": i.crashes.possible}).Info("worker crashed with a run of the work item; the item may be the cause")
+	c.logger.WithFields(logrus.Fields{"event": "run_crashed", "item": i.id().String(), "worker": worker, "on_trial": onTrial,
+		"crashes": i.crashes.known, "possible": i.crashes.possible, "late": i.crashes.late}).Info("worker crashed with a run of the work item; the item may be the cause")
 	c.markDirty(j)
-	if i.crashes.known >= maxCrashes || onTrial && i.crashes.known >= maxTrialCrashes || i.crashes.known+i.crashes.possible >= maxPossibleCrashes {
+	if i.crashes.known >= maxCrashes || onTrial && i.crashes.known >= maxTrialCrashes || i.crashes.sum() >= maxUncertainCrashes {
 		c.giveUp(i)
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -58,9 +58,7 @@
 	}
 	switch kind {
 	case "", infra.Superseded:
-		if i.startConfirmedAt == 0 {
-			i.startConfirmedAt = now
-		}
+		i.confirmStart(now)
 		w.wakeRenewalLoop()
 		return
 	case infra.Fenced:
@@ -68,6 +66,7 @@
 		return
 	case infra.WorkerReplaced:
 		c.endWorker(w)
+		c.decideCrash(i, order, err, uncertain)
 		return
 	case infra.NoCapacity:
 		w.pausedUntil = max(w.pausedUntil, now+noCapacityPause)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -32,12 +32,12 @@
 
 // crashRecord holds the crash counts of one work item. It is encoded as an array.
 type crashRecord struct {
-	_               struct{} `cbor:",toarray"`
-	Occurrence      int
-	Step            int
-	Index           int
-	Known, Possible int
-	GivenUp         bool
+	_                     struct{} `cbor:",toarray"`
+	Occurrence            int
+	Step                  int
+	Index                 int
+	Known, Possible, Late int
+	GivenUp               bool
 }
 
 // itemRecord is the durable state of a work item that has changed since the job was accepted. It is
@@ -64,8 +64,9 @@
 	}
 	for _, step := range j.steps {
 		for _, i := range step.items {
-			if i.suspect() {
-				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, Known: i.crashes.known, Possible: i.crashes.possible, GivenUp: i.givenUp})
+			if i.crashes.sum() > 0 {
+				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index,
+					Known: i.crashes.known, Possible: i.crashes.possible, Late: i.crashes.late, GivenUp: i.givenUp})
 			}
 			if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
 				continue
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -122,7 +122,9 @@
 	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping {
 		return 0
 	}
-	return c.extendLease(w, c.clock(), confirmedAt)
+	leaseEndMs := c.extendLease(w, c.clock(), confirmedAt)
+	i.startSent = i.startSent || leaseEndMs > 0
+	return leaseEndMs
 }
 
 // findItem returns the item with the ID, or nil if there is none.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -120,9 +120,7 @@
 		w.unreportedItems--
 	}
 	i.reported, i.inherited = true, false
-	if i.startConfirmedAt == 0 {
-		i.startConfirmedAt = now
-	}
+	i.confirmStart(now)
 	if running.Checkpoint != "" {
 		i.checkpoint = running.Checkpoint
 	}
@@ -130,7 +128,7 @@
 		i.progressedAt = now
 	}
 	i.progressPercent, i.load, i.available = running.ProgressPercent, running.Load, running.ProgressPercent >= availablePercent
-	c.observeSurvival(i, now)
+	c.observeSurvival(i)
 	if i.step.job.finished() && !i.stopping {
 		c.orderStop(i)
 	}
@@ -304,6 +302,10 @@
 		if !started && !stopped && !i.inherited {
 			continue
 		}
+		if i.inherited && w.startedUnixMs > c.startedUnixMs {
+			// The run ended with an earlier process of the worker.
+			c.addCrash(i, w.entry.ID, crashPossible, false)
+		}
 		c.logger.WithFields(logrus.Fields{"event": "run_absent", "item": i.id().String(), "run": i.run, "worker": w.entry.ID, "inherited": i.inherited, "stopped": stopped}).Info("worker doesn't list the run any more; the work item waits again")
 		c.release(i)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -59,10 +59,16 @@
 
 	// inherited is set while the placement is one of an earlier term and no report has listed the run.
 	inherited bool
+	// startSent is set once a lease was granted for the start, so that it may have been sent.
+	startSent bool
 	// startConfirmedAt is when the worker confirmed the start; 0 before that.
 	startConfirmedAt time.Duration
+	// startClockMs is about the time of the worker's clock at startConfirmedAt.
+	startClockMs int64
 	// reported is set once a report of the worker has listed the run.
 	reported bool
+	// survived is set once a report has listed the run trialTime after its confirmed start.
+	survived bool
 	placedAt time.Duration
 	// stopping is set once a stop has been ordered. stopOrderedAt and stopConfirmedAt are when the last
 	// stop was ordered and when the worker confirmed a stop.
@@ -248,7 +254,8 @@
 	unreportedItems int
 	// trial is the suspect that is on trial on the worker, or nil.
 	trial *item
-	// lapsedItems are the items that were released because the lease lapsed while nothing was known of the worker.
+	// lapsedItems are the items that were released because the lease lapsed while nothing was known of the worker,
+	// without those that had survived a trial.
 	lapsedItems []*item
 	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
 	// they reserve, in thousandths of a core.
--- a/internal/scheduler/trial_test.go
+++ b/internal/scheduler/trial_test.go
@@ -52,7 +52,7 @@
 
 // reportRuns applies a report of the worker that lists all its runs.
 func (tc *testCore) reportRuns(w *worker) {
-	report := infra.WorkerReport{ClockMs: 2000}
+	report := infra.WorkerReport{ClockMs: w.clockMs + (tc.now - w.clockReadAt).Milliseconds()}
 	for i := range w.items {
 		report.Running = append(report.Running, infra.ActiveRun{Item: i.id(), Run: i.run, ProgressPercent: availablePercent})
 	}
@@ -120,7 +120,7 @@
 	assert.Assert(t, crashing.worker != shared, "the workers must have one core and all cores free before the crash")
 	tc.RenewalFailed(crashing.worker.entry.ID, &infra.Error{Kind: infra.WorkerReplaced, Op: "hold"})
 	tc.reportRuns(shared)
-	tc.ApplyReport(shared.entry.ID, infra.WorkerReport{ClockMs: 2000, Partial: true,
+	tc.ApplyReport(shared.entry.ID, infra.WorkerReport{ClockMs: shared.clockMs, Partial: true,
 		Ended: []infra.EndedRun{{Sequence: 1, Item: sound[0].id(), Run: sound[0].run, Cause: infra.EndDone}}}, tc.now)
 	tc.confirmStarts()
 	assert.Equal(t, crashing.worker, shared)
@@ -223,10 +223,10 @@
 		tc.crash(i.worker)
 		tc.confirmStarts()
 		tc.reportRuns(i.worker)
-		assert.Assert(t, i.suspect())
+		assert.Equal(t, i.crashes.sum(), 1)
 		tc.now += crashFreeTime
 		tc.reportRuns(i.worker)
-		assert.Assert(t, !i.suspect())
+		assert.Equal(t, i.crashes.sum(), 0)
 	}
 	assert.Equal(t, tc.state("job"), JobRunning)
 }
