--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -65,9 +65,11 @@
 		c.markFenced("start", w.entry.ID)
 		return
 	case infra.WorkerReplaced:
-		c.endWorker(w)
-		c.decideCrash(i, order, err, uncertain)
-		return
+		if w.entry.Address == order.Worker.Address {
+			c.endWorker(w)
+			c.decideCrash(i, order, err, uncertain)
+			return
+		}
 	case infra.NoCapacity:
 		w.pausedUntil = max(w.pausedUntil, now+noCapacityPause)
 	case infra.Unavailable, infra.Refused:
@@ -108,7 +110,9 @@
 		c.markFenced("stop", w.entry.ID)
 		return
 	case infra.WorkerReplaced:
-		c.endWorker(w)
+		if w.entry.Address == order.Worker.Address {
+			c.endWorker(w)
+		}
 		return
 	}
 	if i == nil || i.worker != w || i.run != order.Run {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -62,9 +62,13 @@
 	if w == nil {
 		return
 	}
+	if sentAt < w.restartSeenAt {
+		// The report may be one of the process before the restart.
+		return
+	}
 	now := c.clock()
 	if report.StartUnixMs > 0 && w.startedUnixMs > 0 && report.StartUnixMs != w.startedUnixMs {
-		c.resetRestartedWorker(w, report.StartUnixMs)
+		c.resetRestartedWorker(w, report.StartUnixMs, report.Running)
 	}
 	if report.StartUnixMs > 0 {
 		w.startedUnixMs = report.StartUnixMs
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -271,6 +271,8 @@
 	// the highest one whose effect is durable.
 	appliedEnd int64
 	durableEnd int64
+	// restartSeenAt is when this term last found that the worker had restarted under the same ID; 0 if it didn't.
+	restartSeenAt time.Duration
 	// lastReportAt is when the last report arrived, or when the worker was added if there was none.
 	lastReportAt time.Duration
 	// failedRenewals is the number of lease renewals that failed since the last report.
