Log what a stopping process does with its requests

The log couldn't tell how: a request was only logged with status 500 or above, without its age since the signal, and one that was cut off left no line.

After the signal, each answered request now has a line with its age and the time left until the connections close (at most 200 lines), each request that is cut off has one (at most 200), and a summary counts both and the connections that were still open (TestStoppingProcessLogsItsRequests). Before the signal, a request costs one more map entry and no line. How long requests are processed is unchanged.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -69,10 +69,8 @@
 	logger   *logrus.Entry
 	entry    *entry.Entry
 	elector  *election.Elector
+	callers  *platform.CallerAPI
 	draining atomic.Bool
-	// closingAt is when the connections of callers will be closed, as Unix time in nanoseconds; 0 before a stop
-	// signal.
-	closingAt atomic.Int64
 }
 
 // run starts all components and serves until SIGTERM or an interrupt.
@@ -112,8 +110,9 @@
 // serve opens the listeners and runs all components until a component fails, or until most of the grace
 // time after SIGTERM has passed and the servers are closed.
 func (p *process) serve(registry *prometheus.Registry) error {
+	p.callers = platform.NewCallerAPI(p.entry, p.logger, registry)
 	callerServer := &fasthttp.Server{
-		Handler: platform.NewCallerAPI(p.entry, p.callersClosingAt, p.logger, registry).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: p.callers.Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
 	}
@@ -127,7 +126,7 @@
 		serve    func(net.Listener) error
 		shutdown func(context.Context) error
 	}{
-		{p.settings.Listen.Front, callerServer.Serve, callerServer.ShutdownWithContext},
+		{p.settings.Listen.Front, callerServer.Serve, func(ctx context.Context) error { return p.closeCallers(ctx, callerServer) }},
 		{p.settings.Listen.Readiness, readinessServer.Serve, readinessServer.ShutdownWithContext},
 		{p.settings.GroupMember().Address, peerServer.Serve, peerServer.Shutdown},
 		{p.settings.MetricsAddress(), metricsServer.Serve, metricsServer.Shutdown},
@@ -179,7 +178,7 @@
 				continue
 			}
 		}
-		p.closingAt.Store(time.Now().Add(p.drainTime() + closeTimeout).UnixNano())
+		p.callers.StopBy(time.Now().Add(p.drainTime() + closeTimeout))
 		p.draining.Store(true)
 		p.logger.WithField("event", "stopping").Info("stopping gracefully")
 		p.resign()
@@ -194,12 +193,13 @@
 	return time.Duration(drainFraction * float64(platform.Seconds(p.settings.Bounds.GraceS)))
 }
 
-// callersClosingAt returns when the connections of callers will be closed, and the zero time before a stop signal.
-func (p *process) callersClosingAt() time.Time {
-	if nanos := p.closingAt.Load(); nanos != 0 {
-		return time.Unix(0, nanos)
-	}
-	return time.Time{}
+// closeCallers closes the listener for callers, waits until the requests in progress are answered or ctx ends, and
+// closes the connections.
+func (p *process) closeCallers(ctx context.Context, server *fasthttp.Server) error {
+	err := server.ShutdownWithContext(ctx)
+	// fasthttp subtracts one for the listener, which isn't counted any more.
+	p.callers.Stopped(int(server.GetOpenConnectionsCount()) + 1)
+	return err
 }
 
 // resign gives up leadership, if this process has it, within resignTimeout.
