End requests in progress, and the shutdown, in time after SIGTERM

- The time limit of a request was only shortened if it was read after the signal.
One that was in progress kept its own limit, Deadline-Ms, which has no bound: with a limit above 5.1 s its connection closed without a response.
All requests now end 0.3 s before the connections close.
TestShutdownAnswersEachRequest on the former logic: 'the response came 59.9s after the signal; the process has ended by then'.
- The drain time began after the resignation, which may take 1.3 s while the log doesn't respond: the shutdown took 6.4 s of a grace time of 6 s, and the process was killed.
It begins with the signal now (TestHangingResignationDoesNotDelayShutdown, failed with 6.4 s).
- When a component failed without a signal, requests had no shorter limit at all (TestFailedComponentAnswersRequestsInProgress, failed with 'context deadline exceeded').
- A request that is read after that limit was still passed to the scheduler, with nobody to wait for the outcome; it gets 503 now.
- A request in progress at the signal didn't close its connection.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -111,11 +111,7 @@
 // time after SIGTERM has passed and the servers are closed.
 func (p *process) serve(registry *prometheus.Registry) error {
 	p.callers = platform.NewCallerAPI(p.entry, p.logger, registry)
-	callerServer := &fasthttp.Server{
-		Handler: p.callers.Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
-		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
-	}
+	callerServer := newCallerServer(p.callers.Handle)
 	readinessServer := &fasthttp.Server{Handler: p.handleReadiness, NoDefaultServerHeader: true, Logger: discardLogger{}, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	peerServer := &http.Server{Handler: peer.NewHandler(p.entry.PeerService()), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: metricsHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: headerTimeout}
@@ -159,6 +155,15 @@
 	return nil
 }
 
+// newCallerServer returns the server for callers.
+func newCallerServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
+	}
+}
+
 // errStopSignal makes the group stop all components after SIGTERM or an interrupt.
 var errStopSignal = errors.New("stopped by a signal")
 
@@ -178,16 +183,23 @@
 				continue
 			}
 		}
-		p.callers.StopBy(time.Now().Add(p.drainTime() + closeTimeout))
-		p.draining.Store(true)
-		p.logger.WithField("event", "stopping").Info("stopping gracefully")
-		p.resign()
-		stopElection()
-		_ = periodic.Pause(ctx, p.drainTime())
+		p.drain(ctx, stopElection)
 		return errStopSignal
 	}
 }
 
+// drain gives up leadership and serves open connections for the drain time. That begins with the signal, as the
+// grace time does, so that a resignation that hangs doesn't delay the rest of the shutdown.
+func (p *process) drain(ctx context.Context, stopElection func()) {
+	closeListenersAt := time.Now().Add(p.drainTime())
+	p.callers.StopBy(closeListenersAt.Add(closeTimeout))
+	p.draining.Store(true)
+	p.logger.WithField("event", "stopping").Info("stopping gracefully")
+	p.resign()
+	stopElection()
+	_ = periodic.Pause(ctx, time.Until(closeListenersAt))
+}
+
 // drainTime returns how long open connections are served after a stop signal.
 func (p *process) drainTime() time.Duration {
 	return time.Duration(drainFraction * float64(platform.Seconds(p.settings.Bounds.GraceS)))
@@ -196,6 +208,8 @@
 // closeCallers closes the listener for callers, waits until the requests in progress are answered or ctx ends, and
 // closes the connections.
 func (p *process) closeCallers(ctx context.Context, server *fasthttp.Server) error {
+	// This is needed if a component has failed without a stop signal.
+	p.callers.StopBy(time.Now().Add(closeTimeout))
 	err := server.ShutdownWithContext(ctx)
 	// fasthttp subtracts one for the listener, which isn't counted any more.
 	p.callers.Stopped(int(server.GetOpenConnectionsCount()) + 1)
--- /dev/null
+++ b/cmd/entry/run_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/boottime"
+	"turmericyoke/internal/election"
+	"turmericyoke/internal/entry"
+	"turmericyoke/internal/entry/peer"
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/infra/infratest"
+	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/work"
+	"turmericyoke/platform"
+)
+
+// graceTime is the time from SIGTERM until the platform kills the process.
+const graceTime = 6 * time.Second
+
+// publishedOnce is a source with one configuration.
+type publishedOnce struct{ config *work.Config }
+
+// Wait implements infra.ConfigSource.
+func (p *publishedOnce) Wait(ctx context.Context, wait time.Duration) (infra.ConfigUpdate, error) {
+	if config := p.config; config != nil {
+		p.config = nil
+		return infra.ConfigUpdate{Config: config}, nil
+	}
+	return infra.ConfigUpdate{}, periodic.Pause(ctx, wait)
+}
+
+// newProcess returns a process whose submissions never have an outcome, and whose log is log.
+func newProcess(t *testing.T, log infra.Log, output io.Writer) *process {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger)}
+	p.settings.Bounds.GraceS = graceTime.Seconds()
+	p.elector = &election.Elector{Self: infra.Member{Name: "n"}, Log: log, Logger: p.logger, Clock: boottime.Now}
+	p.entry = &entry.Entry{Self: infra.Member{Name: "n"}, Election: p.elector, PeerClients: peer.NewClients(), Logger: p.logger,
+		ConfigSource: &publishedOnce{config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}}
+	// Batches of this core are never committed.
+	p.entry.AttachCore(scheduler.New(1, scheduler.Options{}, boottime.Now, time.Now, p.logger, nil))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- p.entry.FollowConfig(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	synctest.Wait()
+	p.callers = platform.NewCallerAPI(p.entry, p.logger, prometheus.NewRegistry())
+	return p
+}
+
+// hangingLog is a log whose appends have no response.
+type hangingLog struct{ infra.Log }
+
+func (hangingLog) Append(ctx context.Context, _ string, _ []infra.Record, _ infra.AppendOptions) (int64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// Guards against a shutdown that is longer than the grace time because the log doesn't respond: the process is then
+// killed while it still has connections.
+func TestHangingResignationDoesNotDelayShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcess(t, hangingLog{}, io.Discard)
+		signalAt := time.Now()
+		p.drain(t.Context(), func() {})
+		shutdown := time.Since(signalAt) + closeTimeout
+		assert.Assert(t, shutdown < graceTime, "the shutdown takes %s", shutdown)
+	})
+}
+
+// serveCallers runs the server for callers until it is shut down.
+func serveCallers(t *testing.T, p *process) (*fasthttp.Server, *fasthttputil.InmemoryListener) {
+	listener := fasthttputil.NewInmemoryListener()
+	server := newCallerServer(p.callers.Handle)
+	served := make(chan error)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		assert.NilError(t, server.Shutdown())
+		assert.NilError(t, <-served)
+		// A goroutine of the server ends only with its next check for idle workers.
+		time.Sleep(fasthttp.DefaultMaxIdleConnDuration)
+	})
+	return server, listener
+}
+
+// closeAfter calls wait and then closes the connections of callers. The returned function waits for that and returns
+// the error.
+func closeAfter(t *testing.T, p *process, server *fasthttp.Server, wait func()) func() error {
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wait()
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		err = p.closeCallers(ctx, server)
+	}()
+	result := func() error {
+		<-done
+		return err
+	}
+	t.Cleanup(func() { _ = result() })
+	return result
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+func dial(t *testing.T, listener *fasthttputil.InmemoryListener) *caller {
+	conn, err := listener.Dial()
+	assert.NilError(t, err)
+	return &caller{Conn: conn, responses: bufio.NewReader(conn)}
+}
+
+// submit sends a submission that waits for its outcome for up to a minute.
+func (c *caller) submit(t *testing.T, id string) {
+	const body = `{"steps":[{"count":1}]}`
+	_, err := fmt.Fprintf(c, "POST /q/%s HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	assert.NilError(t, err)
+}
+
+// response reads a response to the end.
+func (c *caller) response(t *testing.T) *fasthttp.Response {
+	response := &fasthttp.Response{}
+	assert.NilError(t, response.Read(c.responses))
+	return response
+}
+
+// Guards against requests whose connections close without a response: one that is in progress at the signal, one that
+// comes late on a kept-alive connection, and one whose first byte comes when the processing of requests has ended.
+func TestShutdownAnswersEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &bytes.Buffer{}
+		p := newProcess(t, &infratest.Log{}, output)
+		server, listener := serveCallers(t, p)
+
+		inProgress, keptAlive, idle := dial(t, listener), dial(t, listener), dial(t, listener)
+		inProgress.submit(t, "5c0e7a21d94b36f8")
+		for _, c := range []*caller{keptAlive, idle} {
+			_, err := fmt.Fprint(c, "GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, c.response(t).StatusCode(), fasthttp.StatusOK)
+		}
+		synctest.Wait()
+
+		signalAt := time.Now()
+		closed := closeAfter(t, p, server, func() { p.drain(t.Context(), func() {}) })
+		time.Sleep(3200 * time.Millisecond)
+		keptAlive.submit(t, "5c0e7a21d94b36f9")
+		late := dial(t, listener)
+		time.Sleep(p.drainTime() + closeTimeout - 200*time.Millisecond - time.Since(signalAt))
+		late.submit(t, "5c0e7a21d94b36fa")
+
+		for _, c := range []*caller{inProgress, keptAlive} {
+			response := c.response(t)
+			after := time.Since(signalAt)
+			assert.Assert(t, after < p.drainTime()+closeTimeout, "the response came %s after the signal; the process has ended by then", after)
+			assert.Equal(t, response.StatusCode(), fasthttp.StatusBadGateway)
+			assert.Assert(t, response.ConnectionClose())
+		}
+		assert.Equal(t, late.response(t).StatusCode(), fasthttp.StatusServiceUnavailable, "the submission was passed on")
+		_, err := idle.responses.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+		assert.NilError(t, closed())
+		assert.Assert(t, time.Since(signalAt) < graceTime)
+		assert.Assert(t, strings.Contains(output.String(), "cut_off=0 event=callers_stopped open=0"), output.String())
+	})
+}
+
+// Guards against requests that are cut off when a component fails: no signal has told them that the process stops.
+func TestFailedComponentAnswersRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcess(t, &infratest.Log{}, io.Discard)
+		server, listener := serveCallers(t, p)
+		inProgress := dial(t, listener)
+		inProgress.submit(t, "5c0e7a21d94b36f8")
+		synctest.Wait()
+		closed := closeAfter(t, p, server, func() {})
+		assert.Equal(t, inProgress.response(t).StatusCode(), fasthttp.StatusBadGateway)
+		assert.NilError(t, closed())
+	})
+}
