Follow the next leader while stopping

After SIGTERM a process stopped its whole elector, and with it the reading of claims: for the 3.6 s in which it still answers, the leader that it knew was the last one before its signal.

Now only the terms end and the group is left at the signal; the elector runs on until the connections are closed. It makes no claim after the resignation, as before. TestStoppingProcessFollowsTheNextLeader failed on the former order: the holder that the process knew was itself.

Ruled out: keeping the membership as well, since other processes would count this one among those that may claim before them.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -46,6 +46,8 @@
 	// resignTimeout bounds the call that gives up leadership, so that an outage of the log doesn't delay the
 	// shutdown.
 	resignTimeout = 1300 * time.Millisecond
+	// leaveTimeout bounds the call that leaves the group.
+	leaveTimeout = time.Second
 	// memoryFraction is the fraction of the memory granted by the platform that is set as the Go runtime's
 	// soft memory limit.
 	memoryFraction = 0.6
@@ -69,8 +71,12 @@
 	logger   *logrus.Entry
 	entry    *entry.Entry
 	elector  *election.Elector
+	group    *leavableGroup
 	callers  *platform.CallerAPI
 	draining atomic.Bool
+	// terms ends when this process must not schedule any more.
+	terms    context.Context
+	endTerms context.CancelFunc
 }
 
 // run starts all components and serves until SIGTERM or an interrupt.
@@ -85,8 +91,10 @@
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
-	p := &process{settings: settings, logger: logger}
-	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: services.Group, Logger: logger, Clock: boottime.Now}
+	p := &process{settings: settings, logger: logger, group: &leavableGroup{Group: services.Group}}
+	p.terms, p.endTerms = context.WithCancel(context.Background())
+	defer p.endTerms()
+	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: p.group, Logger: logger, Clock: boottime.Now}
 	p.entry = &entry.Entry{Self: self, Election: p.elector, PeerClients: peer.NewClients(), ConfigSource: services.ConfigSource, DecodeConfig: platform.DecodeConfig, Logger: logger}
 	config := session.Config{
 		Log: services.Log, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
@@ -99,7 +107,12 @@
 		},
 		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore,
 	}
-	p.elector.RunTerm = func(ctx context.Context, term int64) { session.Run(ctx, config, term) }
+	p.elector.RunTerm = func(ctx context.Context, term int64) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(p.terms, cancel)()
+		session.Run(ctx, config, term)
+	}
 	p.elector.Eligible = func() bool { return !p.draining.Load() && p.entry.Config() != nil }
 	logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": incarnation, "listen": settings.Listen.Front}).Info("entry started")
 	err := p.serve(registry)
@@ -139,16 +152,14 @@
 			return server.shutdown(shutdownCtx)
 		})
 	}
-	electionCtx, stopElection := context.WithCancel(ctx)
-	defer stopElection()
 	group.Go(func() error { return p.entry.FollowConfig(ctx) })
 	group.Go(func() error {
-		if err := p.elector.Run(electionCtx); ctx.Err() == nil && !p.draining.Load() {
+		if err := p.elector.Run(ctx); ctx.Err() == nil && !p.draining.Load() {
 			return err
 		}
 		return nil
 	})
-	group.Go(func() error { return p.awaitStopSignal(ctx, stopElection) })
+	group.Go(func() error { return p.awaitStopSignal(ctx) })
 	if err := group.Wait(); !errors.Is(err, errStopSignal) {
 		return err
 	}
@@ -169,7 +180,7 @@
 
 // awaitStopSignal waits for SIGTERM or an interrupt. It gives up leadership at once and lets open
 // connections be served until most of the grace time has passed; each response then closes its connection.
-func (p *process) awaitStopSignal(ctx context.Context, stopElection func()) error {
+func (p *process) awaitStopSignal(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -183,20 +194,22 @@
 				continue
 			}
 		}
-		p.drain(ctx, stopElection)
+		p.drain(ctx)
 		return errStopSignal
 	}
 }
 
 // drain gives up leadership and serves open connections for the drain time. That begins with the signal, as the
-// grace time does, so that a resignation that hangs doesn't delay the rest of the shutdown.
-func (p *process) drain(ctx context.Context, stopElection func()) {
+// grace time does, so that a resignation that hangs doesn't delay the rest of the shutdown. Meanwhile the process
+// still follows the claims: requests that it takes have to find the next leader.
+func (p *process) drain(ctx context.Context) {
 	closeListenersAt := time.Now().Add(p.drainTime())
 	p.callers.StopBy(closeListenersAt.Add(closeTimeout))
 	p.draining.Store(true)
 	p.logger.WithField("event", "stopping").Info("stopping gracefully")
 	p.resign()
-	stopElection()
+	p.endTerms()
+	p.leaveGroup()
 	_ = periodic.Pause(ctx, time.Until(closeListenersAt))
 }
 
@@ -223,6 +236,15 @@
 	p.elector.Resign(ctx)
 }
 
+// leaveGroup leaves the group within leaveTimeout, so that other processes don't wait for this one.
+func (p *process) leaveGroup() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := p.group.Leave(ctx, p.elector.Self); err != nil {
+		p.logger.WithField("event", "leave_failed").WithError(err).Info("can't leave the group; the membership ends when its TTL has passed")
+	}
+}
+
 // handleReadiness responds to the platform's load balancer: 503 while the process is stopping or has no
 // fleet configuration yet, and 200 otherwise.
 func (p *process) handleReadiness(ctx *fasthttp.RequestCtx) {
--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -18,7 +18,6 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 	"gotest.tools/v3/assert"
 
-	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/election"
 	"turmericyoke/internal/entry"
 	"turmericyoke/internal/entry/peer"
@@ -45,17 +44,23 @@
 	return infra.ConfigUpdate{}, periodic.Pause(ctx, wait)
 }
 
+// clockFrom returns a clock that started an hour before start.
+func clockFrom(start time.Time) func() time.Duration {
+	return func() time.Duration { return time.Hour + time.Since(start) }
+}
+
 // newProcess returns a process whose submissions never have an outcome, and whose log is log.
 func newProcess(t *testing.T, log infra.Log, output io.Writer) *process {
 	logger := logrus.New()
 	logger.SetOutput(output)
-	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger)}
+	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger), group: &leavableGroup{Group: &infratest.Group{}}}
+	p.terms, p.endTerms = context.WithCancel(t.Context())
 	p.settings.Bounds.GraceS = graceTime.Seconds()
-	p.elector = &election.Elector{Self: infra.Member{Name: "n"}, Log: log, Logger: p.logger, Clock: boottime.Now}
+	p.elector = &election.Elector{Self: infra.Member{Name: "n"}, Log: log, Group: p.group, Logger: p.logger, Clock: clockFrom(time.Now())}
 	p.entry = &entry.Entry{Self: infra.Member{Name: "n"}, Election: p.elector, PeerClients: peer.NewClients(), Logger: p.logger,
 		ConfigSource: &publishedOnce{config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}}
 	// Batches of this core are never committed.
-	p.entry.AttachCore(scheduler.New(1, scheduler.Options{}, boottime.Now, time.Now, p.logger, nil))
+	p.entry.AttachCore(scheduler.New(1, scheduler.Options{}, clockFrom(time.Now()), time.Now, p.logger, nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() { ended <- p.entry.FollowConfig(ctx) }()
@@ -82,7 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newProcess(t, hangingLog{}, io.Discard)
 		signalAt := time.Now()
-		p.drain(t.Context(), func() {})
+		p.drain(t.Context())
 		shutdown := time.Since(signalAt) + closeTimeout
 		assert.Assert(t, shutdown < graceTime, "the shutdown takes %s", shutdown)
 	})
@@ -167,7 +172,7 @@
 		synctest.Wait()
 
 		signalAt := time.Now()
-		closed := closeAfter(t, p, server, func() { p.drain(t.Context(), func() {}) })
+		closed := closeAfter(t, p, server, func() { p.drain(t.Context()) })
 		time.Sleep(3200 * time.Millisecond)
 		keptAlive.submit(t, "5c0e7a21d94b36f9")
 		late := dial(t, listener)
@@ -203,3 +208,39 @@
 		assert.NilError(t, closed())
 	})
 }
+
+// Guards against a stopping process that doesn't learn who leads next: what it takes after the signal ends without a
+// scheduler, or waits for its whole time limit.
+func TestStoppingProcessFollowsTheNextLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &infratest.Log{}
+		p := newProcess(t, log, io.Discard)
+		p.elector.Nonce, p.elector.Eligible = "n", func() bool { return !p.draining.Load() }
+		ranFor := make(chan time.Duration, 1)
+		p.elector.RunTerm = func(ctx context.Context, _ int64) {
+			begin := time.Now()
+			<-ctx.Done()
+			ranFor <- time.Since(begin)
+		}
+		next := &election.Elector{Self: infra.Member{Name: "next"}, Nonce: "next", Log: log, Group: p.group.Group, Logger: p.logger, Clock: clockFrom(time.Now()),
+			Eligible: p.draining.Load, RunTerm: func(ctx context.Context, _ int64) { <-ctx.Done() }}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 2)
+		for _, elector := range []*election.Elector{p.elector, next} {
+			go func() { ended <- elector.Run(ctx) }()
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, p.elector.Current().Holder.Name, "n")
+
+		p.drain(t.Context())
+		assert.Equal(t, p.elector.Current().Holder.Name, "next")
+		assert.Assert(t, !p.elector.Current().Resigned)
+		assert.Equal(t, len(ranFor), 1, "the term goes on after the resignation")
+		members, err := p.group.Members(ctx)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, members, []infra.Member{{Name: "next"}})
+		cancel()
+		assert.ErrorIs(t, <-ended, context.Canceled)
+		assert.ErrorIs(t, <-ended, context.Canceled)
+	})
+}
