Detach the core of a term as soon as the term is over

A submission whose first attempt was uncertain was repeated against that core until its time limit.

The core is now detached when the loops of the term end. Requests then find no scheduler here, and are repeated until the next leader is known. TestCoreIsDetachedWhenTheTermIsOver failed before: detached 1.1 s after the end of the term.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -78,7 +78,7 @@
 	// ConfigureCore passes the newest configuration and waves to the core.
 	ConfigureCore func(core *scheduler.Core)
 	// AttachCore is called when the core has loaded its state and can serve requests, and DetachCore when the
-	// session has ended and the core must not be used any more.
+	// term is over and the core must not be used any more.
 	AttachCore func(core *scheduler.Core)
 	DetachCore func()
 }
@@ -108,7 +108,6 @@
 	s.Logger = logger
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
 	err := s.run(ctx)
-	s.DetachCore()
 	logger.WithField("event", "term_ended").WithError(err).Info("this process is no longer the scheduler")
 }
 
@@ -121,6 +120,13 @@
 	s.AttachCore(s.core)
 	s.Logger.WithFields(logrus.Fields{"event": "term_open", "took_ms": (s.Clock() - s.startedAt).Milliseconds()}).Info("scheduler state loaded; requests are served")
 	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		// The calls to workers that are in progress may take seconds more. Requests that come meanwhile would be
+		// turned away by a core that is closed.
+		<-groupCtx.Done()
+		s.DetachCore()
+		return groupCtx.Err()
+	})
 	group.Go(func() error { return s.commitBatches(groupCtx) })
 	group.Go(func() error { return s.watchFence(groupCtx) })
 	group.Go(func() error { return s.followDirectory(groupCtx, group) })
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -186,3 +186,33 @@
 		assert.Equal(t, strings.Count(output.String(), "event=host_move_decided"), 0)
 	})
 }
+
+// slowRenewals is a worker whose responses to lease renewals take 2 s, and the directory that lists only it.
+type slowRenewals struct{ slowStarts }
+
+func (*slowRenewals) RenewLease(context.Context, infra.WorkerRef, infra.LeaseRenewal) (infra.WorkerReport, error) {
+	time.Sleep(2 * time.Second)
+	return infra.WorkerReport{}, &infra.Error{Kind: infra.Unknown, Op: "hold"}
+}
+
+// Guards against a core that still gets requests when its term is over, because a call to a worker is in progress: it
+// turns away jobs that the next leader could take.
+func TestCoreIsDetachedWhenTheTermIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		workers := &slowRenewals{}
+		begin := time.Now()
+		var detachedAfter []time.Duration
+		config := Config{Log: &infratest.Log{}, Workers: workers, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return workers },
+			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
+			Options: scheduler.Options{Lease: 5 * time.Second}, ConfigureCore: func(*scheduler.Core) {}, AttachCore: func(*scheduler.Core) {},
+			DetachCore: func() { detachedAfter = append(detachedAfter, time.Since(begin)) }}
+		const termTime = 3 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), termTime)
+		defer cancel()
+		Run(ctx, config, 1)
+		assert.Assert(t, time.Since(begin) > termTime, "no call to the worker was in progress")
+		assert.DeepEqual(t, detachedAfter, []time.Duration{termTime})
+	})
+}
