Test that a forwarded submission outlives its leader

With real peers it holds: a connection that ends without a response isn't taken for a call without effect, and the submission is repeated at the next leader within its time limit.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +118,47 @@
 	}
 	assert.Equal(t, e.Config().Version, int64(7))
 }
+
+// leaders is an election in which the next process of a list leads with each call.
+type leaders struct {
+	addresses []string
+	calls     int
+}
+
+func (l *leaders) Current() election.Claim {
+	address := l.addresses[min(l.calls, len(l.addresses)-1)]
+	l.calls++
+	return election.Claim{Term: int64(l.calls), Holder: infra.Member{Name: address, Address: address}}
+}
+
+func (*leaders) Peers() []infra.Member { return nil }
+
+// acceptingScheduler accepts all jobs.
+type acceptingScheduler struct{ peer.Service }
+
+func (acceptingScheduler) Submit(context.Context, *peer.SubmitRequest) (*peer.OutcomeResponse, error) {
+	return &peer.OutcomeResponse{Kind: scheduler.OutcomeDone}, nil
+}
+
+// Guards against a forwarded submission that ends with the connection to a leader that stops: it is repeated at the
+// next leader, and not taken for one without effect, since the former leader may have stored it.
+func TestForwardedSubmissionOutlivesItsLeader(t *testing.T) {
+	stopping := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer stopping.Close()
+	next := httptest.NewServer(peer.NewHandler(acceptingScheduler{}))
+	defer next.Close()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	election := &leaders{addresses: []string{stopping.Listener.Addr().String(), next.Listener.Addr().String()}}
+	e := &Entry{Logger: logrus.NewEntry(logger), Election: election, PeerClients: peer.NewClients()}
+	response, err := e.Submit(t.Context(), &work.Job{ID: "j"})
+	assert.NilError(t, err)
+	assert.Equal(t, response.Kind, scheduler.OutcomeDone)
+	assert.Equal(t, election.calls, 2)
+
+	lost := &leaders{addresses: []string{stopping.Listener.Addr().String()}}
+	e.Election = lost
+	_, err = e.State(t.Context(), "j")
+	assert.Equal(t, fault.KindOf(err), fault.OutcomeUnknown)
+	assert.Equal(t, lost.calls, 1, "the call was taken for one without effect")
+}
