Catch signals until the process ends

When the drain time was over, the process stopped to catch SIGTERM, with up to 1.5 s to go in which the requests in progress are answered. A second SIGTERM in that time had its default effect and cut them all off.

TestSecondSIGTERMDoesNotCutTheShutdown on the former code: the test process itself ended with 'signal: terminated'.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -182,8 +182,8 @@
 // connections be served until most of the grace time has passed; each response then closes its connection.
 func (p *process) awaitStopSignal(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
+	// The signals are caught until the process ends: with its default effect, a second one would cut off requests.
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -7,7 +7,11 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/signal"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,16 +53,23 @@
 	return func() time.Duration { return time.Hour + time.Since(start) }
 }
 
-// newProcess returns a process whose submissions never have an outcome, and whose log is log.
-func newProcess(t *testing.T, log infra.Log, output io.Writer) *process {
+// newIdleProcess returns a process without configuration whose log is log.
+func newIdleProcess(t *testing.T, log infra.Log, output io.Writer) *process {
 	logger := logrus.New()
 	logger.SetOutput(output)
 	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger), group: &leavableGroup{Group: &infratest.Group{}}}
 	p.terms, p.endTerms = context.WithCancel(t.Context())
 	p.settings.Bounds.GraceS = graceTime.Seconds()
 	p.elector = &election.Elector{Self: infra.Member{Name: "n"}, Log: log, Group: p.group, Logger: p.logger, Clock: clockFrom(time.Now())}
-	p.entry = &entry.Entry{Self: infra.Member{Name: "n"}, Election: p.elector, PeerClients: peer.NewClients(), Logger: p.logger,
-		ConfigSource: &publishedOnce{config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}}
+	p.entry = &entry.Entry{Self: infra.Member{Name: "n"}, Election: p.elector, PeerClients: peer.NewClients(), Logger: p.logger}
+	p.callers = platform.NewCallerAPI(p.entry, p.logger, prometheus.NewRegistry())
+	return p
+}
+
+// newProcess returns a process that is configured, and whose submissions never have an outcome.
+func newProcess(t *testing.T, log infra.Log, output io.Writer) *process {
+	p := newIdleProcess(t, log, output)
+	p.entry.ConfigSource = &publishedOnce{config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}
 	// Batches of this core are never committed.
 	p.entry.AttachCore(scheduler.New(1, scheduler.Options{}, clockFrom(time.Now()), time.Now, p.logger, nil))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -69,7 +80,6 @@
 		<-ended
 	})
 	synctest.Wait()
-	p.callers = platform.NewCallerAPI(p.entry, p.logger, prometheus.NewRegistry())
 	return p
 }
 
@@ -244,3 +254,22 @@
 		assert.ErrorIs(t, <-ended, context.Canceled)
 	})
 }
+
+// Guards against a second SIGTERM that ends a stopping process at once, with requests in progress: once nothing
+// receives the signal, it has its default effect, which would end this test as well.
+func TestSecondSIGTERMDoesNotCutTheShutdown(t *testing.T) {
+	p := newIdleProcess(t, &infratest.Log{}, io.Discard)
+	// The first signal is sent until it is received, and must not end the test before.
+	guard := make(chan os.Signal, 1)
+	signal.Notify(guard, syscall.SIGTERM)
+	p.settings.Bounds.GraceS = 0
+	done := make(chan error, 1)
+	go func() { done <- p.awaitStopSignal(t.Context()) }()
+	for len(done) == 0 {
+		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		runtime.Gosched()
+	}
+	assert.ErrorIs(t, <-done, errStopSignal)
+	signal.Stop(guard)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+}
