--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,8 +35,9 @@
 	// peerConfigTimeout is the time limit of requests to peers for the configuration.
 	peerConfigTimeout = 500 * time.Millisecond
 	// schedulerLookupTimeout is the time for which a call retries to find the scheduler while the scheduler
-	// may be moving to another process.
-	schedulerLookupTimeout = 250 * time.Millisecond
+	// may be moving to another process. A change of the leader after a resignation takes up to 0.35 s in a fleet of
+	// 350 hosts, most of it to load the state.
+	schedulerLookupTimeout = 500 * time.Millisecond
 	schedulerLookupPause   = 50 * time.Millisecond
 )
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -108,6 +108,22 @@
 	})
 }
 
+// Guards against requests that fail while a leader that resigned is replaced: in 29 of 87 changes on simulated days of
+// vaalkant-ops-grown, the next leader served requests only 0.25 to 0.34 s after the resignation.
+func TestRequestsOutlastAChangeOfTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		response, _, err := submitWith(t, func() (*peer.OutcomeResponse, error) {
+			if time.Since(start) < 340*time.Millisecond {
+				return nil, peer.ErrNotScheduling
+			}
+			return &peer.OutcomeResponse{Kind: scheduler.OutcomeDone}, nil
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, response.Kind, scheduler.OutcomeDone)
+	})
+}
+
 // An older configuration, for example from a peer that lags behind, must not replace a newer one.
 func TestOlderConfigIsIgnored(t *testing.T) {
 	logger := logrus.New()
