--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -46,6 +46,8 @@
 	// resignTimeout bounds the call that gives up leadership, so that an outage of the log doesn't delay the
 	// shutdown.
 	resignTimeout = 1300 * time.Millisecond
+	// leaveTimeout bounds the call that leaves the group.
+	leaveTimeout = time.Second
 	// memoryFraction is the fraction of the memory granted by the platform that is set as the Go runtime's
 	// soft memory limit.
 	memoryFraction = 0.6
@@ -69,10 +71,12 @@
 	logger   *logrus.Entry
 	entry    *entry.Entry
 	elector  *election.Elector
+	group    *leavableGroup
+	callers  *platform.CallerAPI
 	draining atomic.Bool
-	// closingAt is when the connections of callers will be closed, as Unix time in nanoseconds; 0 before a stop
-	// signal.
-	closingAt atomic.Int64
+	// terms ends when this process must not schedule any more.
+	terms    context.Context
+	endTerms context.CancelFunc
 }
 
 // run starts all components and serves until SIGTERM or an interrupt.
@@ -87,8 +91,10 @@
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
-	p := &process{settings: settings, logger: logger}
-	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: services.Group, Logger: logger, Clock: boottime.Now}
+	p := &process{settings: settings, logger: logger, group: &leavableGroup{Group: services.Group}}
+	p.terms, p.endTerms = context.WithCancel(context.Background())
+	defer p.endTerms()
+	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: p.group, Logger: logger, Clock: boottime.Now}
 	p.entry = &entry.Entry{Self: self, Election: p.elector, PeerClients: peer.NewClients(), ConfigSource: services.ConfigSource, DecodeConfig: platform.DecodeConfig, Logger: logger}
 	config := session.Config{
 		Log: services.Log, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
@@ -101,7 +107,12 @@
 		},
 		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore,
 	}
-	p.elector.RunTerm = func(ctx context.Context, term int64) { session.Run(ctx, config, term) }
+	p.elector.RunTerm = func(ctx context.Context, term int64) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(p.terms, cancel)()
+		session.Run(ctx, config, term)
+	}
 	p.elector.Eligible = func() bool { return !p.draining.Load() && p.entry.Config() != nil }
 	logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": incarnation, "listen": settings.Listen.Front}).Info("entry started")
 	err := p.serve(registry)
@@ -112,11 +123,8 @@
 // serve opens the listeners and runs all components until a component fails, or until most of the grace
 // time after SIGTERM has passed and the servers are closed.
 func (p *process) serve(registry *prometheus.Registry) error {
-	callerServer := &fasthttp.Server{
-		Handler: platform.NewCallerAPI(p.entry, p.callersClosingAt, p.logger, registry).Handle, NoDefaultServerHeader: true, NoDefaultDate: true,
-		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
-	}
+	p.callers = platform.NewCallerAPI(p.entry, p.logger, registry)
+	callerServer := newCallerServer(p.callers.Handle)
 	readinessServer := &fasthttp.Server{Handler: p.handleReadiness, NoDefaultServerHeader: true, Logger: discardLogger{}, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	peerServer := &http.Server{Handler: peer.NewHandler(p.entry.PeerService()), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: metricsHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: headerTimeout}
@@ -127,7 +135,7 @@
 		serve    func(net.Listener) error
 		shutdown func(context.Context) error
 	}{
-		{p.settings.Listen.Front, callerServer.Serve, callerServer.ShutdownWithContext},
+		{p.settings.Listen.Front, callerServer.Serve, func(ctx context.Context) error { return p.closeCallers(ctx, callerServer) }},
 		{p.settings.Listen.Readiness, readinessServer.Serve, readinessServer.ShutdownWithContext},
 		{p.settings.GroupMember().Address, peerServer.Serve, peerServer.Shutdown},
 		{p.settings.MetricsAddress(), metricsServer.Serve, metricsServer.Shutdown},
@@ -144,31 +152,38 @@
 			return server.shutdown(shutdownCtx)
 		})
 	}
-	electionCtx, stopElection := context.WithCancel(ctx)
-	defer stopElection()
 	group.Go(func() error { return p.entry.FollowConfig(ctx) })
 	group.Go(func() error {
-		if err := p.elector.Run(electionCtx); ctx.Err() == nil && !p.draining.Load() {
+		if err := p.elector.Run(ctx); ctx.Err() == nil && !p.draining.Load() {
 			return err
 		}
 		return nil
 	})
-	group.Go(func() error { return p.awaitStopSignal(ctx, stopElection) })
+	group.Go(func() error { return p.awaitStopSignal(ctx) })
 	if err := group.Wait(); !errors.Is(err, errStopSignal) {
 		return err
 	}
 	return nil
 }
 
+// newCallerServer returns the server for callers.
+func newCallerServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Concurrency: maxCallerConnections, DisablePreParseMultipartForm: true, Logger: discardLogger{}, CloseOnShutdown: true,
+	}
+}
+
 // errStopSignal makes the group stop all components after SIGTERM or an interrupt.
 var errStopSignal = errors.New("stopped by a signal")
 
 // awaitStopSignal waits for SIGTERM or an interrupt. It gives up leadership at once and lets open
 // connections be served until most of the grace time has passed; each response then closes its connection.
-func (p *process) awaitStopSignal(ctx context.Context, stopElection func()) error {
+func (p *process) awaitStopSignal(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
+	// The signals are caught until the process ends: with its default effect, a second one would cut off requests.
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
@@ -179,27 +194,39 @@
 				continue
 			}
 		}
-		p.closingAt.Store(time.Now().Add(p.drainTime() + closeTimeout).UnixNano())
-		p.draining.Store(true)
-		p.logger.WithField("event", "stopping").Info("stopping gracefully")
-		p.resign()
-		stopElection()
-		_ = periodic.Pause(ctx, p.drainTime())
+		p.drain(ctx)
 		return errStopSignal
 	}
 }
 
+// drain gives up leadership and serves open connections for the drain time. That begins with the signal, as the
+// grace time does, so that a resignation that hangs doesn't delay the rest of the shutdown. Meanwhile the process
+// still follows the claims: requests that it takes have to find the next leader.
+func (p *process) drain(ctx context.Context) {
+	closeListenersAt := time.Now().Add(p.drainTime())
+	p.callers.StopBy(closeListenersAt.Add(closeTimeout))
+	p.draining.Store(true)
+	p.logger.WithField("event", "stopping").Info("stopping gracefully")
+	p.resign()
+	p.endTerms()
+	p.leaveGroup()
+	_ = periodic.Pause(ctx, time.Until(closeListenersAt))
+}
+
 // drainTime returns how long open connections are served after a stop signal.
 func (p *process) drainTime() time.Duration {
 	return time.Duration(drainFraction * float64(platform.Seconds(p.settings.Bounds.GraceS)))
 }
 
-// callersClosingAt returns when the connections of callers will be closed, and the zero time before a stop signal.
-func (p *process) callersClosingAt() time.Time {
-	if nanos := p.closingAt.Load(); nanos != 0 {
-		return time.Unix(0, nanos)
-	}
-	return time.Time{}
+// closeCallers closes the listener for callers, waits until the requests in progress are answered or ctx ends, and
+// closes the connections.
+func (p *process) closeCallers(ctx context.Context, server *fasthttp.Server) error {
+	// This is needed if a component has failed without a stop signal.
+	p.callers.StopBy(time.Now().Add(closeTimeout))
+	err := server.ShutdownWithContext(ctx)
+	// fasthttp subtracts one for the listener, which isn't counted any more.
+	p.callers.Stopped(int(server.GetOpenConnectionsCount()) + 1)
+	return err
 }
 
 // resign gives up leadership, if this process has it, within resignTimeout.
@@ -209,6 +236,15 @@
 	p.elector.Resign(ctx)
 }
 
+// leaveGroup leaves the group within leaveTimeout, so that other processes don't wait for this one.
+func (p *process) leaveGroup() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := p.group.Leave(ctx, p.elector.Self); err != nil {
+		p.logger.WithField("event", "leave_failed").WithError(err).Info("can't leave the group; the membership ends when its TTL has passed")
+	}
+}
+
 // handleReadiness responds to the platform's load balancer: 503 while the process is stopping or has no
 // fleet configuration yet, and 200 otherwise.
 func (p *process) handleReadiness(ctx *fasthttp.RequestCtx) {
