Count runs that a worker lists although their items aren't placed there

Cause: a run counted against its worker's capacity only while its item was placed there. A run that the worker listed otherwise (unrecorded run of a job that was cancelled after a takeover, job whose records were deleted, released item) was ordered to stop, but the capacity that it held until its end counted as free.

Such runs now count until a report doesn't list them any more: with the need of their item, or, if the item isn't known, by giving the worker no new work. Their worker is asked with a long poll, as one with placed items, since it would otherwise get no new work for the pause of an idle worker.

The simulated fleet gets workers whose capacity shrinks and grows and on which a stop takes time. A start may use a former capacity until 3 s after the list shows the change: 4.5 s, less the heartbeat that the list may lag.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -43,3 +43,6 @@
 	}
 	return len(p.workers)
 }
+
+// runsAreAccountedFor reports whether the needs of all runs on the worker are known. Otherwise its free capacity isn't.
+func (w *worker) runsAreAccountedFor() bool { return w.unknownRuns == 0 }
--- /dev/null
+++ b/internal/scheduler/capacity_test.go
@@ -0,0 +1,194 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/work"
+)
+
+// formerCapacity is a capacity that a worker had. Starts that fit it are still allowed at allowedUntil.
+type formerCapacity struct {
+	capacity     work.Resources
+	allowedUntil time.Duration
+}
+
+const (
+	// shrinkGrace is how long after a worker's capacity shrank the rules still allow starts that fit the former
+	// capacity: the time for which a scheduler may be out of touch, and one heartbeat of the worker.
+	shrinkGrace = 4500 * time.Millisecond
+	// simHeartbeat is the longest time until the list of workers shows a change of a worker.
+	simHeartbeat = 1500 * time.Millisecond
+)
+
+// setCapacity changes the capacity that the list shows. The worker's capacity changed one heartbeat before.
+func (w *simWorker) setCapacity(cores int64) {
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.entry.Capacity, w.sim.now + shrinkGrace - simHeartbeat})
+	w.entry.Capacity.CPUMilli = 1000 * cores
+}
+
+// capacityInForce returns the largest capacity that starts on the worker may use.
+func (w *simWorker) capacityInForce() work.Resources {
+	inForce := w.entry.Capacity
+	w.formerCapacities = slices.DeleteFunc(w.formerCapacities, func(f formerCapacity) bool { return f.allowedUntil < w.sim.now })
+	for _, former := range w.formerCapacities {
+		inForce.CPUMilli = max(inForce.CPUMilli, former.capacity.CPUMilli)
+	}
+	return inForce
+}
+
+// runWithChangingCapacity submits and cancels jobs for 30 s, while the capacities of the workers shrink and grow and
+// orders are lost or late, and calls fault once per second. Every accepted job must end afterwards.
+func runWithChangingCapacity(t *testing.T, fault func(s *sim, second int)) {
+	runSeeds(t, 4, func(s *sim) {
+		s.config.Pools[simPool] = work.Pool{Name: simPool}
+		s.lostResponseShare, s.delayedOrderShare, s.stopTime = 0.05, 0.05, 300*time.Millisecond
+		s.advance(time.Second)
+		n := 0
+		for second := range 30 {
+			fault(s, second)
+			for range 10 {
+				if s.rng.IntN(5) == 0 {
+					s.workers[s.rng.IntN(len(s.workers))].setCapacity(int64(s.rng.IntN(9)))
+				}
+				n++
+				s.submit(s.randomJob(n))
+				s.advance(100 * time.Millisecond)
+				if s.rng.IntN(6) == 0 {
+					s.cancelAny()
+				}
+			}
+		}
+		for _, w := range s.workers {
+			w.unreachable = false
+			w.setCapacity(8)
+		}
+		s.logDown = false
+		s.advance(20 * time.Second)
+		s.checkAcceptedJobs()
+	})
+}
+
+// cancelAny cancels one of the accepted jobs at random.
+func (s *sim) cancelAny() {
+	var ids []string
+	for id := range s.accepted {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	id := ids[len(ids)-1-s.rng.IntN(min(8, len(ids)))]
+	delete(s.accepted, id)
+	s.leader().core.Cancel(id, make(chan Outcome, 1))
+}
+
+// Guards against starts that exceed the capacity of a worker after it has shrunk.
+func TestCapacityShrinksAndGrowsWhileJobsRun(t *testing.T) {
+	runWithChangingCapacity(t, func(*sim, int) {})
+}
+
+// Guards against starts of a new term that exceed the capacity of a worker on which runs of the previous term continue.
+func TestCapacityShrinksAndGrowsAcrossTakeovers(t *testing.T) {
+	runWithChangingCapacity(t, func(s *sim, second int) {
+		if second%2 == 0 {
+			return
+		}
+		// The last starts of the term aren't recorded.
+		s.logDown = true
+		s.advance(time.Duration(s.rng.IntN(200)) * time.Millisecond)
+		s.leader().ended, s.logDown = true, false
+		s.takeOver()
+		for range 4 {
+			s.cancelAny()
+		}
+	})
+}
+
+// Guards against counting runs as gone on workers that were cut off, and whose runs continue or end unseen.
+func TestCapacityShrinksAndGrowsOnWorkersThatAreCutOff(t *testing.T) {
+	runWithChangingCapacity(t, func(s *sim, second int) {
+		for _, w := range s.workers {
+			w.unreachable = false
+		}
+		if second%6 < 3 {
+			s.workers[second/6%len(s.workers)].unreachable = true
+		}
+	})
+}
+
+// reportRunning applies a report of the worker that lists only the given runs, the first runs of their items.
+func (tc *testCore) reportRunning(worker string, items ...work.ItemID) {
+	tc.now += time.Second
+	report := infra.WorkerReport{ClockMs: tc.now.Milliseconds()}
+	for _, id := range items {
+		report.Running = append(report.Running, infra.ActiveRun{Item: id, Run: 1})
+	}
+	tc.ApplyReport(worker, report, tc.now)
+}
+
+// collectStarts collects and commits a batch, grants leases for its starts, and returns their number.
+func (tc *testCore) collectStarts() int {
+	batch := tc.Collect()
+	tc.Committed(&batch)
+	starts := 0
+	for i := range batch.Orders {
+		if batch.Orders[i].Kind == OrderStart && tc.LeaseForStart(&batch.Orders[i], tc.now) > 0 {
+			starts++
+		}
+	}
+	return starts
+}
+
+// accept submits a job and makes it durable. Its items aren't placed yet.
+func (tc *testCore) accept(id string, steps ...work.Step) {
+	tc.Submit(&work.Job{ID: id, Queue: tc.config.Queues[0], Customer: "big", Steps: steps}, make(chan Outcome, 1))
+	batch := tc.Collect()
+	tc.Committed(&batch)
+}
+
+// needStep returns a step of one item that needs the given number of cores.
+func needStep(cores int64) work.Step {
+	return work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000 * cores}, Estimate: time.Second}
+}
+
+// Guards against starts beside runs that a worker still lists, although their items were released from it or their
+// jobs' records were deleted: the worker was over its capacity until these runs had stopped.
+func TestStrayRunsCountUntilTheWorkerListsThemNoMore(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		tc := newTestCore(1)
+		worker := tc.addWorker(0, 8)
+		stray := needStep(6)
+		// No worker has the label, so that the item waits.
+		stray.Label = "none"
+		if known {
+			tc.accept("stray", stray)
+		}
+		id := work.ItemID{Job: "stray"}
+		tc.reportRunning(worker, id)
+		tc.accept("job", needStep(4))
+		assert.Equal(t, tc.collectStarts(), 0, "known %v", known)
+		tc.reportRunning(worker, id)
+		assert.Equal(t, tc.collectStarts(), 0, "known %v", known)
+		tc.reportRunning(worker)
+		assert.Equal(t, tc.collectStarts(), 1, "known %v", known)
+	}
+}
+
+// Guards against asking a worker that runs only stray work every two seconds, as if it were idle: it would get no new
+// work until then.
+func TestWorkerWithStrayRunsIsAskedWithoutPause(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 8)
+	assert.Equal(t, tc.NextRenewal(worker).Pause, idleRenewalPause)
+	tc.reportRunning(worker, work.ItemID{Job: "stray"})
+	assert.Equal(t, tc.NextRenewal(worker).Pause, time.Duration(0))
+	request := tc.BuildRenewal(worker, tc.now)
+	assert.Equal(t, request.Wait, maxRenewalWait)
+	assert.Equal(t, request.LeaseEndMs, int64(0), "the lease of stray runs must not be extended")
+}
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -61,7 +61,7 @@
 	case w.appliedEnd > w.durableEnd:
 		// Ends are acknowledged to the worker only once they are durable; Committed then ends the pause early.
 		plan.Pause = unackedEndPause
-	case len(w.items) == 0:
+	case len(w.items) == 0 && !w.hasStrayRuns():
 		plan.Pause = idleRenewalPause
 	}
 	return plan
@@ -82,7 +82,7 @@
 		// After a failed renewal the worker may have restarted and may number its ends from 1 again, so that
 		// acknowledging ends by number isn't safe.
 		request.AckedEnd = w.durableEnd
-		if w.appliedEnd == w.durableEnd && len(w.items) > 0 {
+		if w.appliedEnd == w.durableEnd && (len(w.items) > 0 || w.hasStrayRuns()) {
 			request.Wait = maxRenewalWait
 			if w.hasLasting() {
 				request.Wait = lastingRenewalWait
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/work"
 )
 
 const (
@@ -76,6 +77,7 @@
 	}
 	w.failedRenewals, w.lastReportAt, w.hasReported, w.ended = 0, now, true, false
 	w.clockMs, w.clockReadAt = report.ClockMs, now
+	w.strayNeed, w.unknownRuns = work.Resources{}, 0
 	listed := make(map[*item]bool, len(report.Running)+len(report.Ended))
 	for _, running := range report.Running {
 		c.applyRunning(w, running, listed, now)
@@ -108,7 +110,8 @@
 	}
 	if i == nil || i.worker != w || i.run != running.Run {
 		// The run isn't the item's current one. Either the item was released from this worker, or the job
-		// has finished and its records were deleted.
+		// has finished and its records were deleted. It counts until the worker doesn't list it any more.
+		w.addStrayRun(i)
 		c.pendingOrders = append(c.pendingOrders, Order{Kind: OrderStop, Worker: w.ref(), Item: running.Item, Run: running.Run})
 		c.wakeUp()
 		return
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -228,6 +228,10 @@
 
 	items map[*item]struct{}
 	used  work.Resources
+	// strayNeed is what the runs need that the last report listed although their items aren't placed on the
+	// worker, and unknownRuns is the number of listed runs of which the item isn't known either.
+	strayNeed   work.Resources
+	unknownRuns int
 	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
 	// they reserve, in thousandths of a core.
 	lastingItems    int
@@ -281,8 +285,23 @@
 	return infra.WorkerRef{ID: w.entry.ID, Address: w.entry.Address}
 }
 
-// freeCapacity returns the capacity that isn't reserved by placed items.
-func (w *worker) freeCapacity() work.Resources { return w.entry.Capacity.Minus(w.used) }
+// freeCapacity returns the capacity that neither placed items nor stray runs reserve. It is negative if the
+// capacity shrank below that.
+func (w *worker) freeCapacity() work.Resources {
+	return w.entry.Capacity.Minus(w.used).Minus(w.strayNeed)
+}
+
+// addStrayRun counts a listed run of an item that isn't placed on the worker; the item is nil if it isn't known.
+func (w *worker) addStrayRun(i *item) {
+	if i == nil {
+		w.unknownRuns++
+		return
+	}
+	w.strayNeed = w.strayNeed.Plus(i.step.reservation())
+}
+
+// hasStrayRuns reports whether the last report listed runs of items that aren't placed on the worker.
+func (w *worker) hasStrayRuns() bool { return w.unknownRuns > 0 || w.strayNeed != (work.Resources{}) }
 
 // hasLasting reports whether a lasting item is placed on the worker.
 func (w *worker) hasLasting() bool { return w.lastingItems > 0 }
