Place no work on workers whose capacity shrank below what runs there

Cause: a need fits if each resource that it asks for is free. Work that asks for none of a resource fits even where that resource is overdrawn, so that filling work, which reserves no processor capacity, was placed on workers whose capacity had shrunk below what runs there.

A worker whose runs need more than its capacity is no candidate until enough of them have ended or its capacity has grown. Running work isn't stopped: the rule is about starts only.

Ruled out: changing Resources.Fits, which limits of customers use too.

Before: TestWorkerOverItsCapacityGetsNoWork: capacity_test.go:214: assertion failed: 1 (int) != 0 (int) After: passes.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -44,5 +44,9 @@
 	return len(p.workers)
 }
 
-// runsAreAccountedFor reports whether the needs of all runs on the worker are known. Otherwise its free capacity isn't.
-func (w *worker) runsAreAccountedFor() bool { return w.unknownRuns == 0 }
+// withinCapacity reports whether the runs on the worker are known to need no more than its capacity, which shrinks
+// and grows. A worker for which this doesn't hold gets no work, not even work that needs nothing of what it lacks.
+func (w *worker) withinCapacity() bool {
+	free := w.freeCapacity()
+	return w.unknownRuns == 0 && free.CPUMilli >= 0 && free.MemoryMiB >= 0 && free.Accelerators >= 0
+}
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -192,3 +192,26 @@
 	assert.Equal(t, request.Wait, maxRenewalWait)
 	assert.Equal(t, request.LeaseEndMs, int64(0), "the lease of stray runs must not be extended")
 }
+
+// setCores applies an entry of the list of workers that shows another capacity of the worker.
+func (tc *testCore) setCores(worker string, cores int64) {
+	entry := tc.workers[worker].entry
+	entry.Capacity.CPUMilli = 1000 * cores
+	tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
+}
+
+// Guards against starts on a worker whose capacity shrank below what runs there: work that fills takes no processor
+// capacity, and was placed although the worker had less than none left.
+func TestWorkerOverItsCapacityGetsNoWork(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 8)
+	tc.accept("first", needStep(6))
+	assert.Equal(t, tc.collectStarts(), 1)
+	tc.setCores(worker, 5)
+	filling := needStep(1)
+	filling.Filling, filling.Need.MemoryMiB = true, 256
+	tc.accept("filling", filling)
+	assert.Equal(t, tc.collectStarts(), 0)
+	tc.setCores(worker, 6)
+	assert.Equal(t, tc.collectStarts(), 1)
+}
