Drop planned starts that no longer fit their worker's capacity

Cause: between plan and sending, a start waits for one of the 64 slots of its zone, for a ticket, or for the end of an attempt without a response. The check right before each attempt looked at the item and at the lease, not at the capacity, so that a start went out although the list of workers had shown a smaller capacity since, or a report a run that isn't accounted for.

LeaseForStart now refuses a lease while the runs of the worker need more than its capacity. A start that wasn't sent is released and planned anew; one of which an earlier attempt had no response is stopped, as before.

A member of a gang whose start isn't sent left the others waiting, until they ended alone. They are now stopped with it, and also if a worker refuses the start of a member, for example for lack of capacity.

Before: TestStartIsNotSentAfterTheCapacityShrank: capacity_test.go:231: assertion failed: 6000 (int64) != 0 (int64) TestGangIsStoppedIfAMemberDoesNotStart: capacity_test.go:263: assertion failed: 0 (int) != 1 (int): sent true After: both pass.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -215,3 +215,53 @@
 	tc.setCores(worker, 6)
 	assert.Equal(t, tc.collectStarts(), 1)
 }
+
+// Guards against sending starts that were planned before the capacity of their worker shrank: they wait for a slot or
+// for the repetition of an attempt.
+func TestStartIsNotSentAfterTheCapacityShrank(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 8)
+	step := needStep(3)
+	step.Count = 2
+	tc.accept("job", step)
+	batch := tc.Collect()
+	tc.Committed(&batch)
+	assert.Equal(t, len(batch.Orders), 2)
+	tc.setCores(worker, 5)
+	assert.Equal(t, tc.LeaseForStart(&batch.Orders[0], tc.now), int64(0))
+	tc.StartNotSent(&batch.Orders[0])
+	assert.Assert(t, tc.LeaseForStart(&batch.Orders[1], tc.now) > 0, "the other item fits")
+	assert.Equal(t, tc.collectStarts(), 0)
+	tc.setCores(worker, 6)
+	assert.Equal(t, tc.collectStarts(), 1)
+}
+
+// Guards against members of a gang that wait for one whose start wasn't sent, or was refused, since the capacity of its
+// worker shrank: they would end alone.
+func TestGangIsStoppedIfAMemberDoesNotStart(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		tc := newTestCore(1)
+		tc.addWorker(0, 4)
+		tc.addWorker(1, 4)
+		step := needStep(4)
+		step.Count, step.Gang = 2, true
+		tc.accept("job", step)
+		batch := tc.Collect()
+		tc.Committed(&batch)
+		assert.Equal(t, len(batch.Orders), 2)
+		started, other := &batch.Orders[0], &batch.Orders[1]
+		assert.Assert(t, tc.LeaseForStart(started, tc.now) > 0)
+		tc.ApplyStartResult(started, nil, false)
+		if sent {
+			tc.ApplyStartResult(other, &infra.Error{Kind: infra.NoCapacity, Op: "start"}, false)
+		} else {
+			tc.setCores(other.Worker.ID, 3)
+			assert.Equal(t, tc.LeaseForStart(other, tc.now), int64(0))
+			tc.StartNotSent(other)
+		}
+		next := tc.Collect()
+		assert.Equal(t, len(next.Orders), 1, "sent %v", sent)
+		assert.Equal(t, next.Orders[0].Kind, OrderStop)
+		assert.Equal(t, next.Orders[0].Item, started.Item)
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -77,6 +77,7 @@
 		return
 	}
 	c.release(i)
+	c.stopOtherMembers(i)
 }
 
 // StartNotSent releases the item of a start that was never sent, so that it waits again.
@@ -85,6 +86,20 @@
 	defer c.mu.Unlock()
 	if i := c.findItem(order.Item); i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.startConfirmedAt == 0 && !i.stopping {
 		c.release(i)
+		c.stopOtherMembers(i)
+	}
+}
+
+// stopOtherMembers orders the stop of the other members of the item's gang if it has one. They would wait for the item
+// and then end without having done any work.
+func (c *Core) stopOtherMembers(i *item) {
+	if !i.step.def.Gang {
+		return
+	}
+	for _, member := range i.step.items {
+		if member.state == itemPlaced && !member.stopping {
+			c.orderStop(member)
+		}
 	}
 }
 
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -109,14 +109,15 @@
 	return leaseEndMs
 }
 
-// LeaseForStart returns the lease end for a start that is sent now, or 0 if the start must not be sent.
+// LeaseForStart returns the lease end for a start that is sent now, or 0 if the start must not be sent, for example
+// because the worker's capacity shrank since the start was planned.
 // confirmedAt is when the last confirmed append of this term was sent.
 func (c *Core) LeaseForStart(order *Order, confirmedAt time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[order.Worker.ID]
 	i := c.findItem(order.Item)
-	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping {
+	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
 		return 0
 	}
 	return c.extendLease(w, c.clock(), confirmedAt)
