Count members of a finished gang until their workers list the ends

Cause: the success of one member completes the gang. The other members were released from their workers at once, together with the order to stop them, so that their capacity counted as free while they still ran. What is being stopped counts: a worker of a pool without admission control was brought over its capacity, and the customer's usage was too low as well.

Members now stay placed, as the other run of a finished item does, until their worker lists the end, or lists the run no more after the stop.

The member that is placed with the finished run is released first in all cases, which also covers a member that ends as done after the gang was completed.

Before: TestMembersOfAFinishedGangCountUntilTheirEndsAreListed: capacity_test.go:288: assertion failed: 2 (int) != 1 (int) After: passes.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -265,3 +265,30 @@
 		assert.Equal(t, next.Orders[0].Item, started.Item)
 	}
 }
+
+// Guards against starts beside members of a gang that is done, before their workers list the ends of their runs.
+func TestMembersOfAFinishedGangCountUntilTheirEndsAreListed(t *testing.T) {
+	tc := newTestCore(1)
+	tc.addWorker(0, 4)
+	tc.addWorker(1, 4)
+	gang, pair := needStep(4), needStep(4)
+	gang.Count, gang.Gang, pair.Count = 2, true, 2
+	tc.accept("gang", gang)
+	assert.Equal(t, tc.collectStarts(), 2)
+	for _, i := range tc.jobs["gang"].steps[0].items {
+		i.startConfirmedAt = tc.now
+	}
+	first, second := tc.jobs["gang"].steps[0].items[0], tc.jobs["gang"].steps[0].items[1]
+	workers := []string{first.worker.entry.ID, second.worker.entry.ID}
+	end := func(i *item, cause infra.EndCause) infra.WorkerReport {
+		return infra.WorkerReport{ClockMs: 2000, Ended: []infra.EndedRun{{Sequence: 1, Item: i.id(), Run: i.run, Cause: cause}}}
+	}
+	tc.ApplyReport(workers[0], end(first, infra.EndDone), tc.now)
+	tc.accept("pair", pair)
+	assert.Equal(t, tc.collectStarts(), 1)
+	state, _ := tc.State("gang")
+	assert.Equal(t, state, JobCompleted)
+	tc.ApplyReport(workers[1], end(second, infra.EndDone), tc.now)
+	assert.Equal(t, tc.collectStarts(), 1)
+	assert.Equal(t, tc.customerUsage["big"].CPUMilli, int64(8000))
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -204,6 +204,7 @@
 	}
 	if current {
 		c.observeRunTime(i, now)
+		c.release(i)
 	}
 	members := []*item{i}
 	if i.step.def.Gang {
@@ -213,13 +214,8 @@
 		if member.state == itemDone {
 			continue
 		}
-		if member == i && current {
-			c.release(i)
-		} else if member.state == itemPlaced {
+		if member.state == itemPlaced {
 			c.orderStop(member)
-			if member.step.def.Gang {
-				c.release(member)
-			}
 		}
 		member.setState(itemDone)
 	}
