Don't rely on the capacities of an old list of workers

Cause: leases, and with them starts, need an append that was confirmed within 2 s, but nothing bounded the age of the list of workers. While the list can't be read and the log can be written (part of the store down, reads over their rate), starts went on for any time with capacities from before. A capacity that has shrunk counts 3 s and one heartbeat after the change.

Workers of pools without admission control get no starts while the last read of the list was requested more than 2.5 s ago: 3 s, less the time of an order. Others refuse what doesn't fit, and get starts as before.

Ruled out: the other caches. The needs that fit nowhere are kept for one planning cycle and the sums for admission for 10 ms; each update of the list wakes the plan.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -292,3 +292,30 @@
 	assert.Equal(t, tc.collectStarts(), 1)
 	assert.Equal(t, tc.customerUsage["big"].CPUMilli, int64(8000))
 }
+
+// Guards against starts that rely on capacities which the list of workers showed long ago, while the list can't be read
+// but the log can be written. Workers that refuse what doesn't fit get work all the same.
+func TestStartsWaitForARecentListOfWorkers(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		tc := newTestCore(1)
+		tc.config.Pools[simPool] = work.Pool{Name: simPool, AdmissionControl: guarded}
+		tc.addWorker(0, 8)
+		tc.WorkersListed(tc.now)
+		tc.accept("first", needStep(1))
+		tc.now += maxListAge
+		batch := tc.Collect()
+		tc.Committed(&batch)
+		assert.Equal(t, len(batch.Orders), 1)
+		tc.now += time.Millisecond
+		assert.Equal(t, tc.LeaseForStart(&batch.Orders[0], tc.now) > 0, guarded)
+		tc.StartNotSent(&batch.Orders[0])
+		tc.accept("second", needStep(1))
+		assert.Equal(t, tc.collectStarts() > 0, guarded)
+		for range 5 {
+			tc.now += time.Second / 2
+			tc.WorkersListed(tc.now)
+		}
+		tc.accept("third", needStep(1))
+		assert.Assert(t, tc.collectStarts() > 0)
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -73,7 +73,7 @@
 func (c *Core) candidatePools(now time.Duration) map[string]*candidatePool {
 	pools := map[string]*candidatePool{}
 	for _, w := range c.sortedWorkers() {
-		if !w.schedulable(now) || !w.withinCapacity() {
+		if !w.schedulable(now) || !w.withinCapacity() || !c.mayRelyOnCapacity(w, now) {
 			continue
 		}
 		pool := pools[w.entry.Pool]
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -120,7 +120,11 @@
 	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
 		return 0
 	}
-	return c.extendLease(w, c.clock(), confirmedAt)
+	now := c.clock()
+	if !c.mayRelyOnCapacity(w, now) {
+		return 0
+	}
+	return c.extendLease(w, now, confirmedAt)
 }
 
 // findItem returns the item with the ID, or nil if there is none.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -285,6 +285,7 @@
 	directory := s.NewDirectory()
 	failures := 0
 	for ctx.Err() == nil {
+		requestedAt := s.Clock()
 		update, err := directory.Poll(ctx)
 		if err != nil {
 			if failures++; failures == 1 {
@@ -295,6 +296,7 @@
 				s.Logger.WithFields(logrus.Fields{"event": "directory_regained", "failures": failures}).Info("list of workers can be read again")
 			}
 			failures = 0
+			s.core.WorkersListed(requestedAt)
 			s.core.UpdateWorkers(update)
 			for _, id := range s.core.WorkerIDs() {
 				s.startRenewalLoop(ctx, group, id)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -126,6 +126,55 @@
 	})
 }
 
+// lostList is a directory that can be read only once, and its worker. It counts the starts of the job "late".
+type lostList struct {
+	slowStarts
+	polls      int
+	lateStarts atomic.Int64
+}
+
+func (l *lostList) Start(_ context.Context, _ infra.WorkerRef, order infra.StartOrder) (int64, error) {
+	if order.Item.Job == "late" {
+		l.lateStarts.Add(1)
+	}
+	return 0, nil
+}
+
+func (l *lostList) Poll(ctx context.Context) (infra.WorkerUpdate, error) {
+	if l.polls++; l.polls > 1 {
+		return infra.WorkerUpdate{}, &infra.Error{Kind: infra.Unavailable, Op: "log-read"}
+	}
+	return l.slowStarts.Poll(ctx)
+}
+
+// Guards against starts long after the last read of the list of workers, on workers that don't guard their capacity: it may
+// have shrunk.
+func TestNoStartsWithoutTheListOfWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		list := &lostList{}
+		begin := time.Now()
+		queue := work.Queue{Name: "q", Pool: "p"}
+		config := Config{Log: &infratest.Log{}, Workers: list, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return list },
+			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
+			Options: scheduler.Options{Lease: 5 * time.Second},
+			ConfigureCore: func(core *scheduler.Core) {
+				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
+			},
+			DetachCore: func() {},
+			AttachCore: func(core *scheduler.Core) {
+				time.AfterFunc(4*time.Second, func() {
+					core.Submit(&work.Job{ID: "late", Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+				})
+			}}
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		Run(ctx, config, 1)
+		assert.Equal(t, list.lateStarts.Load(), int64(0))
+	})
+}
+
 // idleHosts is a fleet of idle hosts, and the directory and the workers of these hosts. It counts the orders that it
 // gets.
 type idleHosts struct {
