Wait for workers to write their entries after an outage of the store

Cause: the first read of the list after an outage shows the entries from before it. A worker whose capacity shrank meanwhile writes its entry only with its next heartbeat, while work that waited for the store is started at once.

After a gap of more than 1 s between reads, reads make the list recent only from 2 s later: the platform says that entries are back within about two seconds. A list from before the gap counts for its 2.5 s all the same, so that a gap of 1 s costs at most 0.5 s. Workers that guard their capacity aren't affected.

The simulated fleet gets a list of workers that can't be read for six of ten seconds.

Before: TestStartsWaitForWorkersToWriteAfterAnOutage: capacity_test.go:329: assertion failed: 1 (int) != 0 (int) After: passes.

Open: a new term doesn't know whether the store was down before it began.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -67,7 +67,7 @@
 			w.unreachable = false
 			w.setCapacity(8)
 		}
-		s.logDown = false
+		s.logDown, s.listDown = false, false
 		s.advance(20 * time.Second)
 		s.checkAcceptedJobs()
 	})
@@ -122,6 +122,11 @@
 	})
 }
 
+// Guards against starts that rely on the capacities of an old list of workers.
+func TestCapacityShrinksAndGrowsWhileTheListCannotBeRead(t *testing.T) {
+	runWithChangingCapacity(t, func(s *sim, second int) { s.listDown = second%10 >= 4 })
+}
+
 // reportRunning applies a report of the worker that lists only the given runs, the first runs of their items.
 func (tc *testCore) reportRunning(worker string, items ...work.ItemID) {
 	tc.now += time.Second
@@ -319,3 +324,26 @@
 		assert.Assert(t, tc.collectStarts() > 0)
 	}
 }
+
+// Guards against starts right after an outage of the store that rely on the entries from before it: a worker whose
+// capacity shrank meanwhile writes its entry only with its next heartbeat.
+func TestStartsWaitForWorkersToWriteAfterAnOutage(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 8)
+	tc.WorkersListed(tc.now)
+	tc.accept("job", needStep(6))
+	tc.now += 6 * time.Second
+	tc.WorkersListed(tc.now)
+	assert.Equal(t, tc.collectStarts(), 0)
+	for end := tc.now + listSettleTime; tc.now < end-maxListGap; {
+		tc.now += maxListGap
+		tc.WorkersListed(tc.now)
+		assert.Equal(t, tc.collectStarts(), 0)
+	}
+	tc.setCores(worker, 5)
+	tc.now += maxListGap
+	tc.WorkersListed(tc.now)
+	assert.Equal(t, tc.collectStarts(), 0)
+	tc.setCores(worker, 6)
+	assert.Equal(t, tc.collectStarts(), 1)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -153,8 +153,10 @@
 	workers    map[string]*worker
 	// workersByID are all workers sorted by ID; nil after a worker was added or removed.
 	workersByID []*worker
-	// workersListedAt is when the last successful read of the list of workers was requested; 0 before the first one.
-	workersListedAt time.Duration
+	// workersListedAt is when the last successful read of the list of workers was requested whose entries count as
+	// current; 0 before the first one. listReadAt is when the last one of all was, and listSettledAt is from when on
+	// entries count as current again after an outage of the store.
+	workersListedAt, listReadAt, listSettledAt time.Duration
 	// examinedWorkers is the number of workers that the last planning cycle considered for work items.
 	examinedWorkers int64
 	// customerUsage is the sum of the resources of each customer's placed items.
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -219,8 +219,9 @@
 	// lostResponseShare and delayedOrderShare are the shares of orders that are executed without a response
 	// or seconds late, and failedRunShare is the share of runs that fail.
 	lostResponseShare, delayedOrderShare, failedRunShare float64
-	// stopTime is how long a stop takes.
+	// stopTime is how long a stop takes, and listDown is set while the list of workers can't be read.
 	stopTime    time.Duration
+	listDown    bool
 	logDown     bool
 	workerCount int64
 	startCount  int
@@ -373,13 +374,14 @@
 // tickScheduler does what a session does for a scheduler within one tick: it passes on the lists of workers
 // and hosts, sends lease renewals, and commits batches.
 func (s *sim) tickScheduler(scheduler *simScheduler) {
-	if s.now%(300*time.Millisecond) == 0 {
+	if s.now%(300*time.Millisecond) == 0 && !s.listDown {
 		update := infra.WorkerUpdate{Full: true}
 		for _, w := range s.workers {
 			if w.up && !w.unlisted {
 				update.Entries = append(update.Entries, w.entry)
 			}
 		}
+		scheduler.core.WorkersListed(s.now)
 		scheduler.core.UpdateWorkers(update)
 	}
 	if s.now%(250*time.Millisecond) == 0 {
