Don't take the lasting work of an overfull worker off the whole pool

Cause: admission sums, over the workers of a pool, the capacity less what lasting work takes. On a worker whose capacity shrank below its lasting work the difference is negative, and reduced the cores of the other workers.

Ruled out: the other sums and ratios.

Before: TestOverfullWorkerDoesNotReduceThePool: capacity_test.go:364: assertion failed: 3 (cores float64) != 8 (float64) After: passes.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -347,3 +347,19 @@
 	tc.setCores(worker, 6)
 	assert.Equal(t, tc.collectStarts(), 1)
 }
+
+// Guards against a worker whose capacity shrank below what its lasting work takes, and which then reduced the cores that
+// admission counts for the whole pool.
+func TestOverfullWorkerDoesNotReduceThePool(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 8)
+	lasting := lastingStep(1, 0)
+	lasting.Need.CPUMilli = 6000
+	tc.accept("lasting", lasting)
+	assert.Equal(t, tc.collectStarts(), 1)
+	tc.addWorker(1, 8)
+	tc.setCores(worker, 1)
+	tc.now += supplyCacheTime
+	_, cores := tc.supplyOf(simPool, tc.now)
+	assert.Equal(t, cores, 8.0)
+}
--- a/internal/scheduler/supply.go
+++ b/internal/scheduler/supply.go
@@ -59,7 +59,7 @@
 	c.supply = supplyCache{expiresAt: now + supplyCacheTime, byPool: map[string]*poolSupply{}, standbyCores: c.standbyCores()}
 	for _, w := range c.workers {
 		if w.schedulable(now) {
-			c.supply.of(w.entry.Pool).cores += float64(w.entry.Capacity.CPUMilli-w.lastingCPUMilli) / 1000
+			c.supply.of(w.entry.Pool).cores += float64(max(0, w.entry.Capacity.CPUMilli-w.lastingCPUMilli)) / 1000
 		}
 	}
 	for j := range c.activeJobs {
