Log changes of workers' capacities, and pin down what holds

Tests for what the other changes left as it was: a grown capacity is used in the next planning cycle; a worker whose entry expired comes back with the capacity of its new entry, in a full list and in an incremental one; a new term starts nothing on a worker that it knows only from records, whose capacity it doesn't know.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -363,3 +363,60 @@
 	_, cores := tc.supplyOf(simPool, tc.now)
 	assert.Equal(t, cores, 8.0)
 }
+
+// Guards against capacity that grew and isn't used, since the worker was full in an earlier cycle.
+func TestGrownCapacityIsUsedInTheNextCycle(t *testing.T) {
+	tc := newTestCore(1)
+	worker := tc.addWorker(0, 4)
+	step := needStep(4)
+	step.Count = 3
+	tc.accept("job", step)
+	assert.Equal(t, tc.collectStarts(), 1)
+	assert.Equal(t, tc.collectStarts(), 0)
+	tc.setCores(worker, 12)
+	assert.Equal(t, tc.collectStarts(), 2)
+}
+
+// Guards against the use of a worker's earlier capacity when its entry expired and came back.
+func TestWorkerComesBackWithAnotherCapacity(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		tc := newTestCore(1)
+		worker := tc.addWorker(0, 8)
+		entry := tc.workers[worker].entry
+		if full {
+			tc.UpdateWorkers(infra.WorkerUpdate{Full: true})
+		} else {
+			tc.UpdateWorkers(infra.WorkerUpdate{Removed: []string{worker}})
+		}
+		tc.accept("job", needStep(6))
+		assert.Equal(t, tc.collectStarts(), 0)
+		entry.Capacity.CPUMilli = 5000
+		tc.UpdateWorkers(infra.WorkerUpdate{Full: full, Entries: []infra.WorkerEntry{entry}})
+		tc.reportRunning(worker)
+		assert.Equal(t, tc.collectStarts(), 0)
+		tc.setCores(worker, 6)
+		assert.Equal(t, tc.collectStarts(), 1)
+	}
+}
+
+// Guards against starts of a new term on a worker that it knows only from records, so that its capacity isn't known.
+func TestNewTermStartsNothingBeforeTheListOfWorkersIsRead(t *testing.T) {
+	first := newTestCore(1)
+	worker := first.addWorker(0, 8)
+	first.accept("job", needStep(4))
+	records, err := encodeJob(first.jobs["job"], true)
+	assert.NilError(t, err)
+	batch := first.Collect()
+	records = append(records, batch.Records...)
+	entry := first.workers[worker].entry
+
+	second := newTestCore(2)
+	second.Load(records)
+	i := second.jobs["job"].steps[0].items[0]
+	assert.Equal(t, i.state, itemPlaced)
+	second.accept("next", needStep(0))
+	second.reportRunning(worker, i.id())
+	assert.Equal(t, second.collectStarts(), 0)
+	second.UpdateWorkers(infra.WorkerUpdate{Full: true, Entries: []infra.WorkerEntry{entry}})
+	assert.Equal(t, second.collectStarts(), 1)
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -50,6 +50,10 @@
 	if entry.Draining && !w.entry.Draining {
 		c.logger.WithFields(logrus.Fields{"event": "worker_draining", "worker": entry.ID, "items": len(w.items), "leaves_in_ms": entry.MinTimeLeft.Milliseconds()}).Info("worker is draining; it gets no new work")
 	}
+	if w.listed && entry.Capacity != w.entry.Capacity {
+		c.logger.WithFields(logrus.Fields{"event": "worker_capacity_changed", "worker": entry.ID, "cpu_milli": entry.Capacity.CPUMilli, "memory_mib": entry.Capacity.MemoryMiB,
+			"accelerators": entry.Capacity.Accelerators, "used_cpu_milli": w.used.CPUMilli}).Info("capacity of the worker changed")
+	}
 	w.entry, w.rack, w.listed = entry, rackOf(entry.Labels), true
 	w.wakeRenewalLoop()
 	return added
