--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -261,11 +261,14 @@
 	j.endedAt = now
 	c.jobs[j.def.ID] = j
 	for _, record := range progress.Items {
-		step := j.stepAt(record.Occurrence, record.Step)
-		if step == nil || record.Index >= len(step.items) {
-			continue
+		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+			c.restoreItem(i, record, now)
+		}
+	}
+	for _, record := range progress.Crashes {
+		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+			i.crashes, i.givenUp = crashCounts{known: record.Known, possible: record.Possible}, record.GivenUp
 		}
-		c.restoreItem(step.items[record.Index], record, now)
 	}
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
@@ -445,6 +448,7 @@
 			c.releaseAllItems(w, now)
 		}
 		if len(w.items) == 0 && !w.listed && (w.ended || now > w.leaseEnd) {
+			c.countCrash(w)
 			w.ended = true
 			delete(c.workers, id)
 			c.workersByID = nil
@@ -483,7 +487,18 @@
 	c.logger.WithFields(logrus.Fields{"event": "worker_lapsed", "worker": w.entry.ID, "items": len(w.items), "gone": w.ended,
 		"silent_ms": (now - w.lastReportAt).Milliseconds()}).Warn("worker ended or its lease lapsed; releasing its work items")
 	for i := range w.items {
+		c.logLostRun(i, now)
 		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
+		if !w.ended {
+			w.lapsedItems = append(w.lapsedItems, i)
+		}
 		c.release(i)
 	}
 }
+
+// logLostRun logs the run of a placed item whose worker has ended or restarted, or whose lease has lapsed.
+func (c *Core) logLostRun(i *item, now time.Duration) {
+	w := i.worker
+	c.logger.WithFields(logrus.Fields{"event": "run_lost", "item": i.id().String(), "run": i.run, "worker": w.entry.ID, "gone": w.ended, "confirmed": i.startConfirmedAt > 0,
+		"reported": i.reported, "inherited": i.inherited, "placed_ms": (now - i.placedAt).Milliseconds()}).Info("run was lost with its worker")
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -44,6 +44,11 @@
 	termRuns   int64
 	failures   int
 	checkpoint string
+	// crashes are the crashes of workers with a run of the item; undecidedCrash is one that isn't counted yet, or nil.
+	crashes        crashCounts
+	undecidedCrash *undecidedCrash
+	// givenUp is set when the item isn't started any more because of its crashes.
+	givenUp bool
 	// avoidedWorker is the worker on which the last run failed or was a straggler; failedAt is when a run
 	// last failed.
 	avoidedWorker *worker
@@ -196,6 +201,15 @@
 	return j.steps[index]
 }
 
+// itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it.
+func (j *job) itemAt(occurrence, number, index int) *item {
+	step := j.stepAt(occurrence, number)
+	if step == nil || index >= len(step.items) {
+		return nil
+	}
+	return step.items[index]
+}
+
 // stepReady reports whether the items of the step may start: the occurrence is due, and the steps on
 // which this one depends are done.
 func (j *job) stepReady(s *stepInstance, wallTime time.Time) bool {
@@ -217,6 +231,8 @@
 	// startedUnixMs is the start time of the worker process according to the last report or list entry,
 	// in Unix milliseconds; 0 if unknown.
 	startedUnixMs int64
+	// host is the host that last listed the worker; empty if none has.
+	host string
 	// listed is set while the platform lists the worker.
 	listed bool
 	// hasReported is set once the worker has reported to this term. From then on the worker
@@ -232,6 +248,12 @@
 	// worker, and unknownRuns is the number of listed runs of which the item isn't known either.
 	strayNeed   work.Resources
 	unknownRuns int
+	// unreportedItems is the number of items that no report has listed since they were placed.
+	unreportedItems int
+	// trial is the suspect that is on trial on the worker, or nil.
+	trial *item
+	// lapsedItems are the items that were released because the lease lapsed while nothing was known of the worker.
+	lapsedItems []*item
 	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
 	// they reserve, in thousandths of a core.
 	lastingItems    int
@@ -310,6 +332,7 @@
 func (w *worker) add(i *item) {
 	w.items[i] = struct{}{}
 	w.used = w.used.Plus(i.step.reservation())
+	w.unreportedItems++
 	if i.step.def.Lasting {
 		w.lastingItems++
 		w.lastingCPUMilli += i.step.reservation().CPUMilli
@@ -320,6 +343,12 @@
 func (w *worker) remove(i *item) {
 	delete(w.items, i)
 	w.used = w.used.Minus(i.step.reservation())
+	if !i.reported {
+		w.unreportedItems--
+	}
+	if w.trial == i {
+		w.trial = nil
+	}
 	if i.step.def.Lasting {
 		w.lastingItems--
 		w.lastingCPUMilli -= i.step.reservation().CPUMilli
