Apply the changes of the list of workers before the list counts as read

Between the two calls a start could rely on the former capacities as if they were those of the new list. The time between them is that of a few statements; found by reading, no failure was seen.

--- a/internal/scheduler/listage.go
+++ b/internal/scheduler/listage.go
@@ -19,8 +19,8 @@
 	listSettleTime = 2 * time.Second
 )
 
-// WorkersListed records that a successful read of the list of workers was requested at requestedAt. The caller then
-// passes the changes to UpdateWorkers.
+// WorkersListed records that a successful read of the list of workers was requested at requestedAt. Its changes must
+// have been passed to UpdateWorkers.
 func (c *Core) WorkersListed(requestedAt time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -406,8 +406,8 @@
 				update.Entries = append(update.Entries, w.entry)
 			}
 		}
-		scheduler.core.WorkersListed(s.now)
 		scheduler.core.UpdateWorkers(update)
+		scheduler.core.WorkersListed(s.now)
 	}
 	if s.now%(250*time.Millisecond) == 0 {
 		scheduler.core.SetHosts(s.listHosts(), s.now)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -296,8 +296,8 @@
 				s.Logger.WithFields(logrus.Fields{"event": "directory_regained", "failures": failures}).Info("list of workers can be read again")
 			}
 			failures = 0
-			s.core.WorkersListed(requestedAt)
 			s.core.UpdateWorkers(update)
+			s.core.WorkersListed(requestedAt)
 			for _, id := range s.core.WorkerIDs() {
 				s.startRenewalLoop(ctx, group, id)
 			}
