--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -127,7 +127,9 @@
 	if !c.mayRelyOnCapacity(w, now) {
 		return 0
 	}
-	return c.extendLease(w, now, confirmedAt)
+	leaseEndMs := c.extendLease(w, now, confirmedAt)
+	i.startSent = i.startSent || leaseEndMs > 0
+	return leaseEndMs
 }
 
 // findItem returns the item with the ID, or nil if there is none.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -63,9 +63,13 @@
 	if w == nil {
 		return
 	}
+	if sentAt < w.restartSeenAt {
+		// The report may be one of the process before the restart.
+		return
+	}
 	now := c.clock()
 	if report.StartUnixMs > 0 && w.startedUnixMs > 0 && report.StartUnixMs != w.startedUnixMs {
-		c.resetRestartedWorker(w, report.StartUnixMs)
+		c.resetRestartedWorker(w, report.StartUnixMs, report.Running)
 	}
 	if report.StartUnixMs > 0 {
 		w.startedUnixMs = report.StartUnixMs
@@ -123,9 +127,7 @@
 		w.unreportedItems--
 	}
 	i.reported, i.inherited = true, false
-	if i.startConfirmedAt == 0 {
-		i.startConfirmedAt = now
-	}
+	i.confirmStart(now)
 	if running.Checkpoint != "" {
 		i.checkpoint = running.Checkpoint
 	}
@@ -133,7 +135,7 @@
 		i.progressedAt = now
 	}
 	i.progressPercent, i.load, i.available = running.ProgressPercent, running.Load, running.ProgressPercent >= availablePercent
-	c.observeSurvival(i, now)
+	c.observeSurvival(i)
 	if i.step.job.finished() && !i.stopping {
 		c.orderStop(i)
 	}
@@ -303,6 +305,10 @@
 		if !started && !stopped && !i.inherited {
 			continue
 		}
+		if i.inherited && w.startedUnixMs > c.startedUnixMs {
+			// The run ended with an earlier process of the worker.
+			c.addCrash(i, w.entry.ID, crashPossible, false)
+		}
 		c.logger.WithFields(logrus.Fields{"event": "run_absent", "item": i.id().String(), "run": i.run, "worker": w.entry.ID, "inherited": i.inherited, "stopped": stopped}).Info("worker doesn't list the run any more; the work item waits again")
 		c.release(i)
 	}
