--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -61,7 +61,7 @@
 	case w.appliedEnd > w.durableEnd:
 		// Ends are acknowledged to the worker only once they are durable; Committed then ends the pause early.
 		plan.Pause = unackedEndPause
-	case len(w.items) == 0:
+	case len(w.items) == 0 && !w.hasStrayRuns():
 		plan.Pause = idleRenewalPause
 	}
 	return plan
@@ -82,7 +82,7 @@
 		// After a failed renewal the worker may have restarted and may number its ends from 1 again, so that
 		// acknowledging ends by number isn't safe.
 		request.AckedEnd = w.durableEnd
-		if w.appliedEnd == w.durableEnd && len(w.items) > 0 {
+		if w.appliedEnd == w.durableEnd && (len(w.items) > 0 || w.hasStrayRuns()) {
 			request.Wait = maxRenewalWait
 			if w.hasLasting() {
 				request.Wait = lastingRenewalWait
@@ -112,17 +112,22 @@
 	return leaseEndMs
 }
 
-// LeaseForStart returns the lease end for a start that is sent now, or 0 if the start must not be sent.
+// LeaseForStart returns the lease end for a start that is sent now, or 0 if the start must not be sent, for example
+// because the worker's capacity shrank since the start was planned.
 // confirmedAt is when the last confirmed append of this term was sent.
 func (c *Core) LeaseForStart(order *Order, confirmedAt time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[order.Worker.ID]
 	i := c.findItem(order.Item)
-	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping {
+	if w == nil || w.ended || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
 		return 0
 	}
-	leaseEndMs := c.extendLease(w, c.clock(), confirmedAt)
+	now := c.clock()
+	if !c.mayRelyOnCapacity(w, now) {
+		return 0
+	}
+	leaseEndMs := c.extendLease(w, now, confirmedAt)
 	i.startSent = i.startSent || leaseEndMs > 0
 	return leaseEndMs
 }
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -34,6 +34,8 @@
 	endsAt    time.Duration
 	fails     bool
 	lasting   bool
+	// stopsAt is when an ordered stop takes effect; 0 if none was ordered.
+	stopsAt time.Duration
 	// crashesAt is when the run crashes its worker; 0 if it doesn't.
 	crashesAt time.Duration
 }
@@ -60,6 +62,8 @@
 	failsAllRuns  bool
 	// unlisted workers are missing from the list of workers.
 	unlisted bool
+	// formerCapacities are the capacities that the worker had before its last changes.
+	formerCapacities []formerCapacity
 	// restartAt is when another process starts on the host of a worker that has ended; 0 if none does.
 	restartAt time.Duration
 }
@@ -91,6 +95,8 @@
 		switch {
 		case w.clockMs() >= w.leaseEndMs:
 			w.endRun(id, r, infra.EndLeaseExpired)
+		case r.stopsAt > 0 && w.sim.now >= r.stopsAt:
+			w.endRun(id, r, infra.EndStopped)
 		case !r.lasting && w.sim.now >= r.endsAt && r.fails:
 			w.endRun(id, r, infra.EndFailed)
 		case !r.lasting && w.sim.now >= r.endsAt:
@@ -135,7 +141,11 @@
 	w.highestToken = token
 	if r := w.running[order.Item]; r != nil && r.run <= order.Run {
 		w.sim.checkAvailabilityBudget(order.Item, r, "a stop")
-		w.endRun(order.Item, r, infra.EndStopped)
+		if w.sim.stopTime > 0 {
+			r.stopsAt = w.sim.now + w.sim.stopTime
+		} else {
+			w.endRun(order.Item, r, infra.EndStopped)
+		}
 	}
 	w.highestRun[order.Item] = max(w.highestRun[order.Item], order.Run)
 	return nil
@@ -230,9 +240,12 @@
 	// lostResponseShare and delayedOrderShare are the shares of orders that are executed without a response
 	// or seconds late, and failedRunShare is the share of runs that fail.
 	lostResponseShare, delayedOrderShare, failedRunShare float64
-	logDown                                              bool
-	workerCount                                          int64
-	startCount                                           int
+	// stopTime is how long a stop takes, and listDown is set while the list of workers can't be read.
+	stopTime    time.Duration
+	listDown    bool
+	logDown     bool
+	workerCount int64
+	startCount  int
 }
 
 func simOptions() Options {
@@ -320,7 +333,7 @@
 	for id := range target.running {
 		used = used.Plus(s.stepOf(id).Need)
 	}
-	if !used.Fits(target.entry.Capacity) {
+	if !used.Fits(target.capacityInForce()) {
 		s.t.Fatalf("%s: %s is overcommitted: its runs need %v with %s", s.now, target.entry.ID, used, order.Item)
 	}
 }
@@ -386,7 +399,7 @@
 // tickScheduler does what a session does for a scheduler within one tick: it passes on the lists of workers
 // and hosts, sends lease renewals, and commits batches.
 func (s *sim) tickScheduler(scheduler *simScheduler) {
-	if s.now%(300*time.Millisecond) == 0 {
+	if s.now%(300*time.Millisecond) == 0 && !s.listDown {
 		update := infra.WorkerUpdate{Full: true}
 		for _, w := range s.workers {
 			if w.up && !w.unlisted {
@@ -394,6 +407,7 @@
 			}
 		}
 		scheduler.core.UpdateWorkers(update)
+		scheduler.core.WorkersListed(s.now)
 	}
 	if s.now%(250*time.Millisecond) == 0 {
 		scheduler.core.SetHosts(s.listHosts(), s.now)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -291,6 +291,7 @@
 	directory := s.NewDirectory()
 	failures := 0
 	for ctx.Err() == nil {
+		requestedAt := s.Clock()
 		update, err := directory.Poll(ctx)
 		if err != nil {
 			if failures++; failures == 1 {
@@ -302,6 +303,7 @@
 			}
 			failures = 0
 			s.core.UpdateWorkers(update)
+			s.core.WorkersListed(requestedAt)
 			for _, id := range s.core.WorkerIDs() {
 				s.startRenewalLoop(ctx, group, id)
 			}
