--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -53,7 +53,10 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { scenario(newSim(t, seed, workers)) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			scenario(newSim(t, seed, workers))
+		})
 	}
 }
 
