Move the expiry of workers and jobs into a file of its own

Behaviour stays as it is; the log line of a failed job says less vaguely why, and counts crashes of all kinds.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -201,7 +201,7 @@
 // when all items are given up; any other job fails at once.
 func (c *Core) giveUp(i *item) {
 	i.givenUp = true
-	c.logger.WithFields(logrus.Fields{"event": "item_given_up", "item": i.id().String(), "crashes": i.crashes.known}).Warn("work item crashes the workers that start it; it isn't started any more")
+	c.logger.WithFields(logrus.Fields{"event": "item_given_up", "item": i.id().String(), "crashes": i.crashes.sum()}).Warn("work item crashes the workers that start it; it isn't started any more")
 	for _, step := range i.step.job.steps {
 		if i.step.def.Lasting && slices.ContainsFunc(step.items, func(other *item) bool { return !other.givenUp && other.state != itemDone }) {
 			return
--- /dev/null
+++ b/internal/scheduler/expiry.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// dropExpired releases the items of workers that have ended or whose lease has certainly lapsed, removes
+// such workers once they are unlisted, and drops jobs that finished more than EndedJobRetention ago.
+func (c *Core) dropExpired(now time.Duration) {
+	for id, w := range c.workers {
+		if len(w.items) > 0 && (w.ended || now > w.leaseEnd) {
+			c.releaseAllItems(w, now)
+		}
+		if len(w.items) == 0 && !w.listed && (w.ended || now > w.leaseEnd) {
+			c.countCrash(w)
+			w.ended = true
+			delete(c.workers, id)
+			c.workersByID = nil
+			w.wakeRenewalLoop()
+		}
+	}
+	// Each change that leaves a finished job without placed items makes it dirty.
+	for j := range c.dirtyJobs {
+		if _, active := c.activeJobs[j]; active && j.finished() && j.placedCount == 0 {
+			delete(c.activeJobs, j)
+			j.endedAt = now
+		}
+	}
+	if now < c.nextJobExpiry {
+		return
+	}
+	c.nextJobExpiry = now + jobExpiryInterval
+	for id, at := range c.offeredJobs {
+		if now-at > offeredJobRetention {
+			delete(c.offeredJobs, id)
+		}
+	}
+	for id, j := range c.jobs {
+		if _, active := c.activeJobs[j]; !active && j.finished() && now-j.endedAt > c.options.EndedJobRetention {
+			delete(c.jobs, id)
+			c.deletedJobIDs = append(c.deletedJobIDs, id)
+		}
+	}
+}
+
+// releaseAllItems releases the items of a worker that has ended or whose lease has lapsed.
+func (c *Core) releaseAllItems(w *worker, now time.Duration) {
+	if len(w.items) == 0 {
+		return
+	}
+	c.logger.WithFields(logrus.Fields{"event": "worker_lapsed", "worker": w.entry.ID, "items": len(w.items), "gone": w.ended,
+		"silent_ms": (now - w.lastReportAt).Milliseconds()}).Warn("worker ended or its lease lapsed; releasing its work items")
+	for i := range w.items {
+		c.logLostRun(i, now)
+		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
+		if !w.ended && !i.survived && (i.startSent || i.inherited) {
+			w.lapsedItems = append(w.lapsedItems, i)
+		}
+		c.release(i)
+	}
+}
+
+// logLostRun logs the run of a placed item whose worker has ended or restarted, or whose lease has lapsed.
+func (c *Core) logLostRun(i *item, now time.Duration) {
+	w := i.worker
+	c.logger.WithFields(logrus.Fields{"event": "run_lost", "item": i.id().String(), "run": i.run, "worker": w.entry.ID, "gone": w.ended, "confirmed": i.startConfirmedAt > 0,
+		"reported": i.reported, "inherited": i.inherited, "placed_ms": (now - i.placedAt).Milliseconds()}).Info("run was lost with its worker")
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -287,7 +287,7 @@
 	j.failed, j.endedAt = true, c.clock()
 	c.metrics.jobFailed(cause)
 	c.logger.WithFields(logrus.Fields{"event": "job_failed", "job": j.def.ID, "queue": j.def.Queue.Name, "item": i.id().String(), "cause": cause,
-		"failures": i.failures, "crashes": i.crashes.known}).Warn("job failed: a work item has used up its attempts or crashed its workers")
+		"failures": i.failures, "crashes": i.crashes.sum()}).Warn("job failed: one of its work items isn't started any more")
 	c.orderJobStops(j)
 	c.markDirty(j)
 }
