Share the test source of configuration, and name two steps of the crash counts

The removal of an undecided crash stood in decideCrash and in StartNotSent, and the check for items that are left was a loop inside giveUp that tested the same condition in each pass. Behaviour stays as it is, and no assertion changed.

--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -27,7 +27,6 @@
 	"turmericyoke/internal/entry/peer"
 	"turmericyoke/internal/infra"
 	"turmericyoke/internal/infra/infratest"
-	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 	"turmericyoke/platform"
@@ -36,18 +35,6 @@
 // graceTime is the time from SIGTERM until the platform kills the process.
 const graceTime = 6 * time.Second
 
-// publishedOnce is a source with one configuration.
-type publishedOnce struct{ config *work.Config }
-
-// Wait implements infra.ConfigSource.
-func (p *publishedOnce) Wait(ctx context.Context, wait time.Duration) (infra.ConfigUpdate, error) {
-	if config := p.config; config != nil {
-		p.config = nil
-		return infra.ConfigUpdate{Config: config}, nil
-	}
-	return infra.ConfigUpdate{}, periodic.Pause(ctx, wait)
-}
-
 // clockFrom returns a clock that started an hour before start.
 func clockFrom(start time.Time) func() time.Duration {
 	return func() time.Duration { return time.Hour + time.Since(start) }
@@ -69,7 +56,7 @@
 // newProcess returns a process that is configured, and whose submissions never have an outcome.
 func newProcess(t *testing.T, log infra.Log, output io.Writer) *process {
 	p := newIdleProcess(t, log, output)
-	p.entry.ConfigSource = &publishedOnce{config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}
+	p.entry.ConfigSource = &infratest.ConfigSource{Config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Prefix: "/q/", Open: true}}}}
 	// Batches of this core are never committed.
 	p.entry.AttachCore(scheduler.New(1, scheduler.Options{}, clockFrom(time.Now()), time.Now, p.logger, nil))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -14,8 +14,8 @@
 // another crash in that time is the suspect's. An item that crashes a worker again on trial, or that too many crashes
 // hit otherwise, is given up.
 const (
-	// trialTime is how long after its confirmed start a suspect must run before other items may start beside it, and
-	// any item before it is taken not to be the cause of a crash.
+	// trialTime is how long after its confirmed start a suspect must run before other items may start beside it. A run
+	// that has lasted so long counts as a late crash only.
 	trialTime = 300 * time.Millisecond
 	// maxTrialCrashes is the number of known crashes after which an item is given up if the last one was on trial: the
 	// users' rules allow it after two.
@@ -166,13 +166,22 @@
 	}
 }
 
+// takeUndecidedCrash removes the undecided crash of the run, and returns it; nil if there is none.
+func (i *item) takeUndecidedCrash(run int64) *undecidedCrash {
+	crash := i.undecidedCrash
+	if crash == nil || crash.run != run {
+		return nil
+	}
+	i.undecidedCrash = nil
+	return crash
+}
+
 // decideCrash counts an undecided crash if, by the outcome of the start, the run began or may have begun.
 func (c *Core) decideCrash(i *item, order *Order, err error, uncertain bool) {
-	crash := i.undecidedCrash
-	if crash == nil || crash.run != order.Run {
+	crash := i.takeUndecidedCrash(order.Run)
+	if crash == nil {
 		return
 	}
-	i.undecidedCrash = nil
 	switch kind := infra.KindOf(err); {
 	case kind == "":
 		c.addCrash(i, crash.worker, crashKnown, crash.onTrial)
@@ -202,10 +211,15 @@
 func (c *Core) giveUp(i *item) {
 	i.givenUp = true
 	c.logger.WithFields(logrus.Fields{"event": "item_given_up", "item": i.id().String(), "crashes": i.crashes.sum()}).Warn("work item crashes the workers that start it; it isn't started any more")
-	for _, step := range i.step.job.steps {
-		if i.step.def.Lasting && slices.ContainsFunc(step.items, func(other *item) bool { return !other.givenUp && other.state != itemDone }) {
-			return
-		}
+	if i.step.def.Lasting && i.step.job.hasItemsLeft() {
+		return
 	}
 	c.failJob(i, failedByCrashes)
 }
+
+// hasItemsLeft reports whether an item of the job is neither done nor given up.
+func (j *job) hasItemsLeft() bool {
+	return slices.ContainsFunc(j.steps, func(s *stepInstance) bool {
+		return slices.ContainsFunc(s.items, func(i *item) bool { return !i.givenUp && i.state != itemDone })
+	})
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -90,10 +90,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := c.findItem(order.Item)
-	if i != nil && i.undecidedCrash != nil && i.undecidedCrash.run == order.Run {
-		i.undecidedCrash = nil
+	if i == nil {
+		return
 	}
-	if i != nil && i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.startConfirmedAt == 0 && !i.stopping {
+	// The run hasn't begun, so that a crash of its worker doesn't count.
+	i.takeUndecidedCrash(order.Run)
+	if i.worker != nil && i.worker.entry.ID == order.Worker.ID && i.run == order.Run && i.startConfirmedAt == 0 && !i.stopping {
 		c.release(i)
 		c.stopOtherMembers(i)
 	}
