Account for placed and released work between computations of the supply

The new test failed while only placements were accounted for, since an item that is done waited for a moment.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -71,10 +71,16 @@
 
 // predictRunTime returns the expected run time of a work item of the step.
 func (c *Core) predictRunTime(def *work.Job, step *work.Step) time.Duration {
+	return scaledRunTime(step, c.statsOf(def.Queue.Pool).runTimeRatio)
+}
+
+// scaledRunTime returns the expected run time of a work item of the step in a pool with the ratio of actual to declared
+// run times.
+func scaledRunTime(step *work.Step, ratio float64) time.Duration {
 	if step.Estimate <= 0 {
 		return defaultRunTime
 	}
-	return time.Duration(float64(step.Estimate) * c.statsOf(def.Queue.Pool).runTimeRatio)
+	return time.Duration(float64(step.Estimate) * ratio)
 }
 
 // criticalPath returns the longest chain of predicted run times through the steps of one occurrence.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -345,6 +345,7 @@
 // place assigns the item to the worker and reserves its resources.
 func (c *Core) place(i *item, w *worker) {
 	i.setState(itemPlaced)
+	i.addPlaced()
 	i.worker = w
 	w.add(i)
 	customer := i.step.job.def.Customer
@@ -362,6 +363,7 @@
 		return
 	}
 	c.logSlowAnswers(i, c.clock())
+	i.removePlaced(c.clock())
 	w.remove(i, c.clock())
 	c.keepLateStart(i, w)
 	customer := i.step.job.def.Customer
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -150,6 +150,9 @@
 func (i *item) setState(state itemState) {
 	i.step.stateCounts[i.state]--
 	i.step.stateCounts[state]++
+	if waits := state == itemWaiting; waits != (i.state == itemWaiting) {
+		i.adjustWaiting(waits)
+	}
 	if i.state == itemPlaced {
 		i.step.job.placedCount--
 	}
@@ -195,6 +198,8 @@
 	// total and remaining are the cached work of all steps of one occurrence, and of the unfinished steps of the
 	// last one; nil if they have to be computed.
 	total, remaining *declaredWork
+	// supply is the entry of the supplyCache that includes the job's work; nil if none does.
+	supply *poolSupply
 }
 
 func newJob(def *work.Job) *job {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -58,7 +58,9 @@
 	j.overuseLevel = c.overuseLevel(def, now)
 	supply, cores := c.supplyOf(def.Queue.Pool, now)
 	c.bookWork(def, cores, now)
-	supply.waiting[j.overuseLevel] += c.predictCoreSeconds(def)
+	if def.Recurrence.Times == 0 {
+		supply.addJob(j, now)
+	}
 	c.jobs[def.ID] = j
 	c.activeJobs[j] = struct{}{}
 	c.waiters = append(c.waiters, waiter)
--- /dev/null
+++ b/internal/scheduler/supply_test.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against sums of waiting and placed work that drift from the jobs between two computations of the supply, so
+// that admission accepts or rejects on the load of the past.
+func TestSupplyFollowsWorkItemsBetweenComputations(t *testing.T) {
+	const tick, tolerance = 5 * time.Millisecond, 1e-6
+	r := newReplay(1, scaledFleet(0.1, 0.15))
+	compared := 0
+	for end := r.now + 7*time.Second; r.now < end; {
+		r.run(tick, tick)
+		c := r.core
+		if r.now >= c.supply.expiresAt {
+			continue
+		}
+		age := (r.now - (c.supply.expiresAt - supplyCacheTime)).Seconds()
+		for pool, kept := range c.supply.byPool {
+			waiting, placed, running := 0.0, 0.0, 0.0
+			for j := range c.activeJobs {
+				if j.def.Queue.Pool != pool || j.finished() {
+					continue
+				}
+				w, p := j.remainingWork(kept.runTimeRatio, r.now)
+				waiting, placed = waiting+w, placed+p
+				for _, step := range j.steps {
+					running += float64(step.countInState(itemPlaced)) * step.coreSeconds(time.Second)
+				}
+			}
+			keptWaiting := 0.0
+			for _, w := range kept.waiting {
+				keptWaiting += w
+			}
+			assert.Assert(t, math.Abs(keptWaiting-waiting) <= tolerance, "%s at %v: %f core-seconds wait, %f are kept", pool, r.now, waiting, keptWaiting)
+			// The kept sum of placed work lacks the progress since it was computed, also that of items released since.
+			assert.Assert(t, kept.placed >= placed-tolerance && kept.placed <= placed+age*2*running+tolerance,
+				"%s at %v: %f core-seconds are placed, %f are kept for %f s", pool, r.now, placed, kept.placed, age)
+			compared++
+		}
+	}
+	assert.Assert(t, compared > 1000, "compared %d times", compared)
+}
