Compute the work of all pools in one pass when sizes are planned

Each plan of pool sizes passed over all active jobs three times for each pool, once more for each logged load, and over all workers once. One pass over jobs and one over workers now serve all pools. usableCores of the test is read from that pass; its expected figure is the same.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -161,32 +161,3 @@
 	}
 	return float64(milli) / 1000
 }
-
-// anyJob is a filter for backlog that matches every job.
-func anyJob(*job) bool { return true }
-
-// canMeetDeadline returns a filter for backlog that matches the jobs that can still meet their deadline.
-func (c *Core) canMeetDeadline(now time.Duration) func(*job) bool {
-	return func(j *job) bool {
-		prediction := c.predict(j)
-		return j.offeredAt+prediction.relativeDeadline-now >= prediction.remainingPath
-	}
-}
-
-// backlog returns the core-seconds that accepted jobs of the pool still need: for the placed work items
-// of all jobs, and for the waiting work items of jobs for which match returns true. Lasting steps and
-// recurring jobs don't count.
-func (c *Core) backlog(pool string, now time.Duration, match func(*job) bool) float64 {
-	total := 0.0
-	for j := range c.activeJobs {
-		if j.finished() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 {
-			continue
-		}
-		waiting, placed := c.remainingWork(j, now)
-		total += placed
-		if waiting > 0 && match(j) {
-			total += waiting
-		}
-	}
-	return total
-}
--- a/internal/scheduler/demand_test.go
+++ b/internal/scheduler/demand_test.go
@@ -199,9 +199,9 @@
 	}
 	outcome := tc.submit("0000000000000001", "big", steps...)
 	assert.Equal(t, outcome.Kind, OutcomeDone)
-	assert.Equal(t, tc.usableCores(simPool, tc.now), 80.0)
+	assert.Equal(t, tc.workByPool(tc.now)[simPool].usableCPUMilli, int64(80_000))
 	load := poolLoad{name: simPool, hosts: 1}
 	tc.peakTracker = newPeakTracker()
-	tc.computeDemand(&load, 64, tc.now)
+	tc.computeDemand(&load, tc.workByPool(tc.now)[simPool], 64, tc.now)
 	assert.Equal(t, load.currentLoad, sizeHeadroom*80)
 }
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -48,8 +48,9 @@
 	c.peakTracker.observe(now)
 	orders := c.reconcileMoves(now)
 	standbyPool, standbyHosts := c.standbyHosts()
-	loads := c.poolLoads(now)
-	c.logPoolLoads(loads, len(standbyHosts), now)
+	workByPool := c.workByPool(now)
+	loads := c.poolLoads(workByPool, now)
+	c.logPoolLoads(loads, workByPool, len(standbyHosts), now)
 	moves, vacate := planMoves(loads, standbyHosts, standbyPool, func(host string) bool { return c.mayEnterStandby(host, now) })
 	c.setVacating(vacate)
 	for _, m := range moves {
@@ -78,7 +79,7 @@
 }
 
 // logPoolLoads logs the loads and hosts of the pools at most once per loadLogInterval.
-func (c *Core) logPoolLoads(loads []poolLoad, standby int, now time.Duration) {
+func (c *Core) logPoolLoads(loads []poolLoad, workByPool map[string]poolWork, standby int, now time.Duration) {
 	if now-c.fleet.loadsLoggedAt < loadLogInterval {
 		return
 	}
@@ -86,23 +87,13 @@
 	candidates := c.candidatePools(now)
 	for i := range loads {
 		l := &loads[i]
+		pool := workByPool[l.name]
 		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": candidates[l.name].size(), "empty": len(l.emptyHosts),
-			"target": l.currentTarget(), "expected": l.expectedTarget(), "least": l.minHosts, "need": int(l.currentLoad), "used": int(c.usedCores(l.name)), "offered": int(c.peakTracker.loadOf(l.name).loadAt(now)),
-			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.canMeetDeadline(now))), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.statsOf(l.name).runTimeRatio)}).Info("load of a pool")
+			"target": l.currentTarget(), "expected": l.expectedTarget(), "least": l.minHosts, "need": int(l.currentLoad), "used": pool.usedCPUMilli / 1000, "offered": int(c.peakTracker.loadOf(l.name).loadAt(now)),
+			"backlog": int(pool.placed + pool.waiting), "in_time": int(pool.placed + pool.inTimeWaiting), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.statsOf(l.name).runTimeRatio)}).Info("load of a pool")
 	}
 }
 
-// usedCores returns the cores of the pool that placed work takes.
-func (c *Core) usedCores(pool string) float64 {
-	milli := int64(0)
-	for _, w := range c.workers {
-		if w.entry.Pool == pool && !w.ended {
-			milli += w.used.CPUMilli
-		}
-	}
-	return float64(milli) / 1000
-}
-
 // reconcileMoves drops the moves of hosts that left the list, those whose effect the list shows, and those
 // that succeeded more than moveSettleTime ago. It returns the orders to repeat: those of moves with an unknown
 // outcome whose host still has the worker that it had, in the pool that it had.
@@ -197,7 +188,7 @@
 }
 
 // poolLoads returns the loads and hosts of all pools except the standby pools.
-func (c *Core) poolLoads(now time.Duration) []poolLoad {
+func (c *Core) poolLoads(workByPool map[string]poolWork, now time.Duration) []poolLoad {
 	byName := map[string]*poolLoad{}
 	for name, p := range c.config.Pools {
 		if !p.Standby {
@@ -222,7 +213,7 @@
 		c.classifyHost(id, host, load, now)
 	}
 	for name, load := range byName {
-		c.computeDemand(load, cores[name], now)
+		c.computeDemand(load, workByPool[name], cores[name], now)
 	}
 	loads := make([]poolLoad, 0, len(byName))
 	for _, load := range byName {
@@ -258,18 +249,11 @@
 }
 
 // computeDemand sets minHosts, the loads and coresPerHost of the pool. cores is the sum over the pool's hosts.
-func (c *Core) computeDemand(load *poolLoad, cores float64, now time.Duration) {
-	lastingHosts, waiting := c.hostsForLasting(load.name)
-	load.minHosts = max(load.minHosts, lastingHosts) + spareHosts + waiting
+func (c *Core) computeDemand(load *poolLoad, pool poolWork, cores float64, now time.Duration) {
+	load.minHosts = max(load.minHosts, pool.lastingHosts) + spareHosts + pool.lastingWaiting
 	load.trialHosts = c.hostsForTrials(load.name)
-	milli := int64(0)
-	for _, w := range c.workers {
-		if w.entry.Pool == load.name {
-			milli += w.lastingCPUMilli
-		}
-	}
-	lastingCores := float64(milli) / 1000
-	backlogLoad := min(c.backlog(load.name, now, c.canMeetDeadline(now))/backlogDrainTime.Seconds(), c.usableCores(load.name, now))
+	lastingCores := float64(pool.lastingCPUMilli) / 1000
+	backlogLoad := min((pool.placed+pool.inTimeWaiting)/backlogDrainTime.Seconds(), float64(pool.usableCPUMilli)/1000)
 	load.currentLoad = sizeHeadroom*max(c.peakTracker.loadOf(load.name).loadAt(now), backlogLoad) + lastingCores
 	load.expectedLoad = sizeHeadroom*c.forecastPeakLoad(load.name, now) + lastingCores
 	if load.hosts > 0 {
@@ -279,47 +263,6 @@
 	load.coresPerHost = c.meanHostCores()
 }
 
-// usableCores returns how many cores the jobs that can meet their deadline can use at the same time. For each
-// job it counts the step that can use most cores, since steps run one after the other and much of the backlog
-// can't run yet.
-func (c *Core) usableCores(pool string, now time.Duration) float64 {
-	canMeetDeadline := c.canMeetDeadline(now)
-	milli := int64(0)
-	for j := range c.activeJobs {
-		if j.finished() || j.def.Queue.Pool != pool || j.def.Recurrence.Times > 0 || !canMeetDeadline(j) {
-			continue
-		}
-		widest := int64(0)
-		for _, step := range j.steps {
-			if !step.def.Lasting {
-				widest = max(widest, int64(len(step.items)-step.countInState(itemDone))*step.def.Need.CPUMilli)
-			}
-		}
-		milli += widest
-	}
-	return float64(milli) / 1000
-}
-
-// hostsForLasting returns the least number of hosts on which the pool's lasting steps can run with their
-// limits per host, and the largest number of waiting work items of one such step.
-func (c *Core) hostsForLasting(pool string) (hosts, waiting int) {
-	for j := range c.activeJobs {
-		if j.finished() || c.poolOf(j) != pool {
-			continue
-		}
-		for _, step := range j.steps {
-			if !step.def.Lasting {
-				continue
-			}
-			waiting = max(waiting, step.countInState(itemWaiting))
-			if step.def.MaxPerHost > 0 {
-				hosts = max(hosts, int(math.Ceil(float64(step.def.Count)/float64(step.def.MaxPerHost))))
-			}
-		}
-	}
-	return hosts, waiting
-}
-
 // hostsForTrials returns the number of hosts that the waiting suspects of the pool need to have their trials within
 // trialDrainTime. Half of the hosts of a pool take other work.
 func (c *Core) hostsForTrials(pool string) int {
