Plan less often for a large fleet

Each append is followed by a pause in which changes gather. It was 4 ms for every fleet, so that a fleet of 1,100 workers was planned up to 200 times a second, at up to 2.4 ms each. The pause now grows by 10 us for each worker and unfinished job, up to 20 ms; a fleet of 49 workers keeps about 5 ms.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -482,6 +482,13 @@
 	c.delay = max(delay, c.delay/2)
 }
 
+// Size returns the number of workers and unfinished jobs.
+func (c *Core) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.workers) + len(c.activeJobs)
+}
+
 // Fenced reports whether a worker or host has seen a higher fencing token than this term's.
 func (c *Core) Fenced() bool {
 	c.mu.Lock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -24,8 +24,12 @@
 	// idlePlanInterval is the interval at which the core plans without a wakeup, for example to release items
 	// whose leases have lapsed.
 	idlePlanInterval = 50 * time.Millisecond
-	// batchPause is the pause after each append. Changes during it are written in one append.
-	batchPause = 4 * time.Millisecond
+	// batchPause is the pause after each append. Changes during it are written in one append. It grows by
+	// batchPausePerUnit for each worker and unfinished job, up to maxBatchPause: planning may consider all of them, and
+	// must leave most of the processor time to the calls to workers.
+	batchPause        = 4 * time.Millisecond
+	batchPausePerUnit = 10 * time.Microsecond
+	maxBatchPause     = 20 * time.Millisecond
 	// maxConfirmationAge is how long after its last confirmed append an idle term appends a confirmation
 	// record, which proves that it isn't fenced. It is well below scheduler.LeaderLease.
 	maxConfirmationAge = 500 * time.Millisecond
@@ -203,11 +207,16 @@
 		}
 		s.core.Committed(&batch)
 		if len(batch.Records) > 0 {
-			_ = periodic.Pause(ctx, batchPause)
+			_ = periodic.Pause(ctx, pauseAfterBatch(s.core.Size()))
 		}
 	}
 }
 
+// pauseAfterBatch returns the pause after an append of a core of the given size.
+func pauseAfterBatch(size int) time.Duration {
+	return min(maxBatchPause, batchPause+time.Duration(size)*batchPausePerUnit)
+}
+
 // send sends one order to a worker and passes the result to the core.
 func (s *session) send(ctx context.Context, order *scheduler.Order) {
 	switch order.Kind {
