Keep the order of waiting jobs from one planning cycle to the next

Cause: each cycle passed over all steps of all active jobs to find those with ready work items, and sorted these anew; then it tried to place each of them, though most need more than any worker of their pool has free.

A job now keeps its open steps (waiting items, dependencies done) and finds them anew only after a step changed. Jobs that may have items to place wait in a list by pool, in which each recorded change of a job puts it. Each cycle updates the keys, which change with time and with the pool's run times, and sorts the nearly sorted list by insertion. Jobs of which no ready item fits the largest free capacity of the pool are left out before the lists are merged. Candidate workers are sought only in pools with ready jobs. Other waiting work is counted only while suspects wait.

The order across pools stays: customers' limits span pools.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -167,9 +167,13 @@
 	queuePools map[string]string
 	jobs       map[string]*job
 	activeJobs map[*job]struct{}
-	workers    map[string]*worker
-	// workersByID are all workers sorted by ID; nil after a worker was added or removed.
-	workersByID []*worker
+	// waiting holds the jobs that may have work items to place, by pool.
+	waiting map[string]*waitingJobs
+	workers map[string]*worker
+	// workersByID are all workers sorted by ID, and workersByPool those of each pool; workersByID is nil after a worker
+	// was added or removed or changed its pool.
+	workersByID   []*worker
+	workersByPool map[string][]*worker
 	// workersListedAt is when the last successful read of the list of workers was requested whose entries count as
 	// current; 0 before the first one. listReadAt is when the last one of all was, and listSettledAt is from when on
 	// entries count as current again after an outage of the store.
@@ -228,7 +232,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, workers: map[string]*worker{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
@@ -255,6 +259,7 @@
 				c.queuePools[name] = config.Queues[i].Pool
 			}
 		}
+		c.regroupWaiting()
 		c.wakeUp()
 	}
 }
@@ -311,6 +316,7 @@
 	}
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
+		c.addWaiting(j)
 	}
 }
 
@@ -380,9 +386,10 @@
 	c.markDirty(i.step.job)
 }
 
-// markDirty adds the job's records to the next batch.
+// markDirty adds the job's records to the next batch, and the job to those that may have work items to place.
 func (c *Core) markDirty(j *job) {
 	c.dirtyJobs[j] = struct{}{}
+	c.addWaiting(j)
 	c.wakeUp()
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -24,8 +24,8 @@
 		c.stopStragglers(now)
 		c.dropUnansweredStarts(now)
 	}
-	jobs := c.rankJobs(now)
-	if len(jobs) == 0 {
+	ready := c.rankWaiting(now)
+	if ready == 0 {
 		c.logHeldJobs(0, now)
 		clear(c.jobsOnHoldByPool)
 		c.reserveWorkers(nil, now)
@@ -33,32 +33,39 @@
 	}
 	c.examinedWorkers = 0
 	defer func() { c.metrics.workersExamined(c.examinedWorkers) }()
-	pools := c.candidatePools(now)
-	all := len(jobs)
-	unrecordedRuns, wallTime := c.mayHaveUnrecordedRuns(now), c.wallClock()
-	if unrecordedRuns {
-		jobs = slices.DeleteFunc(jobs, func(j *job) bool { return j.inherited })
-	}
-	c.logHeldJobs(all-len(jobs), now)
+	held := c.mayHaveUnrecordedRuns(now)
+	c.logHeldJobs(c.countHeld(held), now)
 	poolFor := func(j *job) *candidatePool {
-		if j.inherited && unrecordedRuns {
+		if j.inherited && held {
 			return nil
 		}
-		return pools[c.poolOf(j)]
-	}
-	for _, j := range jobs {
-		if pool := poolFor(j); pool != nil && !pool.otherWork {
-			pool.otherWork = j.hasOtherWork(wallTime)
-		}
+		return c.candidatesFor(j)
 	}
+	c.findCandidates(now)
 	c.planTrials(poolFor, now)
-	for _, j := range jobs {
+	for _, j := range c.placeableJobs() {
 		if pool := poolFor(j); pool != nil {
 			c.planJob(j, pool, false, now)
 		}
 	}
 }
 
+// countHeld returns the number of ready jobs that are held back if inherited jobs are.
+func (c *Core) countHeld(inheritedHeld bool) int {
+	n := 0
+	if !inheritedHeld {
+		return n
+	}
+	for _, waiting := range c.waiting {
+		for _, r := range waiting.readyJobs() {
+			if r.job.inherited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // poolOf returns the pool that runs the job: the current pool of its queue or, if the queue has been
 // removed, the pool at the time of acceptance.
 func (c *Core) poolOf(j *job) string {
@@ -68,17 +75,33 @@
 	return j.def.Queue.Pool
 }
 
-// candidatePools returns the workers that may get new work, by pool and sorted by ID.
-func (c *Core) candidatePools(now time.Duration) map[string]*candidatePool {
-	pools := map[string]*candidatePool{}
-	for _, w := range c.sortedWorkers() {
+// findCandidates finds the workers that may get new work, sorted by ID, for each pool with ready jobs.
+func (c *Core) findCandidates(now time.Duration) {
+	for name, waiting := range c.waiting {
+		waiting.candidates = nil
+		if waiting.ready > 0 {
+			waiting.candidates = c.candidatesOf(name, now)
+		}
+	}
+}
+
+// candidatesFor returns the workers that may get work of the job in this cycle; nil if there are none.
+func (c *Core) candidatesFor(j *job) *candidatePool {
+	if waiting := c.waiting[c.poolOf(j)]; waiting != nil {
+		return waiting.candidates
+	}
+	return nil
+}
+
+// candidatesOf returns the workers of the pool that may get new work, sorted by ID; nil if there are none.
+func (c *Core) candidatesOf(name string, now time.Duration) *candidatePool {
+	var pool *candidatePool
+	for _, w := range c.workersOf(name) {
 		if !c.isCandidate(w, now) {
 			continue
 		}
-		pool := pools[w.entry.Pool]
 		if pool == nil {
-			pool = &candidatePool{separateStarts: c.hasRecentCrash(w.entry.Pool, now)}
-			pools[w.entry.Pool] = pool
+			pool = &candidatePool{separateStarts: c.hasRecentCrash(name, now)}
 		}
 		if w.trial == nil {
 			pool.add(w)
@@ -86,7 +109,7 @@
 			pool.onTrial++
 		}
 	}
-	return pools
+	return pool
 }
 
 // isCandidate reports whether the worker may get new work, apart from trials.
@@ -98,10 +121,20 @@
 func (c *Core) sortedWorkers() []*worker {
 	if c.workersByID == nil {
 		c.workersByID = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+		c.workersByPool = map[string][]*worker{}
+		for _, w := range c.workersByID {
+			c.workersByPool[w.entry.Pool] = append(c.workersByPool[w.entry.Pool], w)
+		}
 	}
 	return c.workersByID
 }
 
+// workersOf returns the workers of the pool, sorted by ID.
+func (c *Core) workersOf(pool string) []*worker {
+	c.sortedWorkers()
+	return c.workersByPool[pool]
+}
+
 // schedulable reports whether the worker may get new work.
 func (w *worker) schedulable(now time.Duration) bool {
 	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0 && now >= w.pausedUntil
@@ -121,91 +154,13 @@
 	}
 }
 
-// rankedJob is a job with the keys by which rankJobs sorts it.
-type rankedJob struct {
-	job     *job
-	lasting bool
-	// tier is the job's latenessTier.
-	tier         int
-	started      bool
-	priority     int
-	overuseLevel int
-	// slack is the time left before the remaining critical path must start. For late jobs it is the
-	// core-seconds of the job instead, so that the smallest jobs go first.
-	slack time.Duration
-}
-
-// hasReadyItems reports whether work items of the job wait and may start.
-func (j *job) hasReadyItems(wallTime time.Time) bool {
-	for _, step := range j.steps {
-		if step.countInState(itemWaiting) > 0 && j.stepReady(step, wallTime) {
-			return true
-		}
-	}
-	return false
-}
-
-// rankJobs returns the jobs with ready work items in the order in which they get resources: lasting jobs first, since
-// their service is interrupted while they wait; then the jobs that can still meet their deadline; then the
-// late ones whose completion is still of use; then the others. In each of these groups, started jobs go first,
-// since a job that is partly done is of no use yet. Further keys are the queue's priority, the customer's
-// overuse level, and the slack or, for late jobs, the size.
-func (c *Core) rankJobs(now time.Duration) []*job {
-	var list []rankedJob
-	wallTime := c.wallClock()
-	for j := range c.activeJobs {
-		if !j.durable || !j.hasReadyItems(wallTime) {
-			continue
-		}
-		predicted := c.predict(j)
-		slack := j.offeredAt + predicted.relativeDeadline - now - predicted.remainingPath
-		tier := latenessTier(predicted.relativeDeadline, slack)
-		if slack < 0 {
-			slack = time.Duration(predicted.coreSeconds * float64(time.Second))
-		}
-		list = append(list, rankedJob{job: j, lasting: j.def.Lasting(), tier: tier, started: j.started, priority: j.def.Queue.Priority, overuseLevel: j.overuseLevel, slack: slack})
-	}
-	slices.SortFunc(list, func(a, b rankedJob) int {
-		return cmp.Or(compareBool(!a.lasting, !b.lasting), cmp.Compare(a.tier, b.tier), compareBool(!a.started, !b.started),
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.overuseLevel, b.overuseLevel), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.def.ID, b.job.def.ID))
-	})
-	jobs := make([]*job, len(list))
-	for i := range list {
-		jobs[i] = list[i].job
-	}
-	return jobs
-}
-
-// latenessTier returns 0 while the job can meet its deadline, 1 while it is late but its completion is still
-// of use, and 2 after that. slack is the time left before its remaining critical path must start.
-func latenessTier(relativeDeadline, slack time.Duration) int {
-	switch {
-	case slack >= 0:
-		return 0
-	case slack >= -(latenessCutoff-1)*relativeDeadline:
-		return 1
-	}
-	return 2
-}
-
-// compareBool is a comparison function that sorts false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
 // is set, and the others otherwise.
 func (c *Core) planJob(j *job, pool *candidatePool, trials bool, now time.Duration) {
 	wallTime := c.wallClock()
-	for _, step := range j.steps {
+	for _, step := range j.openSteps() {
 		switch {
-		case step.countInState(itemWaiting) == 0 || !j.stepReady(step, wallTime):
+		case !j.isDue(step, wallTime):
 		case !step.def.Gang:
 			c.planStep(step, pool, trials, now)
 		case step.hasSuspects() == trials:
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -44,20 +44,25 @@
 	coreSeconds float64
 }
 
+// lastStepDone reports whether the step is done in the last occurrence.
+func (j *job) lastStepDone(number int) bool { return j.stepAt(j.def.Occurrences()-1, number).done() }
+
 // predict predicts the run time of the job.
 func (c *Core) predict(j *job) prediction {
-	stepDone := func(number int) bool { return j.stepAt(j.def.Occurrences()-1, number).done() }
 	if j.total == nil {
 		j.total = declaredWorkOf(j.def, func(int) bool { return false })
 	}
 	if !j.total.complete {
 		path := c.criticalPath(j.def, func(int) bool { return false })
-		return prediction{relativeDeadline: relativeDeadline(j.def, path), remainingPath: c.criticalPath(j.def, stepDone), coreSeconds: c.predictCoreSeconds(j.def)}
+		return prediction{relativeDeadline: relativeDeadline(j.def, path), remainingPath: c.criticalPath(j.def, j.lastStepDone), coreSeconds: c.predictCoreSeconds(j.def)}
 	}
 	if j.remaining == nil {
-		j.remaining = declaredWorkOf(j.def, stepDone)
+		j.remaining = declaredWorkOf(j.def, j.lastStepDone)
+	}
+	if j.stats == nil {
+		j.stats = c.statsOf(j.def.Queue.Pool)
 	}
-	ratio := c.statsOf(j.def.Queue.Pool).runTimeRatio
+	ratio := j.stats.runTimeRatio
 	return prediction{
 		relativeDeadline: relativeDeadline(j.def, time.Duration(ratio*float64(j.total.path))),
 		remainingPath:    time.Duration(ratio * float64(j.remaining.path)),
--- /dev/null
+++ b/internal/scheduler/rank.go
@@ -0,0 +1,229 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericyoke/internal/work"
+)
+
+// waitingJobs are the jobs of a pool that may have work items to place. They are kept in the order of the last planning
+// cycle, since few jobs change their place from one cycle to the next.
+type waitingJobs struct {
+	ranked []rankedJob
+	// ready is the number of jobs that had ready work items in the last cycle. They come first.
+	ready int
+	// candidates are the workers that may get new work in the present cycle; nil if there are none.
+	candidates *candidatePool
+}
+
+// readyJobs returns the jobs with ready work items in the order in which they get resources.
+func (w *waitingJobs) readyJobs() []rankedJob { return w.ranked[:w.ready] }
+
+// rankedJob is a job with the keys by which compareRanked sorts it.
+type rankedJob struct {
+	job     *job
+	ready   bool
+	lasting bool
+	// tier is the job's latenessTier.
+	tier         int
+	started      bool
+	priority     int
+	overuseLevel int
+	// slack is the time left before the remaining critical path must start. For late jobs it is the
+	// core-seconds of the job instead, so that the smallest jobs go first.
+	slack time.Duration
+}
+
+// compareRanked compares jobs by the order in which they get resources: lasting jobs first, since
+// their service is interrupted while they wait; then the jobs that can still meet their deadline; then the
+// late ones whose completion is still of use; then the others. In each of these groups, started jobs go first,
+// since a job that is partly done is of no use yet. Further keys are the queue's priority, the customer's
+// overuse level, and the slack or, for late jobs, the size. Jobs without ready work items come last.
+func compareRanked(a, b *rankedJob) int {
+	switch {
+	case a.ready != b.ready:
+		return compareBool(!a.ready, !b.ready)
+	case a.lasting != b.lasting:
+		return compareBool(!a.lasting, !b.lasting)
+	case a.tier != b.tier:
+		return cmp.Compare(a.tier, b.tier)
+	case a.started != b.started:
+		return compareBool(!a.started, !b.started)
+	case a.priority != b.priority:
+		return cmp.Compare(a.priority, b.priority)
+	case a.overuseLevel != b.overuseLevel:
+		return cmp.Compare(a.overuseLevel, b.overuseLevel)
+	case a.slack != b.slack:
+		return cmp.Compare(a.slack, b.slack)
+	}
+	return cmp.Compare(a.job.def.ID, b.job.def.ID)
+}
+
+// addWaiting adds the job to those that wait in its pool. A job without work items to place leaves them in the next
+// planning cycle.
+func (c *Core) addWaiting(j *job) {
+	if j.listedAsWaiting || j.finished() {
+		return
+	}
+	j.listedAsWaiting = true
+	pool := c.poolOf(j)
+	if c.waiting[pool] == nil {
+		c.waiting[pool] = &waitingJobs{}
+	}
+	waiting := c.waiting[pool]
+	waiting.ranked = append(waiting.ranked, rankedJob{job: j, lasting: j.def.Lasting(), priority: j.def.Queue.Priority, overuseLevel: j.overuseLevel})
+}
+
+// regroupWaiting groups the waiting jobs by the pools of their queues, which may have changed.
+func (c *Core) regroupWaiting() {
+	former := c.waiting
+	c.waiting = map[string]*waitingJobs{}
+	for _, waiting := range former {
+		for _, r := range waiting.ranked {
+			r.job.listedAsWaiting = false
+			c.addWaiting(r.job)
+		}
+	}
+}
+
+// rankWaiting ranks the waiting jobs of each pool, and returns the number of those with ready work items.
+func (c *Core) rankWaiting(now time.Duration) int {
+	ready := 0
+	wallTime := c.wallClock()
+	for _, waiting := range c.waiting {
+		c.updateRanks(waiting, now, wallTime)
+		ready += waiting.ready
+	}
+	return ready
+}
+
+// updateRanks drops the jobs without work items to place, and sorts the others by their present keys.
+func (c *Core) updateRanks(waiting *waitingJobs, now time.Duration, wallTime time.Time) {
+	kept := 0
+	waiting.ready = 0
+	for n := range waiting.ranked {
+		j := waiting.ranked[n].job
+		if len(j.openSteps()) == 0 {
+			j.listedAsWaiting = false
+			continue
+		}
+		if kept < n {
+			waiting.ranked[kept] = waiting.ranked[n]
+		}
+		r := &waiting.ranked[kept]
+		kept++
+		if r.ready = j.durable && j.hasReadyItems(wallTime); r.ready {
+			c.updateKeys(r, now)
+			waiting.ready++
+		}
+	}
+	clear(waiting.ranked[kept:])
+	waiting.ranked = waiting.ranked[:kept]
+	sortRanked(waiting.ranked)
+}
+
+// updateKeys updates the keys that change with time and with the state of the job.
+func (c *Core) updateKeys(r *rankedJob, now time.Duration) {
+	predicted := c.predict(r.job)
+	slack := r.job.offeredAt + predicted.relativeDeadline - now - predicted.remainingPath
+	r.tier, r.started = latenessTier(predicted.relativeDeadline, slack), r.job.started
+	if slack < 0 {
+		slack = time.Duration(predicted.coreSeconds * float64(time.Second))
+	}
+	r.slack = slack
+}
+
+// maxSwapsPerJob is the number of swaps by insertion, as a multiple of the number of jobs, that sorting anew costs.
+const maxSwapsPerJob = 8
+
+// sortRanked sorts jobs that are nearly sorted.
+func sortRanked(list []rankedJob) {
+	swaps := 0
+	for n := 1; n < len(list); n++ {
+		for k := n; k > 0 && compareRanked(&list[k], &list[k-1]) < 0; k-- {
+			list[k], list[k-1] = list[k-1], list[k]
+			swaps++
+		}
+		if swaps > maxSwapsPerJob*len(list) {
+			slices.SortFunc(list, func(a, b rankedJob) int { return compareRanked(&a, &b) })
+			return
+		}
+	}
+}
+
+// placeableJobs returns the ready jobs of which a work item may fit on a worker of their pool, in the order in which they
+// get resources. The order counts across pools too, since these share the limits of customers.
+func (c *Core) placeableJobs() []*job {
+	var lists [][]*rankedJob
+	wallTime := c.wallClock()
+	total := 0
+	for _, waiting := range c.waiting {
+		if waiting.candidates == nil {
+			continue
+		}
+		var list []*rankedJob
+		for n := range waiting.readyJobs() {
+			if r := &waiting.ranked[n]; r.job.mayFit(waiting.candidates.maxFree, wallTime) {
+				list = append(list, r)
+			}
+		}
+		if len(list) > 0 {
+			lists = append(lists, list)
+			total += len(list)
+		}
+	}
+	return mergeRanked(lists, total)
+}
+
+// mergeRanked merges sorted lists of jobs. total is the sum of their lengths.
+func mergeRanked(lists [][]*rankedJob, total int) []*job {
+	jobs := make([]*job, 0, total)
+	for len(lists) > 0 {
+		first := 0
+		for n := range lists {
+			if compareRanked(lists[n][0], lists[first][0]) < 0 {
+				first = n
+			}
+		}
+		jobs = append(jobs, lists[first][0].job)
+		if lists[first] = lists[first][1:]; len(lists[first]) == 0 {
+			lists = slices.Delete(lists, first, first+1)
+		}
+	}
+	return jobs
+}
+
+// mayFit reports whether a waiting work item of a ready step needs no more than the free resources.
+func (j *job) mayFit(free work.Resources, wallTime time.Time) bool {
+	for _, step := range j.openSteps() {
+		if step.reservation().Fits(free) && j.isDue(step, wallTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// latenessTier returns 0 while the job can meet its deadline, 1 while it is late but its completion is still
+// of use, and 2 after that. slack is the time left before its remaining critical path must start.
+func latenessTier(relativeDeadline, slack time.Duration) int {
+	switch {
+	case slack >= 0:
+		return 0
+	case slack >= -(latenessCutoff-1)*relativeDeadline:
+		return 1
+	}
+	return 2
+}
+
+// compareBool is a comparison function that sorts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -148,8 +148,13 @@
 
 // setState changes the item's state, and the counts of its step and its job.
 func (i *item) setState(state itemState) {
-	i.step.stateCounts[i.state]--
-	i.step.stateCounts[state]++
+	step := i.step
+	waited, wasDone := step.countInState(itemWaiting) > 0, step.done()
+	step.stateCounts[i.state]--
+	step.stateCounts[state]++
+	if waited != (step.countInState(itemWaiting) > 0) || wasDone != step.done() {
+		step.job.openStepsChanged = true
+	}
 	if i.state == itemPlaced {
 		i.step.job.placedCount--
 	}
@@ -192,13 +197,20 @@
 	overuseLevel int
 	// placedCount is the number of items that run or may run.
 	placedCount int
+	// keptOpenSteps is what openSteps returns; it is out of date if openStepsChanged is set.
+	keptOpenSteps    []*stepInstance
+	openStepsChanged bool
+	// listedAsWaiting is set while the job is among Core.waiting.
+	listedAsWaiting bool
+	// stats are the statistics of the job's pool; nil until they are first needed.
+	stats *poolStats
 	// total and remaining are the cached work of all steps of one occurrence, and of the unfinished steps of the
 	// last one; nil if they have to be computed.
 	total, remaining *declaredWork
 }
 
 func newJob(def *work.Job) *job {
-	j := &job{def: def}
+	j := &job{def: def, openStepsChanged: true}
 	for k := range def.Occurrences() {
 		for number := range def.Steps {
 			step := &stepInstance{job: j, occurrence: k, number: number, def: &def.Steps[number]}
@@ -233,12 +245,47 @@
 	return step.items[index]
 }
 
+// openSteps returns the steps with waiting items that may start once their occurrence is due. The result is valid
+// until the next call.
+func (j *job) openSteps() []*stepInstance {
+	if j.finished() {
+		return nil
+	}
+	if j.openStepsChanged {
+		j.openStepsChanged = false
+		j.keptOpenSteps = j.keptOpenSteps[:0]
+		for _, step := range j.steps {
+			if step.countInState(itemWaiting) > 0 && j.dependenciesDone(step) {
+				j.keptOpenSteps = append(j.keptOpenSteps, step)
+			}
+		}
+	}
+	return j.keptOpenSteps
+}
+
+// hasReadyItems reports whether work items of the job wait and may start.
+func (j *job) hasReadyItems(wallTime time.Time) bool {
+	for _, step := range j.openSteps() {
+		if j.isDue(step, wallTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// isDue reports whether the occurrence of the step is due.
+func (j *job) isDue(s *stepInstance, wallTime time.Time) bool {
+	return !wallTime.Before(j.def.DueAt(s.occurrence))
+}
+
 // stepReady reports whether the items of the step may start: the occurrence is due, and the steps on
 // which this one depends are done.
 func (j *job) stepReady(s *stepInstance, wallTime time.Time) bool {
-	if j.finished() || wallTime.Before(j.def.DueAt(s.occurrence)) {
-		return false
-	}
+	return !j.finished() && j.isDue(s, wallTime) && j.dependenciesDone(s)
+}
+
+// dependenciesDone reports whether the steps on which this one depends are done.
+func (j *job) dependenciesDone(s *stepInstance) bool {
 	for _, number := range s.def.After {
 		if dependency := j.stepAt(s.occurrence, number); dependency != nil && !dependency.done() {
 			return false
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -104,11 +104,8 @@
 
 // hasOtherWork reports whether work items of the job may start that need no trial.
 func (j *job) hasOtherWork(wallTime time.Time) bool {
-	for _, step := range j.steps {
-		if step.countInState(itemWaiting) == 0 || !j.stepReady(step, wallTime) {
-			continue
-		}
-		if step.def.Gang && step.hasSuspects() {
+	for _, step := range j.openSteps() {
+		if !j.isDue(step, wallTime) || step.def.Gang && step.hasSuspects() {
 			continue
 		}
 		for _, i := range step.items {
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -48,10 +48,16 @@
 // planTrials starts suspects on trial, and reserves workers for those that can't start yet. poolFor returns the
 // workers that may run a job, or nil.
 func (c *Core) planTrials(poolFor func(*job) *candidatePool, now time.Duration) {
-	waiting := map[*candidatePool][]*item{}
 	clear(c.jobsOnHoldByPool)
+	holds := c.jobsOnHold()
+	if len(holds) == 0 {
+		c.reserveWorkers(nil, now)
+		return
+	}
+	waiting := map[*candidatePool][]*item{}
 	wallTime := c.wallClock()
-	for _, hold := range c.jobsOnHold() {
+	c.findOtherWork(poolFor, wallTime)
+	for _, hold := range holds {
 		pool := poolFor(hold.job)
 		if pool != nil && now-hold.oldest.waitingSince > maxTrialDelay && c.withinLimit(hold.oldest) {
 			pool.overdue = true
@@ -70,6 +76,17 @@
 	c.reserveWorkers(waiting, now)
 }
 
+// findOtherWork notes in which pools work waits that needs no trial.
+func (c *Core) findOtherWork(poolFor func(*job) *candidatePool, wallTime time.Time) {
+	for _, waiting := range c.waiting {
+		for _, r := range waiting.readyJobs() {
+			if pool := poolFor(r.job); pool != nil && !pool.otherWork {
+				pool.otherWork = r.job.hasOtherWork(wallTime)
+			}
+		}
+	}
+}
+
 // reserveWorkers reserves workers for the waiting suspects of each pool, and ends the reservations of the last cycle.
 func (c *Core) reserveWorkers(waiting map[*candidatePool][]*item, now time.Duration) {
 	for _, w := range c.workers {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -58,6 +58,9 @@
 		c.logger.WithFields(logrus.Fields{"event": "worker_capacity_changed", "worker": entry.ID, "cpu_milli": entry.Capacity.CPUMilli, "memory_mib": entry.Capacity.MemoryMiB,
 			"accelerators": entry.Capacity.Accelerators, "used_cpu_milli": w.used.CPUMilli}).Info("capacity of the worker changed")
 	}
+	if entry.Pool != w.entry.Pool {
+		c.workersByID = nil
+	}
 	w.entry, w.rack, w.listed = entry, rackOf(entry.Labels), true
 	w.wakeRenewalLoop()
 	return added
