Pass over workers once per check, and not at all for ends and reservations

Cause: the checks every 50 ms passed over all runs of all workers five times, and each planning cycle passed over all workers twice: to find ends of runs to acknowledge, and to end reservations.

The checks are now one pass over each run. Workers with ends that may not be durable and reserved workers are kept in lists. isStraggler predicts a run time only for runs older than stragglerGrace.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -174,6 +174,10 @@
 	// was added or removed or changed its pool.
 	workersByID   []*worker
 	workersByPool map[string][]*worker
+	// reserved are the workers with reserved set, and formerlyReserved those with wasReserved set.
+	reserved, formerlyReserved []*worker
+	// workersToAck holds the workers with run ends that may not be durable yet.
+	workersToAck map[*worker]struct{}
 	// workersListedAt is when the last successful read of the list of workers was requested whose entries count as
 	// current; 0 before the first one. listReadAt is when the last one of all was, and listSettledAt is from when on
 	// entries count as current again after an outage of the store.
@@ -232,7 +236,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
@@ -417,10 +421,12 @@
 	for _, id := range c.deletedJobIDs {
 		batch.Records = append(batch.Records, infra.Record{Key: definitionPrefix + id}, infra.Record{Key: progressPrefix + id})
 	}
-	for _, w := range c.workers {
-		if w.appliedEnd > w.durableEnd {
-			batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
+	for w := range c.workersToAck {
+		if w.appliedEnd <= w.durableEnd || c.workers[w.entry.ID] != w {
+			delete(c.workersToAck, w)
+			continue
 		}
+		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
 	batch.Orders, batch.waiters, batch.deletedJobIDs = c.pendingOrders, c.waiters, c.deletedJobIDs
 	if len(batch.Records) > 0 {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// ApplyStopResult applies the result of a stop. retryStops orders a stop that wasn't confirmed again.
+// ApplyStopResult applies the result of a stop. retryStop orders a stop that wasn't confirmed again.
 func (c *Core) ApplyStopResult(order *Order, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,15 +184,10 @@
 	}
 }
 
-// retryStops repeats stops that weren't confirmed within stopRetryPause, on workers whose last lease renewal
-// succeeded.
-func (c *Core) retryStops(now time.Duration) {
-	for _, w := range c.workers {
-		c.stopLateStarts(w, now)
-		for i := range w.items {
-			if i.stopping && i.stopConfirmedAt == 0 && now-i.stopOrderedAt > stopRetryPause && w.failedRenewals == 0 {
-				c.orderStop(i)
-			}
-		}
+// retryStop repeats the stop of a placed item if it wasn't confirmed within stopRetryPause, and the last lease renewal of
+// its worker succeeded.
+func (c *Core) retryStop(i *item, now time.Duration) {
+	if i.stopping && i.stopConfirmedAt == 0 && now-i.stopOrderedAt > stopRetryPause && i.worker.failedRenewals == 0 {
+		c.orderStop(i)
 	}
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -18,11 +18,7 @@
 	}
 	if now >= c.nextWorkerCheck {
 		c.nextWorkerCheck = now + workerCheckInterval
-		c.retryStops(now)
-		c.observeUnanswered(now)
-		c.evacuateDraining()
-		c.stopStragglers(now)
-		c.dropUnansweredStarts(now)
+		c.checkWorkers(now)
 	}
 	ready := c.rankWaiting(now)
 	if ready == 0 {
@@ -140,20 +136,6 @@
 	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0 && now >= w.pausedUntil
 }
 
-// evacuateDraining stops lasting work on draining workers, so that it starts on others before they leave.
-func (c *Core) evacuateDraining() {
-	for _, w := range c.workers {
-		if !w.entry.Draining || w.failedRenewals > 0 {
-			continue
-		}
-		for i := range w.items {
-			if i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 {
-				c.orderStop(i)
-			}
-		}
-	}
-}
-
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
 // is set, and the others otherwise.
 func (c *Core) planJob(j *job, pool *candidatePool, trials bool, now time.Duration) {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -174,6 +174,7 @@
 		return
 	}
 	w.appliedEnd = end.Sequence
+	c.workersToAck[w] = struct{}{}
 	if i == nil {
 		return
 	}
--- a/internal/scheduler/stages.go
+++ b/internal/scheduler/stages.go
@@ -85,18 +85,18 @@
 	}
 }
 
-// observeUnanswered updates the metrics of the runs that wait for an answer.
-func (c *Core) observeUnanswered(now time.Duration) {
-	count, oldest := 0, time.Duration(0)
-	for _, w := range c.workers {
-		for i := range w.items {
-			if i.awaitsAnswer(now) {
-				count++
-				oldest = max(oldest, now-i.placedAt)
-			}
-		}
+// unansweredRuns are the number of runs that wait for an answer, and the age of the oldest one.
+type unansweredRuns struct {
+	count  int
+	oldest time.Duration
+}
+
+// observe counts the run of the placed item if it waits for an answer.
+func (u *unansweredRuns) observe(i *item, now time.Duration) {
+	if i.awaitsAnswer(now) {
+		u.count++
+		u.oldest = max(u.oldest, now-i.placedAt)
 	}
-	c.metrics.unansweredRuns(count, oldest)
 }
 
 // logSlowAnswers logs the stages of a placed item's run that leaves its worker, if the worker's answers took long.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -24,27 +24,23 @@
 	maxStragglerPause = 8 * time.Second
 )
 
-// stopStragglers stops the stragglers, and pauses the workers that have several.
-func (c *Core) stopStragglers(now time.Duration) {
-	for _, w := range c.workers {
-		if w.failedRenewals > 0 || w.entry.Draining {
-			continue
-		}
-		stragglers := 0
-		for i := range w.items {
-			if !c.isStraggler(i, now) {
-				continue
-			}
-			stragglers++
-			i.avoidedWorker = w
-			c.logger.WithFields(logrus.Fields{"event": "straggler_stopped", "item": i.id().String(), "run": i.run, "worker": w.entry.ID,
-				"took_ms": (now - i.startConfirmedAt).Milliseconds(), "predicted_ms": c.predictRunTime(i.step.job.def, i.step.def).Milliseconds()}).Info("run takes far longer than predicted; stopping it to start it on another worker")
-			c.orderStop(i)
-		}
-		if stragglers >= slowWorkerStragglers && now >= w.pausedUntil {
-			w.lastStragglerPause = min(maxStragglerPause, max(minStragglerPause, 2*w.lastStragglerPause))
-			w.pausedUntil = now + w.lastStragglerPause
-		}
+// stopStraggler stops the run of the placed item if it is a straggler, and reports whether it is.
+func (c *Core) stopStraggler(i *item, now time.Duration) bool {
+	if !c.isStraggler(i, now) {
+		return false
+	}
+	i.avoidedWorker = i.worker
+	c.logger.WithFields(logrus.Fields{"event": "straggler_stopped", "item": i.id().String(), "run": i.run, "worker": i.worker.entry.ID,
+		"took_ms": (now - i.startConfirmedAt).Milliseconds(), "predicted_ms": c.predictRunTime(i.step.job.def, i.step.def).Milliseconds()}).Info("run takes far longer than predicted; stopping it to start it on another worker")
+	c.orderStop(i)
+	return true
+}
+
+// pauseForStragglers pauses the worker if several of its runs are stragglers.
+func (w *worker) pauseForStragglers(stragglers int, now time.Duration) {
+	if stragglers >= slowWorkerStragglers && now >= w.pausedUntil {
+		w.lastStragglerPause = min(maxStragglerPause, max(minStragglerPause, 2*w.lastStragglerPause))
+		w.pausedUntil = now + w.lastStragglerPause
 	}
 }
 
@@ -54,6 +50,9 @@
 	if i.step.def.Lasting || i.step.def.Gang || i.stopping || i.startConfirmedAt == 0 || i.avoidedWorker != nil && i.avoidedWorker != i.worker {
 		return false
 	}
+	if now-i.startConfirmedAt <= stragglerGrace {
+		return false
+	}
 	limit := time.Duration(stragglerFactor*float64(c.predictRunTime(i.step.job.def, i.step.def))) + stragglerGrace
 	return now-i.startConfirmedAt > limit
 }
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -61,20 +61,18 @@
 // a run that had begun is known: its worker has answered a second order, or listed it.
 const maxTrialTime = 2 * trialTime
 
-// dropUnansweredStarts ends the part of the runs in trials whose starts have had no response for maxTrialTime. They
-// may still begin, but the other runs of the trial have been tried.
-func (c *Core) dropUnansweredStarts(now time.Duration) {
-	for _, w := range c.workers {
-		if w.trial == nil || now-w.trial.plannedAt < maxTrialTime {
-			continue
+// dropUnansweredStarts ends the part of the runs in the worker's trial whose starts have had no response for
+// maxTrialTime. They may still begin, but the other runs of the trial have been tried.
+func (w *worker) dropUnansweredStarts(now time.Duration) {
+	if w.trial == nil || now-w.trial.plannedAt < maxTrialTime {
+		return
+	}
+	for i := range w.trial.items {
+		if i.startConfirmedAt == 0 {
+			w.endTrial(i, now)
 		}
-		for i := range w.trial.items {
-			if i.startConfirmedAt == 0 {
-				w.endTrial(i, now)
-			}
-			if w.trial == nil {
-				break
-			}
+		if w.trial == nil {
+			return
 		}
 	}
 }
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -89,11 +89,15 @@
 
 // reserveWorkers reserves workers for the waiting suspects of each pool, and ends the reservations of the last cycle.
 func (c *Core) reserveWorkers(waiting map[*candidatePool][]*item, now time.Duration) {
-	for _, w := range c.workers {
-		w.wasReserved, w.reserved = w.reserved, false
+	for _, w := range c.formerlyReserved {
+		w.wasReserved = false
 	}
+	for _, w := range c.reserved {
+		w.wasReserved, w.reserved = true, false
+	}
+	c.reserved, c.formerlyReserved = c.formerlyReserved[:0], c.reserved
 	for pool, items := range waiting {
-		pool.reserve(items, now)
+		c.reserved = append(c.reserved, pool.reserve(items, now)...)
 	}
 }
 
@@ -126,18 +130,21 @@
 }
 
 // reserve reserves a worker for each of the waiting suspects, in their order, while there are any that may get a
-// trial.
-func (p *candidatePool) reserve(waiting []*item, now time.Duration) {
+// trial. It returns these workers.
+func (p *candidatePool) reserve(waiting []*item, now time.Duration) []*worker {
+	var reserved []*worker
 	free := p.freeTrials(now)
 	for _, i := range waiting {
 		if free == 0 {
-			return
+			break
 		}
 		if w := p.bestToReserve(i); w != nil {
 			w.reserved = true
+			reserved = append(reserved, w)
 			free--
 		}
 	}
+	return reserved
 }
 
 // bestToReserve returns the worker that is expected to be able to start the suspect first, or nil.
