--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -167,9 +167,17 @@
 	queuePools map[string]string
 	jobs       map[string]*job
 	activeJobs map[*job]struct{}
-	workers    map[string]*worker
-	// workersByID are all workers sorted by ID; nil after a worker was added or removed.
-	workersByID []*worker
+	// waiting holds the jobs that may have work items to place, by pool.
+	waiting map[string]*waitingJobs
+	workers map[string]*worker
+	// workersByID are all workers sorted by ID, and workersByPool those of each pool; workersByID is nil after a worker
+	// was added or removed or changed its pool.
+	workersByID   []*worker
+	workersByPool map[string][]*worker
+	// reserved are the workers with reserved set, and formerlyReserved those with wasReserved set.
+	reserved, formerlyReserved []*worker
+	// workersToAck holds the workers with run ends that may not be durable yet.
+	workersToAck map[*worker]struct{}
 	// workersListedAt is when the last successful read of the list of workers was requested whose entries count as
 	// current; 0 before the first one. listReadAt is when the last one of all was, and listSettledAt is from when on
 	// entries count as current again after an outage of the store.
@@ -229,7 +237,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, workers: map[string]*worker{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
@@ -256,6 +264,7 @@
 				c.queuePools[name] = config.Queues[i].Pool
 			}
 		}
+		c.regroupWaiting()
 		c.wakeUp()
 	}
 }
@@ -312,6 +321,7 @@
 	}
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
+		c.addWaiting(j)
 	}
 }
 
@@ -383,9 +393,10 @@
 	c.markDirty(i.step.job)
 }
 
-// markDirty adds the job's records to the next batch.
+// markDirty adds the job's records to the next batch, and the job to those that may have work items to place.
 func (c *Core) markDirty(j *job) {
 	c.dirtyJobs[j] = struct{}{}
+	c.addWaiting(j)
 	c.wakeUp()
 }
 
@@ -413,10 +424,12 @@
 	for _, id := range c.deletedJobIDs {
 		batch.Records = append(batch.Records, infra.Record{Key: definitionPrefix + id}, infra.Record{Key: progressPrefix + id})
 	}
-	for _, w := range c.workers {
-		if w.appliedEnd > w.durableEnd {
-			batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
+	for w := range c.workersToAck {
+		if w.appliedEnd <= w.durableEnd || c.workers[w.entry.ID] != w {
+			delete(c.workersToAck, w)
+			continue
 		}
+		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
 	batch.Orders, batch.waiters, batch.deletedJobIDs = c.pendingOrders, c.waiters, c.deletedJobIDs
 	if len(batch.Records) > 0 {
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -61,20 +61,18 @@
 // a run that had begun is known: its worker has answered a second order, or listed it.
 const maxTrialTime = 2 * trialTime
 
-// dropUnansweredStarts ends the part of the runs in trials whose starts have had no response for maxTrialTime. They
-// may still begin, but the other runs of the trial have been tried.
-func (c *Core) dropUnansweredStarts(now time.Duration) {
-	for _, w := range c.workers {
-		if w.trial == nil || now-w.trial.plannedAt < maxTrialTime {
-			continue
+// dropUnansweredStarts ends the part of the runs in the worker's trial whose starts have had no response for
+// maxTrialTime. They may still begin, but the other runs of the trial have been tried.
+func (w *worker) dropUnansweredStarts(now time.Duration) {
+	if w.trial == nil || now-w.trial.plannedAt < maxTrialTime {
+		return
+	}
+	for i := range w.trial.items {
+		if i.startConfirmedAt == 0 {
+			w.endTrial(i, now)
 		}
-		for i := range w.trial.items {
-			if i.startConfirmedAt == 0 {
-				w.endTrial(i, now)
-			}
-			if w.trial == nil {
-				break
-			}
+		if w.trial == nil {
+			return
 		}
 	}
 }
@@ -104,11 +102,8 @@
 
 // hasOtherWork reports whether work items of the job may start that need no trial.
 func (j *job) hasOtherWork(wallTime time.Time) bool {
-	for _, step := range j.steps {
-		if step.countInState(itemWaiting) == 0 || !j.stepReady(step, wallTime) {
-			continue
-		}
-		if step.def.Gang && step.hasSuspects() {
+	for _, step := range j.openSteps() {
+		if !j.isDue(step, wallTime) || step.def.Gang && step.hasSuspects() {
 			continue
 		}
 		for _, i := range step.items {
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -48,10 +48,16 @@
 // planTrials starts suspects on trial, and reserves workers for those that can't start yet. poolFor returns the
 // workers that may run a job, or nil.
 func (c *Core) planTrials(poolFor func(*job) *candidatePool, now time.Duration) {
-	waiting := map[*candidatePool][]*item{}
 	clear(c.jobsOnHoldByPool)
+	holds := c.jobsOnHold()
+	if len(holds) == 0 {
+		c.reserveWorkers(nil, now)
+		return
+	}
+	waiting := map[*candidatePool][]*item{}
 	wallTime := c.wallClock()
-	for _, hold := range c.jobsOnHold() {
+	c.findOtherWork(poolFor, wallTime)
+	for _, hold := range holds {
 		pool := poolFor(hold.job)
 		if pool != nil && now-hold.oldest.waitingSince > maxTrialDelay && c.withinLimit(hold.oldest) {
 			pool.overdue = true
@@ -70,13 +76,28 @@
 	c.reserveWorkers(waiting, now)
 }
 
+// findOtherWork notes in which pools work waits that needs no trial.
+func (c *Core) findOtherWork(poolFor func(*job) *candidatePool, wallTime time.Time) {
+	for _, waiting := range c.waiting {
+		for _, r := range waiting.readyJobs() {
+			if pool := poolFor(r.job); pool != nil && !pool.otherWork {
+				pool.otherWork = r.job.hasOtherWork(wallTime)
+			}
+		}
+	}
+}
+
 // reserveWorkers reserves workers for the waiting suspects of each pool, and ends the reservations of the last cycle.
 func (c *Core) reserveWorkers(waiting map[*candidatePool][]*item, now time.Duration) {
-	for _, w := range c.workers {
-		w.wasReserved, w.reserved = w.reserved, false
+	for _, w := range c.formerlyReserved {
+		w.wasReserved = false
+	}
+	for _, w := range c.reserved {
+		w.wasReserved, w.reserved = true, false
 	}
+	c.reserved, c.formerlyReserved = c.formerlyReserved[:0], c.reserved
 	for pool, items := range waiting {
-		pool.reserve(items, now)
+		c.reserved = append(c.reserved, pool.reserve(items, now)...)
 	}
 }
 
@@ -109,18 +130,21 @@
 }
 
 // reserve reserves a worker for each of the waiting suspects, in their order, while there are any that may get a
-// trial.
-func (p *candidatePool) reserve(waiting []*item, now time.Duration) {
+// trial. It returns these workers.
+func (p *candidatePool) reserve(waiting []*item, now time.Duration) []*worker {
+	var reserved []*worker
 	free := p.freeTrials(now)
 	for _, i := range waiting {
 		if free == 0 {
-			return
+			break
 		}
 		if w := p.bestToReserve(i); w != nil {
 			w.reserved = true
+			reserved = append(reserved, w)
 			free--
 		}
 	}
+	return reserved
 }
 
 // bestToReserve returns the worker that is expected to be able to start the suspect first, or nil.
