Reject jobs that no append contains while the log stalls

While an append took longer than 700 ms, new submissions were rejected, but those that had come in that time waited behind the append for the whole outage and ended with an unknown outcome, although no append contained them. They certainly don't run: they are now rejected as not run as soon as the log counts as stalled, and their customers' bookings are taken back. When a term ends, such jobs count as not taken, so that the entry process passes them to the next leader.

The outcome of the jobs in the append in progress stays unknown.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -404,6 +404,7 @@
 			continue
 		}
 		j.definitionWritten = true
+		c.waiters, j.submitters = append(c.waiters, j.submitters...), nil
 		batch.Records = append(batch.Records, records...)
 		batch.changedJobs = append(batch.changedJobs, j)
 	}
@@ -457,7 +458,8 @@
 }
 
 // Abandon closes the core when the batch may not have become durable. Callers that wait for this batch
-// or a later one get OutcomeUnknown.
+// get OutcomeUnknown. Jobs that no batch contains yet are lost with the core, so that their callers get
+// OutcomeTermOver.
 func (c *Core) Abandon(batch *Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -468,6 +470,9 @@
 	for _, waiter := range waiting {
 		waiter <- Outcome{Kind: OutcomeUnknown}
 	}
+	for j := range c.dirtyJobs {
+		c.answerSubmitters(j, Outcome{Kind: OutcomeTermOver})
+	}
 }
 
 // ObserveDelay records how late a periodic check of this process began. A process that has more to do than its
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -38,8 +38,9 @@
 	return min(maxOveruseLevel, int(max(0, a.bookedUntil-now)/overuseLevelTime))
 }
 
-// bookWork books the work of an accepted job for its customer. The active customers share the given cores.
-func (c *Core) bookWork(def *work.Job, cores float64, now time.Duration) {
+// bookWork books the work of an accepted job for its customer. The active customers share the given cores. It returns
+// the booked time.
+func (c *Core) bookWork(def *work.Job, cores float64, now time.Duration) time.Duration {
 	stats := c.statsOf(def.Queue.Pool)
 	a := stats.accounts[def.Customer]
 	if a == nil {
@@ -54,10 +55,19 @@
 		}
 	}
 	if cores <= 0 || totalShares <= 0 {
-		return
+		return 0
 	}
 	rate := cores * c.shareOf(def.Customer) / totalShares
-	a.bookedUntil = max(a.bookedUntil, now) + time.Duration(c.predictCoreSeconds(def)/rate*float64(time.Second))
+	booked := time.Duration(c.predictCoreSeconds(def) / rate * float64(time.Second))
+	a.bookedUntil = max(a.bookedUntil, now) + booked
+	return booked
+}
+
+// cancelBooking takes back the booked work of a job that is rejected after all.
+func (c *Core) cancelBooking(j *job) {
+	if a := c.statsOf(j.def.Queue.Pool).accounts[j.def.Customer]; a != nil {
+		a.bookedUntil -= j.booked
+	}
 }
 
 // shareOf returns the configured share of a customer, and 1 for a customer that isn't configured.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -171,9 +171,13 @@
 	inherited bool
 	// definitionWritten is set once a batch contains the record of the definition.
 	definitionWritten bool
-	cancelled         bool
-	failed            bool
-	completed         bool
+	// submitters wait for the acceptance, until a batch contains the record of the definition.
+	submitters []chan<- Outcome
+	// booked is the time by which the job moved its customer's booked time forward.
+	booked    time.Duration
+	cancelled bool
+	failed    bool
+	completed bool
 	// visibleCompleted, visibleFailed and visibleCancelled are the states that callers see. They are set to
 	// completed, failed and cancelled once these are durable.
 	visibleCompleted bool
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -159,7 +159,8 @@
 var errFenced = errors.New("fenced: a worker or host has seen a higher fencing token")
 
 // watchFence ends the term once a higher fencing token was seen. Unlike commitBatches, it does so even while an
-// append is in progress. It also tells the core how late its checks begin.
+// append is in progress. It also tells the core how late its checks begin, and has it reject what waits behind an append
+// that takes too long.
 func (s *session) watchFence(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if s.core.Fenced() {
@@ -168,6 +169,7 @@
 		checkedAt := s.Clock()
 		_ = periodic.Pause(ctx, fenceCheckInterval)
 		s.core.ObserveDelay(s.Clock() - checkedAt - fenceCheckInterval)
+		s.core.RejectUnwrittenJobs()
 	}
 	return ctx.Err()
 }
