Tell unsent forwards as not run, and don't forward on dead connections

A forward whose caller's time limit passed while the connection to the leader was being opened counted as possibly carried out (502), since the error was that of the context and not of the dial. A call that never got a connection now counts as not sent (503 with Retry-After). After a call without a response the idle connections to that process are closed, which may be dead as well, so that later calls are known not to have been sent. Each process has a transport of its own for that.

--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -6,9 +6,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -127,22 +130,24 @@
 
 // Clients holds one Client for each address of an entry process.
 type Clients struct {
-	httpClient *http.Client
-
 	mu        sync.Mutex
 	byAddress map[string]*Client
 }
 
-// NewClients returns an empty set of clients, which share one HTTP transport.
-func NewClients() *Clients {
+// NewClients returns an empty set of clients.
+func NewClients() *Clients { return &Clients{byAddress: map[string]*Client{}} }
+
+// newHTTPClient returns an HTTP client with connections of its own.
+func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Clients{byAddress: map[string]*Client{}, httpClient: &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	}}
 }
 
 // Client implements Service by calling one entry process.
 type Client struct {
+	http    *http.Client
 	submit  *connect.Client[SubmitRequest, OutcomeResponse]
 	cancel  *connect.Client[CancelRequest, OutcomeResponse]
 	state   *connect.Client[StateRequest, StateResponse]
@@ -157,12 +162,14 @@
 	if client := c.byAddress[address]; client != nil {
 		return client
 	}
+	httpClient := newHTTPClient()
 	client := &Client{
-		submit:  newClient[SubmitRequest, OutcomeResponse](c.httpClient, address, submitProcedure),
-		cancel:  newClient[CancelRequest, OutcomeResponse](c.httpClient, address, cancelProcedure),
-		state:   newClient[StateRequest, StateResponse](c.httpClient, address, stateProcedure),
-		pending: newClient[PendingRequest, PendingResponse](c.httpClient, address, pendingProcedure),
-		config:  newClient[ConfigRequest, ConfigResponse](c.httpClient, address, configProcedure),
+		http:    httpClient,
+		submit:  newClient[SubmitRequest, OutcomeResponse](httpClient, address, submitProcedure),
+		cancel:  newClient[CancelRequest, OutcomeResponse](httpClient, address, cancelProcedure),
+		state:   newClient[StateRequest, StateResponse](httpClient, address, stateProcedure),
+		pending: newClient[PendingRequest, PendingResponse](httpClient, address, pendingProcedure),
+		config:  newClient[ConfigRequest, ConfigResponse](httpClient, address, configProcedure),
 	}
 	c.byAddress[address] = client
 	return client
@@ -172,43 +179,56 @@
 	return connect.NewClient[Request, Response](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}))
 }
 
-func callUnary[Request, Response any](ctx context.Context, client *connect.Client[Request, Response], request *Request) (*Response, error) {
+// errNotSent is the error of a call for which no connection was open before it ended.
+var errNotSent = errors.New("the call wasn't sent")
+
+// callUnary calls the process of c. An error wraps errNotSent if nothing was sent. After a call without a response the
+// idle connections are closed, which may be dead as well: calls that need new ones are known not to have been sent
+// while the process can't be reached.
+func callUnary[Request, Response any](ctx context.Context, c *Client, client *connect.Client[Request, Response], request *Request) (*Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	response, err := client.CallUnary(ctx, connect.NewRequest(request))
-	if err != nil {
-		return nil, err
+	switch {
+	case err == nil:
+		return response.Msg, nil
+	case !connected.Load():
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
+	case !connect.IsWireError(err):
+		c.http.CloseIdleConnections()
 	}
-	return response.Msg, nil
+	return nil, err
 }
 
 // Submit implements Service.
 func (c *Client) Submit(ctx context.Context, request *SubmitRequest) (*OutcomeResponse, error) {
-	return callUnary(ctx, c.submit, request)
+	return callUnary(ctx, c, c.submit, request)
 }
 
 // Cancel implements Service.
 func (c *Client) Cancel(ctx context.Context, request *CancelRequest) (*OutcomeResponse, error) {
-	return callUnary(ctx, c.cancel, request)
+	return callUnary(ctx, c, c.cancel, request)
 }
 
 // State implements Service.
 func (c *Client) State(ctx context.Context, request *StateRequest) (*StateResponse, error) {
-	return callUnary(ctx, c.state, request)
+	return callUnary(ctx, c, c.state, request)
 }
 
 // Pending implements Service.
 func (c *Client) Pending(ctx context.Context, request *PendingRequest) (*PendingResponse, error) {
-	return callUnary(ctx, c.pending, request)
+	return callUnary(ctx, c, c.pending, request)
 }
 
 // Config implements Service.
 func (c *Client) Config(ctx context.Context, request *ConfigRequest) (*ConfigResponse, error) {
-	return callUnary(ctx, c.config, request)
+	return callUnary(ctx, c, c.config, request)
 }
 
-// HadNoEffect reports whether err proves that the call had no effect: the connection couldn't be opened, or
-// the process responded that it doesn't run the scheduler.
+// HadNoEffect reports whether err proves that the call had no effect: it wasn't sent, the connection couldn't be
+// opened, or the process responded that it doesn't run the scheduler.
 func HadNoEffect(err error) bool {
-	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+	if errors.Is(err, errNotSent) || connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return true
 	}
 	var opErr *net.OpError
