Check each number of a work item's ID before its step is looked up

Cause: the position of a step is occurrence * steps + step, without a check of the single numbers. A report, or a record of an earlier term, that names an occurrence of 2^62 overflows to a negative position, and the lookup panics: the process ends, and so does each one that becomes the scheduler after it and reads the same report. Ruled out: parsing; ParseItemID accepts every number of 0 or more, and records aren't parsed by it. Conclusion: numbers out of range name no work item. TestReportOfAnItemOutOfRange panics without the change and passes with it.

--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -215,19 +215,19 @@
 // finished reports whether the job is cancelled, failed or completed, so that no more runs are started.
 func (j *job) finished() bool { return j.cancelled || j.failed || j.completed }
 
-// stepAt returns a step of an occurrence, or nil if the job doesn't have it.
+// stepAt returns a step of an occurrence, or nil if the job doesn't have it. The numbers may come from a report or a
+// record, and each is checked by itself, since their product may overflow.
 func (j *job) stepAt(occurrence, number int) *stepInstance {
-	index := occurrence*len(j.def.Steps) + number
-	if number >= len(j.def.Steps) || index >= len(j.steps) {
+	if occurrence < 0 || occurrence >= j.def.Occurrences() || number < 0 || number >= len(j.def.Steps) {
 		return nil
 	}
-	return j.steps[index]
+	return j.steps[occurrence*len(j.def.Steps)+number]
 }
 
 // itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it.
 func (j *job) itemAt(occurrence, number, index int) *item {
 	step := j.stepAt(occurrence, number)
-	if step == nil || index >= len(step.items) {
+	if step == nil || index < 0 || index >= len(step.items) {
 		return nil
 	}
 	return step.items[index]
