Count run ends with an unknown cause under one label

Cause: the cause of a run's end in a worker's report became a metric label as it was. A label that isn't valid UTF-8 panics, which ends the process; any other text adds a time series that never goes away. Conclusion: causes that package infra doesn't name are counted as unknown; the end itself is handled as before. TestReportOfAnUnknownEndCause panics without the change ('label value is not valid UTF-8') and passes with it.

--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -80,10 +80,20 @@
 	m.starts.WithLabelValues(outcome).Inc()
 }
 
+// unknownCause is the label of run ends whose cause isn't one of package infra.
+const unknownCause = "unknown"
+
+// runEnded counts the end of a run. The cause comes from a worker: it is used as a label only if it is a known one.
 func (m *Metrics) runEnded(cause infra.EndCause) {
-	if m != nil {
-		m.ends.WithLabelValues(string(cause)).Inc()
+	if m == nil {
+		return
+	}
+	label := unknownCause
+	switch cause {
+	case infra.EndDone, infra.EndFailed, infra.EndStopped, infra.EndLeaseExpired, infra.EndGangBroken, infra.EndGangIncomplete:
+		label = string(cause)
 	}
+	m.ends.WithLabelValues(label).Inc()
 }
 
 // crashCounted counts a crash that was counted against a work item.
--- a/internal/scheduler/odd_records_test.go
+++ b/internal/scheduler/odd_records_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
@@ -30,3 +32,20 @@
 	}
 	assert.Equal(t, tc.jobs["job"].completed, false)
 }
+
+// Guards against a report of one worker that ends the process: a metric's label must be valid UTF-8, and a cause that
+// isn't panicked. Causes that the platform doesn't define share one label, so that their number is bounded.
+func TestReportOfAnUnknownEndCause(t *testing.T) {
+	tc := newTestCore(1)
+	tc.metrics = NewMetrics(prometheus.NewRegistry())
+	id := tc.addWorker(1, 8)
+	tc.submit("job", "", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}})
+	for n, cause := range []infra.EndCause{"\xff", "odd\n", ""} {
+		tc.commit()
+		item := tc.jobs["job"].itemAt(0, 0, 0)
+		assert.Equal(t, item.state, itemPlaced)
+		tc.ApplyReport(id, infra.WorkerReport{ClockMs: 1000, Ended: []infra.EndedRun{{Sequence: int64(n + 1), Item: item.id(), Run: item.run, Cause: cause}}}, tc.now)
+	}
+	assert.Equal(t, testutil.ToFloat64(tc.metrics.ends.WithLabelValues(unknownCause)), 3.0)
+	assert.Equal(t, testutil.CollectAndCount(tc.metrics.ends), 1)
+}
