Check the numbers of stored jobs, and skip the records that are odd

Cause: a record among those of the jobs was used as it was decoded. One with a huge number of work items or occurrences uses up the memory of each process that becomes the scheduler; one under another job's key replaces that job; a placement without a worker adds a worker without an ID; a progress record that can't be decoded to its end changed the job all the same. Ruled out: the decoder itself; it refuses 20,000 levels of nesting and truncated records, one record at a time. Conclusion: work.Job.Check holds the limits, for stored jobs as for submitted ones.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -322,6 +322,10 @@
 	case itemDone:
 		i.setState(itemDone)
 	case itemPlaced:
+		if record.Worker == "" {
+			// An item is placed on a worker: the record is one of another writer.
+			return
+		}
 		// The recorded run has no known end yet, so only the runs before it are accounted for.
 		i.inherited, i.placedAt, i.lastAccountedRun = true, now, record.Run-1
 		w := c.workers[record.Worker]
--- a/internal/scheduler/odd_records_test.go
+++ b/internal/scheduler/odd_records_test.go
@@ -1,9 +1,13 @@
 package scheduler
 
 import (
+	"bytes"
+	"fmt"
 	"math"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
@@ -49,3 +53,83 @@
 	assert.Equal(t, testutil.ToFloat64(tc.metrics.ends.WithLabelValues(unknownCause)), 3.0)
 	assert.Equal(t, testutil.CollectAndCount(tc.metrics.ends), 1)
 }
+
+// oddRecords returns records of another writer: definitions that can't be kept in memory or name things that don't
+// exist, and progress out of range of the job "good".
+func oddRecords(t testing.TB) []infra.Record {
+	step := work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}}
+	odd := func(change func(*work.Job)) work.Job {
+		def := work.Job{ID: "odd", Steps: []work.Step{step, step}}
+		change(&def)
+		return def
+	}
+	var records []infra.Record
+	add := func(key string, value any) {
+		encoded, err := cbor.Marshal(value)
+		assert.NilError(t, err)
+		records = append(records, infra.Record{Key: key, Value: encoded})
+	}
+	for n, def := range []work.Job{
+		odd(func(def *work.Job) { def.Steps = nil }),
+		odd(func(def *work.Job) { def.Steps[1].Count = math.MaxInt }),
+		odd(func(def *work.Job) { def.Steps[1].Count = -1 }),
+		odd(func(def *work.Job) { def.Steps[1].Count = work.MaxItems }),
+		odd(func(def *work.Job) { def.Recurrence.Times = math.MaxInt }),
+		odd(func(def *work.Job) { def.Recurrence = work.Recurrence{Times: 3, Interval: math.MaxInt64} }),
+		odd(func(def *work.Job) { def.Steps[1].Need.CPUMilli = math.MaxInt64 }),
+		odd(func(def *work.Job) { def.Steps[1].Need.CPUMilli = -1 }),
+		odd(func(def *work.Job) { def.Steps[1].After = []int{1} }),
+		odd(func(def *work.Job) { def.Steps[1].MaxPerHost = -1 }),
+		odd(func(def *work.Job) { def.ID = "good" }),
+	} {
+		key := "odd"
+		if def.ID == "odd" {
+			key = fmt.Sprint("odd-", n)
+			def.ID = key
+		}
+		add(definitionPrefix+key, def)
+	}
+	progress := progressRecord{Items: []itemRecord{{State: itemPlaced, Run: 1}}}
+	for _, id := range oddItemIDs("good") {
+		progress.Items = append(progress.Items, itemRecord{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, State: itemDone, Run: math.MaxInt64, Worker: "w"})
+		progress.Crashes = append(progress.Crashes, crashRecord{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Known: -1})
+	}
+	add(progressPrefix+"good", progress)
+	return append(records, infra.Record{Key: definitionPrefix + "deep", Value: bytes.Repeat([]byte{0x81}, 20000)},
+		infra.Record{Key: progressPrefix + "bytes", Value: []byte{0xff}}, infra.Record{Key: definitionPrefix, Value: []byte{}}, infra.Record{Key: "\xff", Value: []byte{1}})
+}
+
+// Guards against a record of another writer among those of the jobs that ends each process that loads it, or that costs
+// other jobs: it is skipped, and the other jobs are loaded and run.
+func TestOddJobRecordsAreSkipped(t *testing.T) {
+	tc := newTestCore(2)
+	def := &work.Job{ID: "good", Queue: tc.config.Queues[0], Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}}}}
+	value, err := cbor.Marshal(def)
+	assert.NilError(t, err)
+	tc.Load(append(oddRecords(t), infra.Record{Key: definitionPrefix + "good", Value: value}))
+	assert.Equal(t, len(tc.jobs), 1)
+	assert.Equal(t, len(tc.workers), 0, "a placement without a worker has added one")
+	tc.addWorker(1, 8)
+	tc.now += time.Minute
+	tc.ApplyReport("worker-1", infra.WorkerReport{ClockMs: 61000}, tc.now)
+	tc.commit()
+	assert.Equal(t, tc.jobs["good"].itemAt(0, 0, 0).state, itemPlaced)
+}
+
+// FuzzLoad checks that no record of the topic of jobs makes a term panic, and that the jobs it loads are in range.
+func FuzzLoad(f *testing.F) {
+	for _, record := range oddRecords(f) {
+		f.Add(record.Key, record.Value)
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		tc := newTestCore(2)
+		records := []infra.Record{{Key: key, Value: value}}
+		tc.Load(records)
+		tc.LoadHostRecords(records)
+		for id, job := range tc.jobs {
+			assert.Equal(t, job.def.ID, id)
+			assert.NilError(t, job.def.Check())
+		}
+		tc.commit()
+	})
+}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -122,12 +123,15 @@
 		}
 		var err error
 		if id, ok := strings.CutPrefix(record.Key, definitionPrefix); ok {
-			def := &work.Job{}
-			if err = cbor.Unmarshal(record.Value, def); err == nil {
+			var def *work.Job
+			if def, err = decodeDefinition(id, record.Value); err == nil {
 				entry(id).def = def
 			}
 		} else if id, ok := strings.CutPrefix(record.Key, progressPrefix); ok {
-			err = cbor.Unmarshal(record.Value, &entry(id).progress)
+			var progress progressRecord
+			if err = cbor.Unmarshal(record.Value, &progress); err == nil {
+				entry(id).progress = progress
+			}
 		}
 		if err != nil {
 			unreadable = append(unreadable, record.Key)
@@ -135,3 +139,17 @@
 	}
 	return jobs, unreadable
 }
+
+// decodeDefinition decodes the definition of the job with the ID. Its numbers are checked, since the log may hold
+// records of another writer.
+func decodeDefinition(id string, value []byte) (*work.Job, error) {
+	def := &work.Job{}
+	if err := cbor.Unmarshal(value, def); err != nil {
+		return nil, err
+	}
+	if def.ID != id {
+		return nil, fmt.Errorf("definition of job %q has the ID %q", id, def.ID)
+	}
+	def.Normalize()
+	return def, def.Check()
+}
