Check the entries of the list of workers once, and log a skipped one once

Cause: an entry counted if it had a service, a colon in its address and a capacity of 0 or more. Entries of other writers with a port out of range, an address with a line break, a host name or 0.0.0.0 (this host), a capacity of 2^63-1 (the sums over a pool overflow), an empty or unprintable ID (an item on a worker without an ID is recorded as on none) or a start time in the far future (its worker counts as restarted, and each later report as one of an earlier process) became workers. Times left overflowed: a warm-up of 2^63-1 ms became -1 ms. A writer that repeats its odd entry added a log line each time. Ruled out: the page of the log as a whole; entries are records or base64 of their own, so that 20,000 levels of nesting cost one entry. Conclusion: odd.go has one check of each kind; entries that fail it name no worker, are counted in entry_records_skipped_total and logged once until the key has a valid entry again. TestOddWorkerEntriesListNoWorker and TestTimesLeftAreClamped fail with the former checks, TestSkippedRecordIsLoggedOnce had no former counterpart. The two tests that build a Directory pass its new field; their assertions are unchanged.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -94,6 +94,7 @@
 	logger := telemetry.NewLogger(logs, "entry", settings.Zone).WithField("name", settings.NodeName)
 	registry := telemetry.NewRegistry()
 	services := platform.NewServices(settings, logger)
+	registry.MustRegister(services.Skipped)
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
