--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -67,11 +67,11 @@
 // Unlimited stands for a missing limit in EffectiveLimit.
 const Unlimited = int64(1) << 60
 
-// EffectiveLimit returns Limit with Unlimited for each resource that has no limit.
+// EffectiveLimit returns Limit with Unlimited for each resource that has no limit, or a higher one.
 func (c Customer) EffectiveLimit() Resources {
 	limit := c.Limit
 	for _, amount := range []*int64{&limit.CPUMilli, &limit.MemoryMiB, &limit.Accelerators} {
-		if *amount <= 0 {
+		if *amount <= 0 || *amount > Unlimited {
 			*amount = Unlimited
 		}
 	}
