Count and log what the scheduling process spends its time on

Each term now logs every 5 s the processor time of the process, that of garbage collection, how long goroutines waited for a processor, and passes and time of each stage of the session and the adapter; the metrics have the stages too. A pass costs two readings of the clock.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -93,7 +93,9 @@
 	defer logs.Close()
 	logger := telemetry.NewLogger(logs, "entry", settings.Zone).WithField("name", settings.NodeName)
 	registry := telemetry.NewRegistry()
-	services := platform.NewServices(settings, logger)
+	usage := telemetry.NewUsage(registry)
+	telemetry.TimeLogging(logger, usage)
+	services := platform.NewServices(settings, logger, usage)
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
@@ -112,13 +114,14 @@
 			HostMoveTime:      platform.Seconds(settings.Bounds.MoveS),
 			HostOrderDelay:    platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
 		},
-		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore,
+		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore, Usage: usage,
 	}
 	p.elector.RunTerm = func(ctx context.Context, term int64) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(p.terms, cancel)()
 		go services.Traffic.Log(ctx, logger.WithField("term", term))
+		go usage.Log(ctx, logger.WithField("term", term))
 		session.Run(ctx, config, term)
 	}
 	p.elector.Eligible = func() bool { return !p.draining.Load() && p.entry.Config() != nil }
--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -108,7 +108,9 @@
 		sent, again, err := s.attemptStart(ctx, &a, order, start)
 		switch {
 		case sent && !again:
+			appliedAt := time.Now()
 			s.core.ApplyStartResult(order, err, a.uncertain)
+			s.stages.start.Since(appliedAt)
 			return
 		case sent:
 		case a.uncertain:
@@ -145,7 +147,10 @@
 		return false, false, nil
 	}
 	defer window.release()
-	if start.LeaseEndMs = s.core.LeaseForStart(order, s.writer.ConfirmedAt()); start.LeaseEndMs == 0 {
+	leasedAt := time.Now()
+	start.LeaseEndMs = s.core.LeaseForStart(order, s.writer.ConfirmedAt())
+	s.stages.start.Since(leasedAt)
+	if start.LeaseEndMs == 0 {
 		return false, false, nil
 	}
 	unresponsive := s.core.Unresponsive(order.Worker.ID)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -18,6 +18,7 @@
 	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/telemetry"
 )
 
 const (
@@ -75,6 +76,8 @@
 	// term is over and the core must not be used any more.
 	AttachCore func(core *scheduler.Core)
 	DetachCore func()
+	// Usage measures the stages of sessions. It may be nil.
+	Usage *telemetry.Usage
 }
 
 // session is the state of the scheduler process during one term. Its core is used in this term only.
@@ -84,6 +87,7 @@
 	core      *scheduler.Core
 	writer    *journal.Writer
 	startedAt time.Duration
+	stages    stages
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -101,6 +105,7 @@
 		writer: journal.New(config.Log, scheduler.Topic, term, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
 	s.Logger = logger
+	s.stages = newStages(config.Usage)
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
 	err := s.run(ctx)
 	logger.WithField("event", "term_ended").WithError(err).Info("this process is no longer the scheduler")
@@ -190,7 +195,7 @@
 			s.core.Abandon(&scheduler.Batch{})
 			return errFenced
 		}
-		batch := s.core.Collect()
+		batch := s.collect()
 		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
 			batch.Records = s.confirmationRecords()
 		}
@@ -201,7 +206,9 @@
 			s.core.Abandon(&batch)
 			return err
 		}
+		committedAt := time.Now()
 		s.core.Committed(&batch)
+		s.stages.commit.Since(committedAt)
 		if len(batch.Records) > 0 {
 			_ = periodic.Pause(ctx, batchPause)
 		}
@@ -238,7 +245,9 @@
 				s.Logger.WithFields(logrus.Fields{"event": "directory_regained", "failures": failures}).Info("list of workers can be read again")
 			}
 			failures = 0
+			updatedAt := time.Now()
 			s.core.UpdateWorkers(update)
+			s.stages.workers.Since(updatedAt)
 			s.core.WorkersListed(requestedAt)
 			for _, id := range s.core.WorkerIDs() {
 				s.startRenewalLoop(ctx, group, id)
@@ -270,7 +279,9 @@
 // worker responds to each with a report of its runs.
 func (s *session) renewLeases(ctx context.Context, id string) {
 	for ctx.Err() == nil {
+		plannedAt := time.Now()
 		plan := s.core.NextRenewal(id)
+		s.stages.renewal.Since(plannedAt)
 		if plan.Ended {
 			return
 		}
@@ -283,7 +294,9 @@
 			s.core.RenewalFailed(id, err)
 			continue
 		}
+		reportedAt := time.Now()
 		s.core.ApplyReport(id, report, sentAt)
+		s.stages.report.Since(reportedAt)
 	}
 }
 
@@ -325,12 +338,7 @@
 		s.Logger.WithField("event", "hosts_unlisted").WithError(err).Warn("can't read the list of hosts; maintenance waves and host moves wait until it can be read")
 		return readTime
 	}
-	s.core.SetHosts(hosts, requestedAt)
-	if !s.mayOrderHosts() {
-		s.core.ObserveLoads()
-		return readTime
-	}
-	orders, waveChanges := s.core.PlanHosts()
+	orders, waveChanges := s.planHosts(hosts, requestedAt)
 	for _, order := range orders {
 		group.Go(func() error {
 			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
@@ -346,3 +354,15 @@
 	}
 	return readTime
 }
+
+// planHosts passes the list of hosts that was requested at the given time to the core, and returns the orders and the
+// changes of waves that it plans.
+func (s *session) planHosts(hosts []infra.Host, requestedAt time.Duration) ([]scheduler.HostOrder, []scheduler.WaveStateChange) {
+	defer s.stages.hosts.Since(time.Now())
+	s.core.SetHosts(hosts, requestedAt)
+	if !s.mayOrderHosts() {
+		s.core.ObserveLoads()
+		return nil, nil
+	}
+	return s.core.PlanHosts()
+}
