--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -96,7 +96,9 @@
 			if err := cbor.Unmarshal(record.Value, &body); err != nil {
 				c.logger.WithFields(logrus.Fields{"event": "host_record_skipped", "key": record.Key}).WithError(err).Error("can't decode the record of a host order; the host gets no orders for the full delay")
 			} else {
-				delay = min(delay, time.UnixMilli(body.AtMs).Sub(c.wallClock())+c.options.HostOrderDelay+maxClockSkew)
+				// The difference is limited before the subtractions, since it is that of any two times.
+				sinceOrder := max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs))) - maxClockSkew
+				delay -= min(max(0, sinceOrder), delay)
 			}
 			c.fleet.heldBackUntil[host] = c.clock() + delay
 			continue
--- a/internal/scheduler/odd_records_test.go
+++ b/internal/scheduler/odd_records_test.go
@@ -133,3 +133,15 @@
 		tc.commit()
 	})
 }
+
+// Guards against a record of a host's order with a time out of range: the delay overflowed, and the host got orders at
+// once. An order of the far past holds nothing back.
+func TestHostOrderTimesOutOfRange(t *testing.T) {
+	for atMs, want := range map[int64]time.Duration{math.MaxInt64: simOptions().HostOrderDelay, 1 << 45: simOptions().HostOrderDelay, math.MinInt64: 0, 0: 0} {
+		tc := newTestCore(2)
+		value, err := cbor.Marshal(hostOrderRecord{AtMs: atMs})
+		assert.NilError(t, err)
+		tc.LoadHostRecords([]infra.Record{{Key: hostOrderPrefix + "h", Value: value}})
+		assert.Equal(t, tc.fleet.heldBackUntil["h"]-tc.now, want, "%d", atMs)
+	}
+}
