--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -58,45 +58,6 @@
 	HostMoveTime time.Duration
 }
 
-// Outcome is the result of a submission or cancellation.
-type Outcome struct {
-	Kind OutcomeKind
-	// RetryAfter is how long the caller should wait before it submits a rejected job again.
-	RetryAfter time.Duration
-	// Reason is the machine-readable reason for a rejection, e.g. "overload".
-	Reason string
-}
-
-// OutcomeKind enumerates the outcomes.
-type OutcomeKind uint8
-
-const (
-	// OutcomeDone: the acceptance or cancellation is durable, or the job had already finished.
-	OutcomeDone OutcomeKind = iota
-	// OutcomeRejected: the job isn't accepted and never runs.
-	OutcomeRejected
-	// OutcomeNotFound: there is no such job.
-	OutcomeNotFound
-	// OutcomeUnknown: the term ended before the outcome became durable.
-	OutcomeUnknown
-	// OutcomeUnavailable: the log takes no appends at the moment, and the request had no effect.
-	OutcomeUnavailable
-	// OutcomeTermOver: the term was over before the request, which had no effect.
-	OutcomeTermOver
-)
-
-// JobState is the state of a job as callers see it.
-type JobState string
-
-// States of jobs.
-const (
-	JobQueued    JobState = "queued"
-	JobRunning   JobState = "running"
-	JobCompleted JobState = "completed"
-	JobFailed    JobState = "failed"
-	JobCancelled JobState = "cancelled"
-)
-
 // OrderKind is the action that an order requests.
 type OrderKind uint8
 
