Compare jobs with the free capacity of their pool without passing over steps

Cause: a full pool has few jobs that may be placed, but each cycle passed over the steps and items of all ready ones to find that out, looked up the limits of their customers, and allocated the lists of candidates.

A job keeps the first due time and the least need of its open steps, and the ranking copies the need beside the keys. planStep checks the free capacity before it passes over items, and chooseWorker before it looks up limits; neither has side effects, so the order of the two doesn't count. Lists of candidates and of jobs are used again in the next cycle.

BenchmarkFleetSizesAtFixedRate is new: the load of 275 hosts on fleets of 275 to 2,200 hosts, so that it shows what workers cost on which nothing changes.

TestOpenStepsMatchTheItems compares the kept steps, due times and needs with the items; the simulation of TestKeptRankingMatchesTheItems now has recurring jobs.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -130,7 +130,9 @@
 	activeJobs map[*job]struct{}
 	// waiting holds the jobs that may have work items to place, by pool.
 	waiting map[string]*waitingJobs
-	workers map[string]*worker
+	// placeable is the result of placeableJobs.
+	placeable []placeableJob
+	workers   map[string]*worker
 	// workersByID are all workers sorted by ID, and workersByPool those of each pool; workersByID is nil after a worker
 	// was added or removed or changed its pool.
 	workersByID   []*worker
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -39,10 +39,8 @@
 	}
 	c.findCandidates(now)
 	c.planTrials(poolFor, now)
-	for _, j := range c.placeableJobs() {
-		if pool := poolFor(j); pool != nil {
-			c.planJob(j, pool, false, now)
-		}
+	for _, placeable := range c.placeableJobs(held) {
+		c.planJob(placeable.job, placeable.pool, false, now)
 	}
 }
 
@@ -76,7 +74,7 @@
 	for name, waiting := range c.waiting {
 		waiting.candidates = nil
 		if waiting.ready > 0 {
-			waiting.candidates = c.candidatesOf(name, now)
+			waiting.candidates = c.candidatesOf(name, &waiting.candidateBuffer, now)
 		}
 	}
 }
@@ -89,22 +87,22 @@
 	return nil
 }
 
-// candidatesOf returns the workers of the pool that may get new work, sorted by ID; nil if there are none.
-func (c *Core) candidatesOf(name string, now time.Duration) *candidatePool {
-	var pool *candidatePool
+// candidatesOf sets pool to the workers of the named pool that may get new work, sorted by ID, and returns it; nil if
+// there are none.
+func (c *Core) candidatesOf(name string, pool *candidatePool, now time.Duration) *candidatePool {
+	*pool = candidatePool{workers: pool.workers[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
 	for _, w := range c.workersOf(name) {
-		if !c.isCandidate(w, now) {
-			continue
-		}
-		if pool == nil {
-			pool = &candidatePool{separateStarts: c.hasRecentCrash(name, now)}
-		}
-		if w.trial == nil {
+		switch {
+		case !c.isCandidate(w, now):
+		case w.trial == nil:
 			pool.add(w)
-		} else {
+		default:
 			pool.onTrial++
 		}
 	}
+	if len(pool.workers)+pool.onTrial == 0 {
+		return nil
+	}
 	return pool
 }
 
@@ -153,6 +151,9 @@
 
 // planStep places the waiting work items of the step that need a trial if trials is set, and the others otherwise.
 func (c *Core) planStep(step *stepInstance, pool *candidatePool, trials bool, now time.Duration) {
+	if pool.excludes(step.reservation()) {
+		return
+	}
 	placed := 0
 	for _, i := range step.items {
 		if i.state != itemWaiting || i.givenUp || i.suspect() != trials {
@@ -250,12 +251,9 @@
 // customer's limit is reached.
 func (c *Core) chooseWorker(i *item, pool *candidatePool, now time.Duration) *worker {
 	step := i.step
-	if !c.withinLimit(i) {
-		return nil
-	}
 	need := step.reservation()
 	needsTrial := i.needsTrial()
-	if pool.excludes(need) || needsTrial && containsFitting(pool.tooLargeForTrials, need) {
+	if pool.excludes(need) || needsTrial && containsFitting(pool.tooLargeForTrials, need) || !c.withinLimit(i) {
 		return nil
 	}
 	freeTrials := 0
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -16,6 +16,9 @@
 	ready int
 	// candidates are the workers that may get new work in the present cycle; nil if there are none.
 	candidates *candidatePool
+	// placeable is used by Core.placeableJobs. Its elements and candidates are kept in the buffers.
+	placeable, placeableBuffer []*rankedJob
+	candidateBuffer            candidatePool
 }
 
 // readyJobs returns the jobs with ready work items in the order in which they get resources.
@@ -34,6 +37,8 @@
 	// slack is the time left before the remaining critical path must start. For late jobs it is the
 	// core-seconds of the job instead, so that the smallest jobs go first.
 	slack time.Duration
+	// leastNeed is that of the job.
+	leastNeed work.Resources
 }
 
 // compareRanked compares jobs by the order in which they get resources: lasting jobs first, since
@@ -114,7 +119,8 @@
 		}
 		r := &waiting.ranked[kept]
 		kept++
-		if r.ready = j.durable && j.hasReadyItems(wallTime); r.ready {
+		if r.ready = j.durable && !wallTime.Before(j.firstDue); r.ready {
+			r.leastNeed = j.leastNeed
 			c.updateKeys(r, now)
 			waiting.ready++
 		}
@@ -153,56 +159,51 @@
 	}
 }
 
+// placeableJob is a ready job and the workers that may get its work.
+type placeableJob struct {
+	job  *job
+	pool *candidatePool
+}
+
 // placeableJobs returns the ready jobs of which a work item may fit on a worker of their pool, in the order in which they
-// get resources. The order counts across pools too, since these share the limits of customers.
-func (c *Core) placeableJobs() []*job {
-	var lists [][]*rankedJob
-	wallTime := c.wallClock()
-	total := 0
+// get resources, without inherited jobs if these are held back. The order counts across pools too, since these share the
+// limits of customers. The result is valid until the next call.
+func (c *Core) placeableJobs(inheritedHeld bool) []placeableJob {
+	c.placeable = c.placeable[:0]
+	var lists []*waitingJobs
 	for _, waiting := range c.waiting {
-		if waiting.candidates == nil {
-			continue
-		}
-		var list []*rankedJob
-		for n := range waiting.readyJobs() {
-			if r := &waiting.ranked[n]; r.job.mayFit(waiting.candidates.maxFree, wallTime) {
-				list = append(list, r)
-			}
-		}
-		if len(list) > 0 {
-			lists = append(lists, list)
-			total += len(list)
+		if waiting.findPlaceable(inheritedHeld); len(waiting.placeable) > 0 {
+			lists = append(lists, waiting)
 		}
 	}
-	return mergeRanked(lists, total)
-}
-
-// mergeRanked merges sorted lists of jobs. total is the sum of their lengths.
-func mergeRanked(lists [][]*rankedJob, total int) []*job {
-	jobs := make([]*job, 0, total)
 	for len(lists) > 0 {
 		first := 0
 		for n := range lists {
-			if compareRanked(lists[n][0], lists[first][0]) < 0 {
+			if n > 0 && compareRanked(lists[n].placeable[0], lists[first].placeable[0]) < 0 {
 				first = n
 			}
 		}
-		jobs = append(jobs, lists[first][0].job)
-		if lists[first] = lists[first][1:]; len(lists[first]) == 0 {
+		next := lists[first]
+		c.placeable = append(c.placeable, placeableJob{next.placeable[0].job, next.candidates})
+		if next.placeable = next.placeable[1:]; len(next.placeable) == 0 {
 			lists = slices.Delete(lists, first, first+1)
 		}
 	}
-	return jobs
+	return c.placeable
 }
 
-// mayFit reports whether a waiting work item of a ready step needs no more than the free resources.
-func (j *job) mayFit(free work.Resources, wallTime time.Time) bool {
-	for _, step := range j.openSteps() {
-		if step.reservation().Fits(free) && j.isDue(step, wallTime) {
-			return true
+// findPlaceable sets placeable to the ready jobs of which a work item may fit on a candidate.
+func (w *waitingJobs) findPlaceable(inheritedHeld bool) {
+	w.placeable = w.placeableBuffer[:0]
+	if w.candidates == nil {
+		return
+	}
+	for n := range w.readyJobs() {
+		if r := &w.ranked[n]; r.leastNeed.Fits(w.candidates.maxFree) && !(inheritedHeld && r.job.inherited) {
+			w.placeable = append(w.placeable, r)
 		}
 	}
-	return false
+	w.placeableBuffer = w.placeable
 }
 
 // latenessTier returns 0 while the job can meet its deadline, 1 while it is late but its completion is still
--- a/internal/scheduler/rank_test.go
+++ b/internal/scheduler/rank_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -17,18 +18,16 @@
 // rankJobs returns the jobs with ready work items of all pools in the order in which they get resources.
 func (c *Core) rankJobs(now time.Duration) []*job {
 	c.rankWaiting(now)
-	var lists [][]*rankedJob
-	total := 0
+	// Workers without limits have room for each job.
+	unlimited := &candidatePool{maxFree: work.Resources{CPUMilli: math.MaxInt64, MemoryMiB: math.MaxInt64, Accelerators: math.MaxInt64}}
 	for _, waiting := range c.waiting {
-		var list []*rankedJob
-		for n := range waiting.readyJobs() {
-			list = append(list, &waiting.ranked[n])
-		}
-		if len(list) > 0 {
-			lists, total = append(lists, list), total+len(list)
-		}
+		waiting.candidates = unlimited
 	}
-	return mergeRanked(lists, total)
+	var jobs []*job
+	for _, placeable := range c.placeableJobs(false) {
+		jobs = append(jobs, placeable.job)
+	}
+	return jobs
 }
 
 // openStepsNaively returns the steps with waiting items whose dependencies are done, from the states of all items.
@@ -80,6 +79,9 @@
 		assert.Assert(t, slices.Equal(j.openSteps(), j.openStepsNaively()), "open steps of job %s", j.def.ID)
 	}
 	kept, naive := c.rankJobs(now), c.rankJobsNaively(now)
+	for _, waiting := range c.waiting {
+		checkLeastNeeds(t, waiting, c.wallClock())
+	}
 	assert.Equal(t, len(kept), len(naive))
 	position := map[*job]int{}
 	for n, j := range kept {
@@ -96,6 +98,17 @@
 	}
 }
 
+// checkLeastNeeds checks that no job counts as too large for the capacity that one of its ready steps needs.
+func checkLeastNeeds(t *testing.T, waiting *waitingJobs, wallTime time.Time) {
+	for _, r := range waiting.readyJobs() {
+		for _, step := range r.job.openStepsNaively() {
+			if r.job.isDue(step, wallTime) {
+				assert.Assert(t, r.leastNeed.Fits(step.reservation()), "job %s", r.job.def.ID)
+			}
+		}
+	}
+}
+
 // rankOf returns the kept keys of the job.
 func (c *Core) rankOf(j *job) rankedJob {
 	for _, r := range c.waiting[c.poolOf(j)].ranked {
@@ -113,7 +126,11 @@
 		s := newSim(t, seed, 4)
 		s.failedRunShare, s.lostResponseShare, s.delayedOrderShare = 0.1, 0.1, 0.05
 		for n := range 60 {
-			s.submit(s.randomJob(n))
+			job := s.randomJob(n)
+			if n%6 == 0 {
+				job.Recurrence = work.Recurrence{Times: 3, First: simEpoch.Add(s.now), Interval: 400 * time.Millisecond}
+			}
+			s.submit(job)
 			s.advance(70 * time.Millisecond)
 			if n%20 == 13 {
 				s.takeOver()
@@ -131,6 +148,46 @@
 	}
 }
 
+// randomDefinition returns a job of up to four steps, which depend on earlier ones at random, and up to three occurrences.
+func randomDefinition(t *rapid.T) *work.Job {
+	def := &work.Job{ID: "job", Accepted: simEpoch}
+	for number := range rapid.IntRange(1, 4).Draw(t, "steps") {
+		step := work.Step{Count: rapid.IntRange(1, 3).Draw(t, "items"), Filling: rapid.Bool().Draw(t, "filling"),
+			Need: work.Resources{CPUMilli: rapid.Int64Range(0, 9).Draw(t, "cpu"), MemoryMiB: rapid.Int64Range(0, 9).Draw(t, "memory"), Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators")}}
+		for earlier := range number {
+			if rapid.Bool().Draw(t, "depends") {
+				step.After = append(step.After, earlier)
+			}
+		}
+		def.Steps = append(def.Steps, step)
+	}
+	if times := rapid.IntRange(0, 3).Draw(t, "times"); times > 0 {
+		def.Recurrence = work.Recurrence{Times: times, First: simEpoch, Interval: time.Duration(rapid.IntRange(-5, 5).Draw(t, "interval")) * time.Second}
+	}
+	return def
+}
+
+// Guards against open steps, due times and needs of a job that are out of date after its items have changed.
+func TestOpenStepsMatchTheItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := newJob(randomDefinition(t))
+		for range 30 {
+			for range rapid.IntRange(1, 3).Draw(t, "changes") {
+				step := rapid.SampledFrom(j.steps).Draw(t, "step")
+				rapid.SampledFrom(step.items).Draw(t, "item").setState(itemState(rapid.IntRange(0, int(itemStates)-1).Draw(t, "state")))
+			}
+			open := j.openStepsNaively()
+			assert.Assert(t, slices.Equal(j.openSteps(), open))
+			wallTime := simEpoch.Add(time.Duration(rapid.IntRange(-20, 20).Draw(t, "time")) * time.Second)
+			due := slices.ContainsFunc(open, func(s *stepInstance) bool { return !wallTime.Before(j.def.DueAt(s.occurrence)) })
+			assert.Equal(t, len(open) > 0 && !wallTime.Before(j.firstDue), due)
+			for _, step := range open {
+				assert.Assert(t, j.leastNeed.Fits(step.reservation()))
+			}
+		}
+	})
+}
+
 // Guards against a sort that gives up on jobs that aren't nearly sorted.
 func TestSortRanked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -240,6 +240,21 @@
 	}
 }
 
+// BenchmarkFleetSizesAtFixedRate measures how the processor time grows with the size of the fleet while the load stays
+// the same, that of the peaks of 275 hosts: what it adds is the cost of workers on which nothing changes.
+func BenchmarkFleetSizesAtFixedRate(b *testing.B) {
+	for _, size := range []float64{0.25, 0.5, 1, 2} {
+		b.Run(fmt.Sprintf("hosts=%d", int(1100*size)), func(b *testing.B) {
+			for range b.N {
+				r := newReplay(1, scaledFleet(size, 0.25))
+				r.run(10*time.Second, 5*time.Millisecond)
+				b.ReportMetric(float64(r.inTime)/float64(r.submitted), "in-time/job")
+				b.ReportMetric(float64(r.starts), "starts")
+			}
+		})
+	}
+}
+
 // Guards against a replay that doesn't exercise the core.
 func TestReplayCompletesJobs(t *testing.T) {
 	r := newReplay(1, largeFleet)
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -85,7 +85,7 @@
 	c.fleet.loadsLoggedAt = now
 	for i := range loads {
 		l := &loads[i]
-		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": c.candidatesOf(l.name, now).size(), "empty": len(l.emptyHosts),
+		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": c.candidatesOf(l.name, &candidatePool{}, now).size(), "empty": len(l.emptyHosts),
 			"target": l.currentTarget(), "expected": l.expectedTarget(), "least": l.minHosts, "need": int(l.currentLoad), "used": int(c.usedCores(l.name)), "offered": int(c.peakTracker.loadOf(l.name).loadAt(now)),
 			"backlog": int(c.backlog(l.name, now, anyJob)), "in_time": int(c.backlog(l.name, now, c.canMeetDeadline(now))), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.statsOf(l.name).runTimeRatio)}).Info("load of a pool")
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -200,6 +200,10 @@
 	// keptOpenSteps is what openSteps returns; it is out of date if openStepsChanged is set.
 	keptOpenSteps    []*stepInstance
 	openStepsChanged bool
+	// firstDue is when the first occurrence of the open steps is due, and leastNeed the least amount of each resource that
+	// an item of theirs reserves. Both are as of the last call of openSteps.
+	firstDue  time.Time
+	leastNeed work.Resources
 	// listedAsWaiting is set while the job is among Core.waiting.
 	listedAsWaiting bool
 	// stats are the statistics of the job's pool; nil until they are first needed.
@@ -256,21 +260,25 @@
 		j.keptOpenSteps = j.keptOpenSteps[:0]
 		for _, step := range j.steps {
 			if step.countInState(itemWaiting) > 0 && j.dependenciesDone(step) {
-				j.keptOpenSteps = append(j.keptOpenSteps, step)
+				j.addOpenStep(step)
 			}
 		}
 	}
 	return j.keptOpenSteps
 }
 
-// hasReadyItems reports whether work items of the job wait and may start.
-func (j *job) hasReadyItems(wallTime time.Time) bool {
-	for _, step := range j.openSteps() {
-		if j.isDue(step, wallTime) {
-			return true
+// addOpenStep adds an open step to those that openSteps returns.
+func (j *job) addOpenStep(step *stepInstance) {
+	due, need := j.def.DueAt(step.occurrence), step.reservation()
+	if len(j.keptOpenSteps) == 0 {
+		j.firstDue, j.leastNeed = due, need
+	} else {
+		if due.Before(j.firstDue) {
+			j.firstDue = due
 		}
+		j.leastNeed = work.Resources{CPUMilli: min(need.CPUMilli, j.leastNeed.CPUMilli), MemoryMiB: min(need.MemoryMiB, j.leastNeed.MemoryMiB), Accelerators: min(need.Accelerators, j.leastNeed.Accelerators)}
 	}
-	return false
+	j.keptOpenSteps = append(j.keptOpenSteps, step)
 }
 
 // isDue reports whether the occurrence of the step is due.
