Pass by jobs whose needs didn't fit earlier in the cycle

When a need has fitted on no worker in a cycle, every job whose least need is at least as large is passed by without a look at its steps.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -40,7 +40,9 @@
 	c.findCandidates(now)
 	c.planTrials(poolFor, now)
 	for _, placeable := range c.placeableJobs(held) {
-		c.planJob(placeable.job, placeable.pool, false, now)
+		if !placeable.pool.excludes(placeable.leastNeed) {
+			c.planJob(placeable.job, placeable.pool, false, now)
+		}
 	}
 }
 
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -159,10 +159,11 @@
 	}
 }
 
-// placeableJob is a ready job and the workers that may get its work.
+// placeableJob is a ready job, its least need, and the workers that may get its work.
 type placeableJob struct {
-	job  *job
-	pool *candidatePool
+	job       *job
+	leastNeed work.Resources
+	pool      *candidatePool
 }
 
 // placeableJobs returns the ready jobs of which a work item may fit on a worker of their pool, in the order in which they
@@ -184,7 +185,7 @@
 			}
 		}
 		next := lists[first]
-		c.placeable = append(c.placeable, placeableJob{next.placeable[0].job, next.candidates})
+		c.placeable = append(c.placeable, placeableJob{next.placeable[0].job, next.placeable[0].leastNeed, next.candidates})
 		if next.placeable = next.placeable[1:]; len(next.placeable) == 0 {
 			lists = slices.Delete(lists, first, first+1)
 		}
