--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -87,7 +87,7 @@
 	for i := range loads {
 		l := &loads[i]
 		pool := workByPool[l.name]
-		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": c.candidatesOf(l.name, now).size(), "empty": len(l.emptyHosts),
+		c.logger.WithFields(logrus.Fields{"event": "pool_load", "pool": l.name, "hosts": l.hosts, "open": c.candidatesOf(l.name, &candidatePool{}, now).size(), "empty": len(l.emptyHosts),
 			"target": l.currentTarget(), "expected": l.expectedTarget(), "least": l.minHosts, "need": int(l.currentLoad), "used": pool.usedCPUMilli / 1000, "offered": int(c.peakTracker.loadOf(l.name).loadAt(now)),
 			"backlog": int(pool.placed + pool.waiting), "in_time": int(pool.placed + pool.inTimeWaiting), "standby": standby, "run_ratio": fmt.Sprintf("%.2f", c.statsOf(l.name).runTimeRatio)}).Info("load of a pool")
 	}
