Make plans independent of the order of maps

Crashes were counted, items released, stops repeated, lasting items evicted and the oldest suspect of a job chosen in the order of a map. Items are now visited in the order of their IDs, and workers by ID.

The simulated workers list their runs and ends in a fixed order as well.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -138,7 +138,7 @@
 	}
 	// An earlier term may have ordered the host away.
 	uncertain := c.clock() < c.fleet.heldBackUntil[w.host]
-	for i := range w.items {
+	for _, i := range w.sortedItems(anyItem) {
 		onTrial := w.onTrial(i) && w.trial.isolated
 		switch {
 		case i.processUncertain:
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -9,7 +9,7 @@
 // dropExpired releases the items of workers that have ended or whose lease has certainly lapsed, removes
 // such workers once they are unlisted, and drops jobs that finished more than EndedJobRetention ago.
 func (c *Core) dropExpired(now time.Duration) {
-	for id, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if len(w.items) > 0 && (w.ended || now > w.leaseEnd) {
 			c.releaseAllItems(w, now)
 		}
@@ -23,7 +23,7 @@
 			if w.mayReturn && (w.hasLateStarts(now) || now < w.ackUnansweredUntil) {
 				continue
 			}
-			delete(c.workers, id)
+			delete(c.workers, w.entry.ID)
 			c.workersByID = nil
 			w.wakeRenewalLoop()
 		}
@@ -55,12 +55,7 @@
 // releaseAllItems releases the items of a worker that has ended or whose lease has lapsed, except for those whose start
 // the worker may still carry out, or has yet to be sent.
 func (c *Core) releaseAllItems(w *worker, now time.Duration) {
-	var released []*item
-	for i := range w.items {
-		if !c.mayStartLate(i, now) && (w.ended || !i.awaitsStart()) {
-			released = append(released, i)
-		}
-	}
+	released := w.sortedItems(func(i *item) bool { return !c.mayStartLate(i, now) && (w.ended || !i.awaitsStart()) })
 	if len(released) == 0 {
 		return
 	}
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -162,7 +162,8 @@
 	if len(c.fleet.hosts) == 0 {
 		return
 	}
-	for id, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
+		id := w.entry.ID
 		if c.fleet.byWorker[id] != "" || w.ended || w.hasReported && len(w.items) == 0 || (w.failedRenewals == 0 && w.entry.Address != "") {
 			continue
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -187,12 +187,15 @@
 // retryStops repeats stops that weren't confirmed within stopRetryPause, on workers whose last lease renewal
 // succeeded.
 func (c *Core) retryStops(now time.Duration) {
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		c.stopLateStarts(w, now)
-		for i := range w.items {
-			if i.stopping && i.stopConfirmedAt == 0 && now-i.stopOrderedAt > stopRetryPause && w.failedRenewals == 0 {
-				c.orderStop(i)
-			}
+		if w.failedRenewals > 0 {
+			continue
+		}
+		for _, i := range w.sortedItems(func(i *item) bool {
+			return i.stopping && i.stopConfirmedAt == 0 && now-i.stopOrderedAt > stopRetryPause
+		}) {
+			c.orderStop(i)
 		}
 	}
 }
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -37,10 +37,7 @@
 	if raise {
 		w.lowLatencySince = now
 	}
-	for i := range w.items {
-		if !i.step.def.Filling || i.stopping || i.startConfirmedAt == 0 {
-			continue
-		}
+	for _, i := range w.sortedItems(func(i *item) bool { return i.step.def.Filling && !i.stopping && i.startConfirmedAt > 0 }) {
 		switch {
 		case worstTailRatio > throttleThreshold && (i.pacePercent > 0 || now-i.paceOrderedAt > paceRepeatDelay):
 			c.setPace(i, 0, now)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -109,14 +109,12 @@
 
 // evacuateDraining stops lasting work on draining workers, so that it starts on others before they leave.
 func (c *Core) evacuateDraining() {
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if !w.entry.Draining || w.failedRenewals > 0 {
 			continue
 		}
-		for i := range w.items {
-			if i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 {
-				c.orderStop(i)
-			}
+		for _, i := range w.sortedItems(func(i *item) bool { return i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 }) {
+			c.orderStop(i)
 		}
 	}
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -313,10 +313,7 @@
 // whose start or stop the worker confirmed before the lease renewal was sent, and items placed by earlier
 // terms, whose delayed orders the worker now refuses.
 func (c *Core) releaseAbsent(w *worker, listed map[*item]bool, sentAt time.Duration) {
-	for i := range w.items {
-		if listed[i] {
-			continue
-		}
+	for _, i := range w.sortedItems(func(i *item) bool { return !listed[i] }) {
 		// The next process of a restarted worker may still carry out an attempt that had no response.
 		pending := i.processUncertain && i.mayStillBegin(c.clock())
 		started := i.startConfirmedAt > 0 && i.startConfirmedAt < sentAt && !pending
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -18,12 +18,7 @@
 // showed the restart, requested at sentAt; it is nil if the list of workers showed it.
 func (c *Core) resetRestartedWorker(w *worker, startedUnixMs int64, report *infra.WorkerReport, sentAt time.Duration) {
 	now := c.clock()
-	var kept []*item
-	for i := range w.items {
-		if lists(report, i) || i.mayRunInNextProcess(report, sentAt, now) {
-			kept = append(kept, i)
-		}
-	}
+	kept := w.sortedItems(func(i *item) bool { return lists(report, i) || i.mayRunInNextProcess(report, sentAt, now) })
 	c.logger.WithFields(logrus.Fields{"event": "worker_reborn", "worker": w.entry.ID, "born": startedUnixMs, "items": len(w.items), "kept": len(kept),
 		"by_report": report != nil}).Warn("worker restarted under the same ID; its work items wait again unless the next process may run them")
 	c.releaseEndedRuns(w, kept)
@@ -63,7 +58,7 @@
 		c.countCrash(w)
 	}
 	w.trial = nil
-	for i := range w.items {
+	for _, i := range w.sortedItems(anyItem) {
 		c.logLostRun(i, now)
 		c.release(i)
 	}
--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -167,7 +169,8 @@
 			}
 		}
 	}
-	for id, h := range s.hosts {
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		h := s.hosts[id]
 		if h.downUntil > 0 && s.now >= h.downUntil {
 			h.downUntil = 0
 			s.addWorker(id)
--- a/internal/scheduler/sim_orders_test.go
+++ b/internal/scheduler/sim_orders_test.go
@@ -23,6 +23,9 @@
 // sendOrder sends an order to a worker. At random, its response is lost, or the sender sees a timeout and the
 // order is executed seconds later.
 func (s *sim) sendOrder(scheduler *simScheduler, order Order) {
+	if s.onOrder != nil {
+		s.onOrder(&order)
+	}
 	sent := simOrder{deliverAt: s.now + simTickTime, order: order, token: scheduler.term, sender: scheduler}
 	if order.Kind == OrderStart {
 		if sent.leaseEndMs = scheduler.core.LeaseForStart(&order, scheduler.confirmedAt); sent.leaseEndMs == 0 {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -100,7 +100,8 @@
 	if !w.up || w.crashIfDue() {
 		return
 	}
-	for id, r := range w.running {
+	for _, id := range w.sortedRuns() {
+		r := w.running[id]
 		switch {
 		case w.clockMs() >= w.leaseEndMs:
 			w.endRun(id, r, infra.EndLeaseExpired)
@@ -178,7 +179,8 @@
 	})
 	w.hasReported = true
 	report := infra.WorkerReport{ClockMs: w.clockMs(), StartUnixMs: w.entry.StartUnixMs, Ended: slices.Clone(w.unackedEnds)}
-	for id, r := range w.running {
+	for _, id := range w.sortedRuns() {
+		r := w.running[id]
 		report.Running = append(report.Running, infra.ActiveRun{Item: id, Run: r.run, ProgressPercent: availablePercent})
 	}
 	return report, nil
@@ -221,6 +223,8 @@
 	waves        []infra.Wave
 	lastingItems map[work.ItemID]*simLastingItem
 	orders       []simOrder
+	// onOrder is called with each order that is sent; nil if nothing follows them.
+	onOrder func(*Order)
 	// crashingItems are the items that crash each worker that starts them, maxCrashDelay after the start at the
 	// latest.
 	crashingItems map[work.ItemID]bool
@@ -481,17 +485,3 @@
 	}
 	scheduler.batch, scheduler.sentAt, scheduler.commitDueAt = &batch, s.now, s.now+2*simTickTime
 }
-
-// randomJob returns a job of one to three steps that run one after the other.
-func (s *sim) randomJob(n int) *work.Job {
-	job := &work.Job{ID: fmt.Sprintf("%016x", n), Queue: s.config.Queues[0], Customer: "clips", Spec: "spec"}
-	for step := range 1 + s.rng.IntN(3) {
-		def := work.Step{Count: 1 + s.rng.IntN(4), Need: work.Resources{CPUMilli: int64(500 + s.rng.IntN(2500)), MemoryMiB: 256},
-			Estimate: time.Duration(200+s.rng.IntN(900)) * time.Millisecond}
-		if step > 0 {
-			def.After = []int{step - 1}
-		}
-		job.Steps = append(job.Steps, def)
-	}
-	return job
-}
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -124,6 +124,7 @@
 			orders = append(orders, HostOrder{Host: id, Pool: m.pool, Worker: m.worker})
 		}
 	}
+	slices.SortFunc(orders, func(a, b HostOrder) int { return cmp.Compare(a.Host, b.Host) })
 	return orders
 }
 
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -26,15 +26,12 @@
 
 // stopStragglers stops the stragglers, and pauses the workers that have several.
 func (c *Core) stopStragglers(now time.Duration) {
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if w.failedRenewals > 0 || w.entry.Draining {
 			continue
 		}
 		stragglers := 0
-		for i := range w.items {
-			if !c.isStraggler(i, now) {
-				continue
-			}
+		for _, i := range w.sortedItems(func(i *item) bool { return c.isStraggler(i, now) }) {
 			stragglers++
 			i.avoidedWorker = w
 			c.logger.WithFields(logrus.Fields{"event": "straggler_stopped", "item": i.id().String(), "run": i.run, "worker": w.entry.ID,
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +20,7 @@
 // add adds a waiting suspect.
 func (q *suspectQueue) add(i *item) {
 	q.waiting++
-	if q.oldest == nil || i.waitingSince < q.oldest.waitingSince {
+	if q.oldest == nil || i.waitedLonger(q.oldest) {
 		q.oldest = i
 	}
 }
@@ -29,6 +30,12 @@
 	return i.state == itemWaiting && !i.givenUp && i.suspect() && i.step.job.stepReady(i.step, wallTime)
 }
 
+// waitedLonger reports whether the item has waited longer than the other. The IDs decide between items that were released
+// together.
+func (i *item) waitedLonger(other *item) bool {
+	return cmp.Or(cmp.Compare(i.waitingSince, other.waitingSince), i.id().Compare(other.id())) < 0
+}
+
 // suspectQueues returns the queues of all pools that have waiting suspects. It forgets the items that aren't
 // suspects any more.
 func (c *Core) suspectQueues() map[string]*suspectQueue {
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -31,7 +31,7 @@
 		if !j.durable || !c.waitsAsSuspect(i, wallTime) {
 			continue
 		}
-		if other := oldest[j]; other == nil || i.waitingSince < other.waitingSince {
+		if other := oldest[j]; other == nil || i.waitedLonger(other) {
 			oldest[j] = i
 		}
 	}
--- a/internal/scheduler/trial_wait_test.go
+++ b/internal/scheduler/trial_wait_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -53,20 +52,6 @@
 	return false
 }
 
-// wideJob returns a job of two steps of small items, as a queue of short clips has them.
-func (s *sim) wideJob(n int) *work.Job {
-	job := &work.Job{ID: fmt.Sprintf("%016x", 0xc000+n), Queue: s.config.Queues[0], Customer: "clips", Spec: "spec"}
-	for step := range 2 {
-		def := work.Step{Count: 6 + s.rng.IntN(10), Need: work.Resources{CPUMilli: int64(200 + s.rng.IntN(400)), MemoryMiB: 128},
-			Estimate: time.Duration(300+s.rng.IntN(600)) * time.Millisecond}
-		if step > 0 {
-			def.After = []int{step - 1}
-		}
-		job.Steps = append(job.Steps, def)
-	}
-	return job
-}
-
 // simulateDeadlyQueue submits four wide jobs a second for 20 s to twelve workers. One job in five has an item that
 // crashes its workers. It returns the longest wait of a suspect while there was room for it.
 func simulateDeadlyQueue(s *sim, faults func(o *crashObserver) func()) *suspectWaits {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -195,8 +195,8 @@
 // evictLasting stops the lasting items of a cordoned worker as far as their availability budgets allow, so
 // that they start on other workers.
 func (c *Core) evictLasting(w *worker) {
-	for i := range w.items {
-		if i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 && c.mayStop(i) {
+	for _, i := range w.sortedItems(func(i *item) bool { return i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 }) {
+		if c.mayStop(i) {
 			c.logger.WithFields(logrus.Fields{"event": "lasting_item_moved", "item": i.id().String(), "worker": w.entry.ID}).Info("stopping a lasting work item so that it starts on another host; its host is to go down for maintenance")
 			c.orderStop(i)
 		}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -6,6 +6,7 @@
 package work
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -143,6 +144,11 @@
 	return i.Job + "." + strconv.Itoa(i.Occurrence) + "." + strconv.Itoa(i.Step) + "." + strconv.Itoa(i.Index)
 }
 
+// Compare orders item IDs by job, occurrence, step and index.
+func (i ItemID) Compare(other ItemID) int {
+	return cmp.Or(cmp.Compare(i.Job, other.Job), cmp.Compare(i.Occurrence, other.Occurrence), cmp.Compare(i.Step, other.Step), cmp.Compare(i.Index, other.Index))
+}
+
 // itemIDParts is the number of dot-separated parts in the text form of an ItemID.
 const itemIDParts = 4
 
