--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -78,12 +78,7 @@
 // releaseAllItems releases the items of a worker that has ended or whose lease has lapsed, except for those whose start
 // the worker may still carry out, or has yet to be sent.
 func (c *Core) releaseAllItems(w *worker, now time.Duration) {
-	var released []*item
-	for i := range w.items {
-		if !c.mayStartLate(i, now) && (w.ended || !i.awaitsStart()) {
-			released = append(released, i)
-		}
-	}
+	released := w.sortedItems(func(i *item) bool { return !c.mayStartLate(i, now) && (w.ended || !i.awaitsStart()) })
 	if len(released) == 0 {
 		return
 	}
