--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -38,7 +38,7 @@
 	}
 	w.sentAck = 0
 	if w.failedRenewals == 1 {
-		c.logger.WithFields(logrus.Fields{"event": "worker_lost", "worker": id, "kind": string(infra.KindOf(err)), "items": len(w.items)}).WithError(err).Warn("lease renewal of the worker failed; it gets no new work until one succeeds")
+		c.logLoss(w, err)
 	}
 	switch infra.KindOf(err) {
 	case infra.Fenced:
