Check the jobs that other entry processes forward

Cause: the port for other entry processes can be reached by any program, and a forwarded job was used as it was decoded. One without a job panicked (the request alone: net/http recovers), one with 2^63-1 work items uses up the memory of the scheduling process. Messages had no upper limit. Conclusion: forwarded jobs pass work.Job.Check, and messages are limited to 16 MiB in both directions.

--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"connectrpc.com/connect"
 
@@ -50,6 +51,8 @@
 	return nil, peer.ErrNotScheduling
 }
 
+var errNoJob = errors.New("submission has no job")
+
 // peerServer implements peer.Service for other entry processes. Calls to the scheduler fail with
 // peer.ErrNotScheduling unless the scheduler runs in this process.
 type peerServer struct{ entry *Entry }
@@ -67,6 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Job == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoJob)
+	}
+	// Any program can reach the port. A job out of range could use up the memory.
+	request.Job.Normalize()
+	if err := request.Job.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	return local.Submit(ctx, request)
 }
 
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -113,10 +113,13 @@
 			return nil, err
 		}
 		return connect.NewResponse(response), nil
-	}, connect.WithCodec(jsonCodec{})))
+	}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes)))
 }
 
 const (
+	// maxMessageBytes limits a message. The largest ones are jobs and the published configuration, which the log bounds
+	// to less.
+	maxMessageBytes = 16 << 20
 	// dialTimeout is the time limit for opening a connection to another entry process.
 	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is the time after which an idle connection is closed.
@@ -169,7 +172,7 @@
 }
 
 func newClient[Request, Response any](client *http.Client, address, procedure string) *connect.Client[Request, Response] {
-	return connect.NewClient[Request, Response](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}))
+	return connect.NewClient[Request, Response](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 func callUnary[Request, Response any](ctx context.Context, client *connect.Client[Request, Response], request *Request) (*Response, error) {
