End a read of a log whose offsets go back

Cause: the reader of a whole stream continued after the offset of the last record of a response. Offsets that go back made it read the same records for ever. Conclusion: such a response is an error of the log, after the records before it were visited. TestOffsetsThatGoBackEndTheRead fails without the change: a record was visited twice.

--- a/internal/logreader/logreader.go
+++ b/internal/logreader/logreader.go
@@ -37,6 +37,9 @@
 			return nil
 		}
 		for _, record := range response.GetRecords() {
+			if record.GetOffset() <= after {
+				return fault.New(fault.LogUnavailable, "stream %s has a record at offset %d after the one at %d", stream, record.GetOffset(), after)
+			}
 			if err := visit(record, record.GetOffset()-after-1); err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/logreader/logreader_test.go
@@ -0,0 +1,45 @@
+package logreader
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/fault"
+)
+
+// repeatingLog returns the same records for each read.
+type repeatingLog struct {
+	offsets []int64
+	reads   int
+}
+
+func (l *repeatingLog) Read(context.Context, *v1.ReadRequest) (*v1.ReadResponse, error) {
+	const maxReads = 10
+	if l.reads++; l.reads > maxReads {
+		return nil, errors.New("the reader doesn't stop")
+	}
+	response := &v1.ReadResponse{}
+	for _, offset := range l.offsets {
+		response.Records = append(response.Records, &v1.LogRecord{Offset: offset})
+	}
+	return response, nil
+}
+
+// Guards against a reader that visits the same records for ever, because offsets go back.
+func TestOffsetsThatGoBackEndTheRead(t *testing.T) {
+	for _, offsets := range [][]int64{{1}, {1, 2, 2}, {5, 4}, {-1}, {0}} {
+		log := &repeatingLog{offsets: offsets}
+		visited := int64(0)
+		err := Each(t.Context(), log, "s", 0, func(record *v1.LogRecord, missing int64) error {
+			assert.Assert(t, record.GetOffset() > visited && missing >= 0)
+			visited = record.GetOffset()
+			return nil
+		})
+		assert.Equal(t, fault.KindOf(err), fault.LogUnavailable)
+		assert.Assert(t, log.reads <= 2, "%d reads", log.reads)
+	}
+}
