Drop rejected unwritten jobs from the ranking

A job that is rejected while the log stalls stayed among the waiting jobs of its pool, and was ranked in each planning cycle for the rest of the term: the rejection and the kept ranking were written side by side. The extended test failed before.

--- a/internal/scheduler/stall_test.go
+++ b/internal/scheduler/stall_test.go
@@ -57,6 +57,9 @@
 	}
 	_, known := tc.State("unwritten")
 	assert.Assert(t, !known)
+	for _, r := range tc.waiting[simPool].ranked {
+		assert.Assert(t, r.job.def.ID != "unwritten", "a rejected job is ranked in each cycle")
+	}
 	assert.Equal(t, awaitedOutcome(t, cancelled).Kind, OutcomeDone)
 	assert.Equal(t, awaitedOutcome(t, cancellation).Kind, OutcomeDone)
 	again := tc.submitAsync("unwritten")
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -96,6 +96,7 @@
 		}
 		c.answerSubmitters(j, Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"})
 		c.cancelBooking(j)
+		j.cancelled = true // Jobs that are ranked leave the ranking when they are finished.
 		delete(c.jobs, j.def.ID)
 		delete(c.activeJobs, j)
 		delete(c.dirtyJobs, j)
