Keep the sorted lists of workers as workers come, leave and change pools

Cause: each change sorted all workers anew in the next cycle. On a large fleet workers change their pool or restart several times a second, some tens of times at peaks.

Workers are now inserted into and removed from the list of all and that of their pool by binary search. dropExpired calls removeWorker.

TestWorkerListsMatchTheWorkers compares the lists with lists that are sorted anew.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -133,10 +133,8 @@
 	// placeable is the result of placeableJobs.
 	placeable []placeableJob
 	workers   map[string]*worker
-	// workersByID are all workers sorted by ID, and workersByPool those of each pool; workersByID is nil after a worker
-	// was added or removed or changed its pool.
-	workersByID   []*worker
-	workersByPool map[string][]*worker
+	// workerLists holds the same workers, sorted by ID.
+	workerLists workerLists
 	// reserved are the workers with reserved set, and formerlyReserved those with wasReserved set.
 	reserved, formerlyReserved []*worker
 	// workersToAck holds the workers with run ends that may not be durable yet.
@@ -199,7 +197,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -9,7 +9,7 @@
 // dropExpired releases the items of workers that have ended or whose lease has certainly lapsed, removes
 // such workers once they are unlisted, and drops jobs that finished more than EndedJobRetention ago.
 func (c *Core) dropExpired(now time.Duration) {
-	for id, w := range c.workers {
+	for _, w := range c.workers {
 		if len(w.items) > 0 && (w.ended || now > w.leaseEnd) {
 			c.releaseAllItems(w, now)
 		}
@@ -23,8 +23,7 @@
 			if w.mayReturn && (w.hasLateStarts(now) || now < w.ackUnansweredUntil) {
 				continue
 			}
-			delete(c.workers, id)
-			c.workersByID = nil
+			c.removeWorker(w)
 			w.wakeRenewalLoop()
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -93,7 +91,7 @@
 // there are none.
 func (c *Core) candidatesOf(name string, pool *candidatePool, now time.Duration) *candidatePool {
 	*pool = candidatePool{workers: pool.workers[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
-	for _, w := range c.workersOf(name) {
+	for _, w := range c.workerLists.byPool[name] {
 		switch {
 		case !c.isCandidate(w, now):
 		case w.trial == nil:
@@ -113,24 +111,6 @@
 	return w.schedulable(now) && w.withinCapacity() && c.mayRelyOnCapacity(w, now)
 }
 
-// sortedWorkers returns all workers, sorted by ID.
-func (c *Core) sortedWorkers() []*worker {
-	if c.workersByID == nil {
-		c.workersByID = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-		c.workersByPool = map[string][]*worker{}
-		for _, w := range c.workersByID {
-			c.workersByPool[w.entry.Pool] = append(c.workersByPool[w.entry.Pool], w)
-		}
-	}
-	return c.workersByID
-}
-
-// workersOf returns the workers of the pool, sorted by ID.
-func (c *Core) workersOf(pool string) []*worker {
-	c.sortedWorkers()
-	return c.workersByPool[pool]
-}
-
 // schedulable reports whether the worker may get new work.
 func (w *worker) schedulable(now time.Duration) bool {
 	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0 && now >= w.pausedUntil
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -272,3 +272,17 @@
 	assert.Assert(t, r.starts > 5000, "only %d starts", r.starts)
 	assert.Assert(t, r.examined <= int64(2*r.starts*largest), "%d workers considered for %d starts in pools of up to %d", r.examined, r.starts, largest)
 }
+
+// BenchmarkWorkersChangePools measures a planning cycle of a fleet of 1,100 workers after one of them has changed its
+// pool, while a job waits in a full pool.
+func BenchmarkWorkersChangePools(b *testing.B) {
+	r := newReplay(1, scaledFleet(1, 0))
+	entry := r.workers["vaal-000"].entry
+	r.core.Submit(&work.Job{ID: "waits", Queue: r.config.Queues[0], Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1 << 40}}}}, r.waiter)
+	r.commit()
+	for n := range b.N {
+		entry.Pool = [...]string{"vaal", "spare"}[n%2]
+		r.core.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
+		r.commit()
+	}
+}
--- a/internal/scheduler/workercheck_test.go
+++ b/internal/scheduler/workercheck_test.go
@@ -1,11 +1,17 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "turmericyoke/internal/fixedseed"
+	"turmericyoke/internal/infra"
 )
 
 // checkKeptWorkers compares the lists of workers that the core keeps with the states of all workers.
@@ -16,15 +22,18 @@
 		assert.Equal(t, w.reserved, slices.Contains(c.reserved, w))
 		assert.Equal(t, w.wasReserved, slices.Contains(c.formerlyReserved, w))
 	}
-	all, listed := len(c.sortedWorkers()), 0
-	for pool := range c.workersByPool {
-		for _, w := range c.workersOf(pool) {
-			assert.Equal(t, w.entry.Pool, pool)
-			assert.Equal(t, c.workers[w.entry.ID], w)
-			listed++
-		}
+	checkWorkerLists(t, c)
+}
+
+// checkWorkerLists compares the sorted lists of workers with lists that are sorted anew.
+func checkWorkerLists(t *testing.T, c *Core) {
+	byPool := map[string][]*worker{}
+	all := slices.SortedFunc(maps.Values(c.workers), compareByID)
+	for _, w := range all {
+		byPool[w.entry.Pool] = append(byPool[w.entry.Pool], w)
 	}
-	assert.Equal(t, listed, all)
+	assert.Assert(t, slices.Equal(c.workerLists.all, all))
+	assert.Assert(t, maps.EqualFunc(c.workerLists.byPool, byPool, slices.Equal))
 }
 
 // Guards against run ends that are never acknowledged, and against reservations that don't end: the core passes only
@@ -46,3 +55,27 @@
 		assert.Assert(t, reserved > 0)
 	}
 }
+
+// Guards against workers that are planned for a pool that they have left, and against workers that get no work, since
+// they are missing in the list of their pool.
+func TestWorkerListsMatchTheWorkers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tc := newTestCore(1)
+		for range rapid.IntRange(1, 60).Draw(rt, "changes") {
+			id := fmt.Sprint("worker-", rapid.IntRange(0, 9).Draw(rt, "worker"))
+			switch w := tc.workers[id]; rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				tc.UpdateWorkers(infra.WorkerUpdate{Removed: []string{id}})
+			case 1:
+				if w != nil {
+					tc.endWorker(w)
+				}
+				tc.Collect()
+			default:
+				pool := fmt.Sprint("pool-", rapid.IntRange(0, 3).Draw(rt, "pool"))
+				tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{{ID: id, Pool: pool, Address: id}}})
+			}
+			checkWorkerLists(t, tc.Core)
+		}
+	})
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -58,19 +58,33 @@
 		c.logger.WithFields(logrus.Fields{"event": "worker_capacity_changed", "worker": entry.ID, "cpu_milli": entry.Capacity.CPUMilli, "memory_mib": entry.Capacity.MemoryMiB,
 			"accelerators": entry.Capacity.Accelerators, "used_cpu_milli": w.used.CPUMilli}).Info("capacity of the worker changed")
 	}
-	if entry.Pool != w.entry.Pool {
-		c.workersByID = nil
+	moved := entry.Pool != w.entry.Pool
+	if moved {
+		c.workerLists.remove(w)
 	}
 	w.entry, w.rack, w.listed = entry, rackOf(entry.Labels), true
+	if moved {
+		c.workerLists.add(w)
+	}
 	w.wakeRenewalLoop()
 	return added
 }
 
 // addWorker adds a worker that wasn't known.
 func (c *Core) addWorker(w *worker) {
-	c.workers[w.entry.ID], c.workersByID = w, nil
+	c.workers[w.entry.ID] = w
+	c.workerLists.add(w)
+}
+
+// removeWorker removes a worker that has ended and isn't listed any more.
+func (c *Core) removeWorker(w *worker) {
+	delete(c.workers, w.entry.ID)
+	c.workerLists.remove(w)
 }
 
+// sortedWorkers returns all workers, sorted by ID.
+func (c *Core) sortedWorkers() []*worker { return c.workerLists.all }
+
 // WorkerIDs returns the IDs of all workers.
 func (c *Core) WorkerIDs() []string {
 	c.mu.Lock()
