--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -40,6 +40,7 @@
 // workers once they are unlisted. It sets nextWorkerExpiry to when the next lease may lapse, within workerCheckInterval.
 func (c *Core) dropExpiredWorkers(now time.Duration) {
 	next := now + workerCheckInterval
+	var removed []*worker
 	for _, w := range c.sortedWorkers() {
 		if len(w.items) == 0 && w.listed {
 			continue
@@ -56,8 +57,10 @@
 			next = now
 			continue
 		}
-		delete(c.workers, w.entry.ID)
-		c.workersByID = nil
+		removed = append(removed, w)
+	}
+	for _, w := range removed {
+		c.removeWorker(w)
 		w.wakeRenewalLoop()
 	}
 	c.nextWorkerExpiry = next
