Start accepted work while the log is down

The session planned nothing while an append was in progress, so that jobs that were accepted before an outage of the log waited for its end, although workers were free and held leases, and then took the place of new jobs. It now plans during appends that take longer than 50 ms. Once the leases can't be extended any more, starts get the last lease that could be, as long as half of it is left: a later term waits for its end at workers that it can't reach, as before. Work items that had a run aren't started, since how it ended may not be recorded yet.

TestAcceptedWorkGoesOnWhileTheLogIsDown and TestAcceptedJobsStartDuringAnOutage fail without planning during appends.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -218,7 +218,7 @@
 func (c *Core) planStep(step *stepInstance, pool *candidatePool, trials bool, now time.Duration) {
 	placed := 0
 	for _, i := range step.items {
-		if i.state != itemWaiting || i.givenUp || i.suspect() != trials {
+		if i.state != itemWaiting || i.givenUp || i.suspect() != trials || c.firstRunsOnly && i.run > 0 {
 			continue
 		}
 		w := c.chooseWorker(i, pool, now)
@@ -247,8 +247,8 @@
 		if i.state == itemDone {
 			continue
 		}
-		if i.state == itemPlaced {
-			// An item of the gang's previous run hasn't ended yet.
+		if i.state == itemPlaced || c.firstRunsOnly && i.run > 0 {
+			// An item of the gang's previous run hasn't ended yet, or its end may not be recorded.
 			return
 		}
 		w := c.chooseWorker(i, pool, now)
--- /dev/null
+++ b/internal/scheduler/stall.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// An append usually takes a few milliseconds. While the log is slow or down, accepted work goes on, and submissions
+// that would have to wait for the log are rejected.
+
+// logStalled reports whether the append in progress has taken longer than logStallTimeout.
+func (c *Core) logStalled(now time.Duration) bool {
+	return c.appendStartedAt > 0 && now-c.appendStartedAt > logStallTimeout
+}
+
+// RejectUnwrittenJobs rejects the jobs whose records aren't part of any append yet, if the append in progress has taken
+// longer than logStallTimeout. They certainly don't run, so that their callers can submit them again at once, whereas
+// the outcome of the append in progress isn't known.
+func (c *Core) RejectUnwrittenJobs() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	if !c.logStalled(now) {
+		return
+	}
+	rejected := 0
+	for j := range c.dirtyJobs {
+		// A cancellation that was requested meanwhile has to be recorded with the job.
+		if j.definitionWritten || j.cancelled {
+			continue
+		}
+		c.answerSubmitters(j, Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"})
+		c.cancelBooking(j)
+		delete(c.jobs, j.def.ID)
+		delete(c.activeJobs, j)
+		delete(c.dirtyJobs, j)
+		c.metrics.jobRejected("log_down")
+		rejected++
+	}
+	if rejected > 0 {
+		c.logger.WithFields(logrus.Fields{"event": "unwritten_jobs_rejected", "jobs": rejected, "log_silent_ms": (now - c.appendStartedAt).Milliseconds()}).
+			Info("jobs rejected that wait to be written: the log takes no records at the moment")
+	}
+}
+
+// answerSubmitters sends the outcome to those who wait for the acceptance of the job.
+func (c *Core) answerSubmitters(j *job, outcome Outcome) {
+	for _, submitter := range j.submitters {
+		submitter <- outcome
+	}
+	j.submitters = nil
+}
+
+// CollectOrders plans like Collect while an append is in progress, and returns only the orders since the last call. What
+// has to be recorded waits for the next batch. Only work items that never had a run are started: how an earlier run ended
+// may not be recorded yet, and would be lost with this process. confirmedAt is when the last confirmed append of this term
+// was sent. When half of the last leases has passed since they could be extended, nothing is planned any more.
+func (c *Core) CollectOrders(confirmedAt time.Duration) []Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	if now-confirmedAt > LeaderLease+c.options.Lease/2 {
+		return nil
+	}
+	c.firstRunsOnly = true
+	defer func() { c.firstRunsOnly = false }()
+	c.planCycle(now)
+	orders := c.pendingOrders
+	c.pendingOrders = nil
+	return orders
+}
+
+// planCycle drops expired state and plans.
+func (c *Core) planCycle(now time.Duration) {
+	c.dropExpired(now)
+	c.plan(now)
+	c.observeSuspects(now)
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -71,49 +71,6 @@
 	c.markDirty(j)
 }
 
-// logStalled reports whether the append in progress has taken longer than logStallTimeout.
-func (c *Core) logStalled(now time.Duration) bool {
-	return c.appendStartedAt > 0 && now-c.appendStartedAt > logStallTimeout
-}
-
-// RejectUnwrittenJobs rejects the jobs whose records aren't part of any append yet, if the append in progress has taken
-// longer than logStallTimeout. They certainly don't run, so that their callers can submit them again at once, whereas
-// the outcome of the append in progress isn't known.
-func (c *Core) RejectUnwrittenJobs() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock()
-	if !c.logStalled(now) {
-		return
-	}
-	rejected := 0
-	for j := range c.dirtyJobs {
-		// A cancellation that was requested meanwhile has to be recorded with the job.
-		if j.definitionWritten || j.cancelled {
-			continue
-		}
-		c.answerSubmitters(j, Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"})
-		c.cancelBooking(j)
-		delete(c.jobs, j.def.ID)
-		delete(c.activeJobs, j)
-		delete(c.dirtyJobs, j)
-		c.metrics.jobRejected("log_down")
-		rejected++
-	}
-	if rejected > 0 {
-		c.logger.WithFields(logrus.Fields{"event": "unwritten_jobs_rejected", "jobs": rejected, "log_silent_ms": (now - c.appendStartedAt).Milliseconds()}).
-			Info("jobs rejected that wait to be written: the log takes no records at the moment")
-	}
-}
-
-// answerSubmitters sends the outcome to those who wait for the acceptance of the job.
-func (c *Core) answerSubmitters(j *job, outcome Outcome) {
-	for _, submitter := range j.submitters {
-		submitter <- outcome
-	}
-	j.submitters = nil
-}
-
 // offeredJobRetention is how long offeredJobs keeps a job. Callers retry a rejected job for a few seconds
 // only.
 const offeredJobRetention = 15 * time.Second
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -24,6 +24,9 @@
 	// idlePlanInterval is the interval at which the core plans without a wakeup, for example to release items
 	// whose leases have lapsed.
 	idlePlanInterval = 50 * time.Millisecond
+	// appendPlanDelay is how long an append may take before the core plans while it is in progress. The log usually takes
+	// a few milliseconds.
+	appendPlanDelay = 50 * time.Millisecond
 	// batchPause is the pause after each append. Changes during it are written in one append.
 	batchPause = 4 * time.Millisecond
 	// maxConfirmationAge is how long after its last confirmed append an idle term appends a confirmation
@@ -196,10 +199,8 @@
 		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
 			batch.Records = s.confirmationRecords()
 		}
-		for i := range batch.Orders {
-			go s.send(ctx, &batch.Orders[i])
-		}
-		if err := s.writer.Append(ctx, batch.Records); err != nil {
+		s.sendOrders(ctx, batch.Orders)
+		if err := s.appendPlanning(ctx, batch.Records); err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
@@ -210,6 +211,36 @@
 	}
 }
 
+// appendPlanning appends the records. If that takes longer than appendPlanDelay, it plans meanwhile and sends the
+// orders: accepted work goes on while the log is slow or down, as long as the leases of the workers permit.
+func (s *session) appendPlanning(ctx context.Context, records []infra.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	appended := make(chan error, 1)
+	go func() { appended <- s.writer.Append(ctx, records) }()
+	timer := time.NewTimer(appendPlanDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case err := <-appended:
+			return err
+		case <-timer.C:
+		}
+		if !s.core.Fenced() {
+			s.sendOrders(ctx, s.core.CollectOrders(s.writer.ConfirmedAt()))
+		}
+		timer.Reset(idlePlanInterval)
+	}
+}
+
+// sendOrders sends the orders without waiting for their results.
+func (s *session) sendOrders(ctx context.Context, orders []scheduler.Order) {
+	for i := range orders {
+		go s.send(ctx, &orders[i])
+	}
+}
+
 // send sends one order to a worker and passes the result to the core.
 func (s *session) send(ctx context.Context, order *scheduler.Order) {
 	switch order.Kind {
--- a/internal/session/stall_test.go
+++ b/internal/session/stall_test.go
@@ -56,3 +56,49 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// lateWorker is a worker that is listed only from listedAt on.
+type lateWorker struct {
+	slowStarts
+	listedAt time.Time
+}
+
+func (w *lateWorker) Poll(ctx context.Context) (infra.WorkerUpdate, error) {
+	if time.Now().Before(w.listedAt) {
+		return infra.WorkerUpdate{Full: true}, nil
+	}
+	return w.slowStarts.Poll(ctx)
+}
+
+// Guards against accepted jobs that wait for the end of an outage of the log although workers can take them.
+func TestAcceptedJobsStartDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		log, worker := &infratest.Log{}, &lateWorker{listedAt: time.Now().Add(time.Second)}
+		begin := time.Now()
+		queue := work.Queue{Name: "q", Pool: "p"}
+		accepted := make(chan scheduler.Outcome, 1)
+		config := Config{Log: log, Workers: worker, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return worker },
+			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
+			Options: scheduler.Options{Lease: 5 * time.Second},
+			ConfigureCore: func(core *scheduler.Core) {
+				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
+			},
+			DetachCore: func() {},
+			AttachCore: func(core *scheduler.Core) {
+				core.Submit(&work.Job{ID: "j", Queue: queue, Steps: []work.Step{{Count: 3, Need: work.Resources{CPUMilli: 1}}}}, accepted)
+			}}
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		go Run(ctx, config, 1)
+		assert.Equal(t, (<-accepted).Kind, scheduler.OutcomeDone)
+		log.SetDown(true)
+		time.Sleep(3 * time.Second)
+		worker.mu.Lock()
+		started := worker.started
+		worker.mu.Unlock()
+		assert.Equal(t, started, 3)
+		time.Sleep(2 * time.Second)
+	})
+}
