End the term and not the process when the scheduler panics

A panic in a goroutine of the session ended the whole process, with all the requests of callers that it served, also those that it only forwards. The next term, of this process or another, loads its state from the log.

Panics in the election, in following the configuration and in the traffic log still end the process.

TestPanicEndsTheTermOnly panics in the renewal of leases, starts, both lists, appends and the configuration of the core; each ended the test binary before.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -87,6 +87,8 @@
 	core      *scheduler.Core
 	writer    *journal.Writer
 	startedAt time.Duration
+	// endTerm ends the term because of an error.
+	endTerm context.CancelCauseFunc
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -105,7 +107,9 @@
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
 	s.Logger = logger
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
-	err := s.run(ctx)
+	ctx, s.endTerm = context.WithCancelCause(ctx)
+	defer s.endTerm(nil)
+	err := s.guarded(func() error { return s.run(ctx) })
 	logger.WithField("event", "term_ended").WithError(err).Info("this process is no longer the scheduler")
 }
 
@@ -118,18 +122,21 @@
 	s.AttachCore(s.core)
 	s.Logger.WithFields(logrus.Fields{"event": "term_open", "took_ms": (s.Clock() - s.startedAt).Milliseconds()}).Info("scheduler state loaded; requests are served")
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error {
+	s.goGuarded(group, func() error {
 		// The calls to workers that are in progress may take seconds more. Requests that come meanwhile would be
 		// turned away by a core that is closed.
 		<-groupCtx.Done()
 		s.DetachCore()
 		return groupCtx.Err()
 	})
-	group.Go(func() error { return s.commitBatches(groupCtx) })
-	group.Go(func() error { return s.watchFence(groupCtx) })
-	group.Go(func() error { return s.followDirectory(groupCtx, group) })
-	group.Go(func() error { return s.manageHosts(groupCtx, group) })
-	return group.Wait()
+	s.goGuarded(group, func() error { return s.commitBatches(groupCtx) })
+	s.goGuarded(group, func() error { return s.watchFence(groupCtx) })
+	s.goGuarded(group, func() error { return s.followDirectory(groupCtx, group) })
+	s.goGuarded(group, func() error { return s.manageHosts(groupCtx, group) })
+	err := group.Wait()
+	// After a panic nothing else closes the core.
+	s.core.Abandon(&scheduler.Batch{})
+	return err
 }
 
 // load fences earlier terms by an append, so that they can't change the state any more, and then reads it.
@@ -218,7 +225,7 @@
 		return nil
 	}
 	appended := make(chan error, 1)
-	go func() { appended <- s.writer.Append(ctx, records) }()
+	go func() { appended <- s.guarded(func() error { return s.writer.Append(ctx, records) }) }()
 	timer := time.NewTimer(appendPlanDelay)
 	defer timer.Stop()
 	for {
@@ -237,7 +244,7 @@
 // sendOrders sends the orders without waiting for their results.
 func (s *session) sendOrders(ctx context.Context, orders []scheduler.Order) {
 	for i := range orders {
-		go s.send(ctx, &orders[i])
+		s.goSend(ctx, func(ctx context.Context) { s.send(ctx, &orders[i]) })
 	}
 }
 
@@ -290,7 +297,7 @@
 		return
 	}
 	s.renewalLoops[id] = true
-	group.Go(func() error {
+	s.goGuarded(group, func() error {
 		s.renewLeases(ctx, id)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -365,7 +372,7 @@
 	}
 	orders, waveChanges := s.core.PlanHosts()
 	for _, order := range orders {
-		group.Go(func() error {
+		s.goGuarded(group, func() error {
 			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
 			return nil
 		})
