--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -25,6 +25,9 @@
 	// idlePlanInterval is the interval at which the core plans without a wakeup, for example to release items
 	// whose leases have lapsed.
 	idlePlanInterval = 50 * time.Millisecond
+	// appendPlanDelay is how long an append may take before the core plans while it is in progress. The log usually takes
+	// a few milliseconds.
+	appendPlanDelay = 50 * time.Millisecond
 	// batchPause is the pause after each append. Changes during it are written in one append. It grows by
 	// batchPausePerUnit for each worker and unfinished job, up to maxBatchPause: planning may consider all of them, and
 	// must leave most of the processor time to the calls to workers.
@@ -92,6 +95,8 @@
 	writer    *journal.Writer
 	startedAt time.Duration
 	stages    stages
+	// endTerm ends the term because of an error.
+	endTerm context.CancelCauseFunc
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -111,7 +116,9 @@
 	s.Logger = logger
 	s.stages = newStages(config.Usage)
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
-	err := s.run(ctx)
+	ctx, s.endTerm = context.WithCancelCause(ctx)
+	defer s.endTerm(nil)
+	err := s.guarded(func() error { return s.run(ctx) })
 	logger.WithField("event", "term_ended").WithError(err).Info("this process is no longer the scheduler")
 }
 
@@ -124,18 +131,21 @@
 	s.AttachCore(s.core)
 	s.Logger.WithFields(logrus.Fields{"event": "term_open", "took_ms": (s.Clock() - s.startedAt).Milliseconds()}).Info("scheduler state loaded; requests are served")
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error {
+	s.goGuarded(group, func() error {
 		// The calls to workers that are in progress may take seconds more. Requests that come meanwhile would be
 		// turned away by a core that is closed.
 		<-groupCtx.Done()
 		s.DetachCore()
 		return groupCtx.Err()
 	})
-	group.Go(func() error { return s.commitBatches(groupCtx) })
-	group.Go(func() error { return s.watchFence(groupCtx) })
-	group.Go(func() error { return s.followDirectory(groupCtx, group) })
-	group.Go(func() error { return s.manageHosts(groupCtx, group) })
-	return group.Wait()
+	s.goGuarded(group, func() error { return s.commitBatches(groupCtx) })
+	s.goGuarded(group, func() error { return s.watchFence(groupCtx) })
+	s.goGuarded(group, func() error { return s.followDirectory(groupCtx, group) })
+	s.goGuarded(group, func() error { return s.manageHosts(groupCtx, group) })
+	err := group.Wait()
+	// After a panic nothing else closes the core.
+	s.core.Abandon(&scheduler.Batch{})
+	return err
 }
 
 // load fences earlier terms by an append, so that they can't change the state any more, and then reads it.
@@ -205,10 +215,8 @@
 		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
 			batch.Records = s.confirmationRecords()
 		}
-		for i := range batch.Orders {
-			go s.send(ctx, &batch.Orders[i])
-		}
-		if err := s.writer.Append(ctx, batch.Records); err != nil {
+		s.sendOrders(ctx, batch.Orders)
+		if err := s.appendPlanning(ctx, batch.Records); err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
@@ -226,6 +234,36 @@
 	return min(maxBatchPause, batchPause+time.Duration(size)*batchPausePerUnit)
 }
 
+// appendPlanning appends the records. If that takes longer than appendPlanDelay, it plans meanwhile and sends the
+// orders: accepted work goes on while the log is slow or down, as long as the leases of the workers permit.
+func (s *session) appendPlanning(ctx context.Context, records []infra.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	appended := make(chan error, 1)
+	go func() { appended <- s.guarded(func() error { return s.writer.Append(ctx, records) }) }()
+	timer := time.NewTimer(appendPlanDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case err := <-appended:
+			return err
+		case <-timer.C:
+		}
+		if !s.core.Fenced() {
+			s.sendOrders(ctx, s.core.CollectOrders(s.writer.ConfirmedAt()))
+		}
+		timer.Reset(idlePlanInterval)
+	}
+}
+
+// sendOrders sends the orders without waiting for their results.
+func (s *session) sendOrders(ctx context.Context, orders []scheduler.Order) {
+	for i := range orders {
+		s.goSend(ctx, func(ctx context.Context) { s.send(ctx, &orders[i]) })
+	}
+}
+
 // send sends one order to a worker and passes the result to the core.
 func (s *session) send(ctx context.Context, order *scheduler.Order) {
 	switch order.Kind {
@@ -277,7 +315,7 @@
 		return
 	}
 	s.renewalLoops[id] = true
-	group.Go(func() error {
+	s.goGuarded(group, func() error {
 		s.renewLeases(ctx, id)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -351,7 +389,7 @@
 	}
 	orders, waveChanges := s.planHosts(hosts, requestedAt)
 	for _, order := range orders {
-		group.Go(func() error {
+		s.goGuarded(group, func() error {
 			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
 			return nil
 		})
