Revert "Start accepted work while the log is down"

It needs a test of a zone that is cut off with the leader, and of customers' limits, before it lands. The functions that it moved to stall.go stay there.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -185,8 +185,6 @@
 	jobsHeldSince time.Duration
 	// nextSuspectsObservation is when the suspects are counted again.
 	nextSuspectsObservation time.Duration
-	// firstRunsOnly is set while work items that had a run aren't started.
-	firstRunsOnly bool
 	// supply caches what admission needs to know of the pools.
 	supply supplyCache
 	// offeredJobs maps job IDs to the time at which they were first submitted to this term. Retries of
@@ -373,7 +371,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	c.planCycle(now)
+	c.dropExpired(now)
+	c.plan(now)
+	c.observeSuspects(now)
 	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
 	c.pendingRecords = nil
 	for j := range c.dirtyJobs {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -138,7 +138,7 @@
 	}
 	placed := 0
 	for _, i := range step.items {
-		if i.state != itemWaiting || i.givenUp || i.suspect() != trials || c.firstRunsOnly && i.run > 0 {
+		if i.state != itemWaiting || i.givenUp || i.suspect() != trials {
 			continue
 		}
 		w := c.chooseWorker(i, pool, now)
@@ -167,8 +167,8 @@
 		if i.state == itemDone {
 			continue
 		}
-		if i.state == itemPlaced || c.firstRunsOnly && i.run > 0 {
-			// An item of the gang's previous run hasn't ended yet, or its end may not be recorded.
+		if i.state == itemPlaced {
+			// An item of the gang's previous run hasn't ended yet.
 			return
 		}
 		w := c.chooseWorker(i, pool, now)
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -153,31 +153,12 @@
 		return 0
 	}
 	leaseEndMs := c.extendLease(w, now, confirmedAt)
-	if leaseEndMs == 0 {
-		leaseEndMs = c.lastLease(w, now, confirmedAt, c.predictRunTime(i.step.job.def, i.step.def)+stepOverhead)
-	}
 	if leaseEndMs > 0 {
 		i.startSent, i.startInFlight = true, true
 	}
 	return leaseEndMs
 }
 
-// lastLease returns the end, on the worker's clock, of the last lease that the term could extend after its last confirmed
-// append, or 0 if less than runTime and less than half of the lease is left. A start under that lease is safe while the
-// log is down: a later term waits for its end at the workers that it can't reach, and the others refuse the start once
-// they have seen that term.
-func (c *Core) lastLease(w *worker, now, confirmedAt, runTime time.Duration) int64 {
-	if w.clockMs == 0 {
-		return 0
-	}
-	lease := confirmedAt + LeaderLease - w.clockReadAt + c.options.Lease
-	if lease-(now-w.clockReadAt) < min(runTime, c.options.Lease/2) {
-		return 0
-	}
-	w.leaseEnd = max(w.leaseEnd, w.clockReadAt+time.Duration(float64(lease)/minClockRate)+leaseEndMargin)
-	return w.clockMs + lease.Milliseconds()
-}
-
 // findItem returns the item with the ID, or nil if there is none.
 func (c *Core) findItem(id work.ItemID) *item {
 	j := c.jobs[id.Job]
--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -6,8 +6,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// An append usually takes a few milliseconds. While the log is slow or down, accepted work goes on, and submissions
-// that would have to wait for the log are rejected.
+// An append usually takes a few milliseconds. While the log is down, submissions that would have to wait for it are
+// rejected.
 
 // logStalled reports whether the append in progress has taken longer than logStallTimeout.
 func (c *Core) logStalled(now time.Duration) bool {
@@ -52,29 +52,3 @@
 	}
 	j.submitters = nil
 }
-
-// CollectOrders plans like Collect while an append is in progress, and returns only the orders since the last call. What
-// has to be recorded waits for the next batch. Only work items that never had a run are started: how an earlier run ended
-// may not be recorded yet, and would be lost with this process. confirmedAt is when the last confirmed append of this term
-// was sent. When half of the last leases has passed since they could be extended, nothing is planned any more.
-func (c *Core) CollectOrders(confirmedAt time.Duration) []Order {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock()
-	if now-confirmedAt > LeaderLease+c.options.Lease/2 {
-		return nil
-	}
-	c.firstRunsOnly = true
-	defer func() { c.firstRunsOnly = false }()
-	c.planCycle(now)
-	orders := c.pendingOrders
-	c.pendingOrders = nil
-	return orders
-}
-
-// planCycle drops expired state and plans.
-func (c *Core) planCycle(now time.Duration) {
-	c.dropExpired(now)
-	c.plan(now)
-	c.observeSuspects(now)
-}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -25,9 +25,6 @@
 	// idlePlanInterval is the interval at which the core plans without a wakeup, for example to release items
 	// whose leases have lapsed.
 	idlePlanInterval = 50 * time.Millisecond
-	// appendPlanDelay is how long an append may take before the core plans while it is in progress. The log usually takes
-	// a few milliseconds.
-	appendPlanDelay = 50 * time.Millisecond
 	// batchPause is the pause after each append. Changes during it are written in one append. It grows by
 	// batchPausePerUnit for each worker and unfinished job, up to maxBatchPause: planning may consider all of them, and
 	// must leave most of the processor time to the calls to workers.
@@ -216,7 +213,7 @@
 			batch.Records = s.confirmationRecords()
 		}
 		s.sendOrders(ctx, batch.Orders)
-		if err := s.appendPlanning(ctx, batch.Records); err != nil {
+		if err := s.writer.Append(ctx, batch.Records); err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
@@ -234,29 +231,6 @@
 	return min(maxBatchPause, batchPause+time.Duration(size)*batchPausePerUnit)
 }
 
-// appendPlanning appends the records. If that takes longer than appendPlanDelay, it plans meanwhile and sends the
-// orders: accepted work goes on while the log is slow or down, as long as the leases of the workers permit.
-func (s *session) appendPlanning(ctx context.Context, records []infra.Record) error {
-	if len(records) == 0 {
-		return nil
-	}
-	appended := make(chan error, 1)
-	go func() { appended <- s.guarded(func() error { return s.writer.Append(ctx, records) }) }()
-	timer := time.NewTimer(appendPlanDelay)
-	defer timer.Stop()
-	for {
-		select {
-		case err := <-appended:
-			return err
-		case <-timer.C:
-		}
-		if !s.core.Fenced() {
-			s.sendOrders(ctx, s.core.CollectOrders(s.writer.ConfirmedAt()))
-		}
-		timer.Reset(idlePlanInterval)
-	}
-}
-
 // sendOrders sends the orders without waiting for their results.
 func (s *session) sendOrders(ctx context.Context, orders []scheduler.Order) {
 	for i := range orders {
