--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -175,8 +175,9 @@
 	statsByPool map[string]*poolStats
 	fleet       fleetState
 	peakTracker peakTracker
-	// nextJobExpiry and nextWorkerCheck are when the checks of jobExpiryInterval and workerCheckInterval are due.
-	nextJobExpiry, nextWorkerCheck time.Duration
+	// nextJobExpiry and nextWorkerCheck are when the checks of jobExpiryInterval and workerCheckInterval are due, and
+	// nextWorkerExpiry is when a worker may have to be dropped, or its items released.
+	nextJobExpiry, nextWorkerCheck, nextWorkerExpiry time.Duration
 	// settledWorkers holds the IDs of the workers of which noteSettled was told. It outlasts their entries in workers:
 	// the list of hosts may show a worker that has ended for a while, and the list of workers may have a late entry.
 	settledWorkers map[string]bool
@@ -293,6 +294,10 @@
 	case itemDone:
 		i.setState(itemDone)
 	case itemPlaced:
+		if record.Worker == "" {
+			// An item is placed on a worker: the record is one of another writer.
+			return
+		}
 		// The recorded run has no known end yet, so only the runs before it are accounted for.
 		i.inherited, i.placedAt, i.lastAccountedRun = true, now, record.Run-1
 		w := c.workers[record.Worker]
@@ -316,6 +321,7 @@
 // place assigns the item to the worker and reserves its resources.
 func (c *Core) place(i *item, w *worker) {
 	i.setState(itemPlaced)
+	i.addPlaced()
 	i.worker = w
 	w.add(i)
 	customer := i.step.job.def.Customer
@@ -333,6 +339,7 @@
 		return
 	}
 	c.logSlowAnswers(i, c.clock())
+	i.removePlaced(c.clock())
 	w.remove(i, c.clock())
 	c.keepLateStart(i, w)
 	customer := i.step.job.def.Customer
@@ -376,6 +383,7 @@
 			continue
 		}
 		j.definitionWritten = true
+		c.waiters, j.submitters = append(c.waiters, j.submitters...), nil
 		batch.Records = append(batch.Records, records...)
 		batch.changedJobs = append(batch.changedJobs, j)
 	}
@@ -431,7 +439,8 @@
 }
 
 // Abandon closes the core when the batch may not have become durable. Callers that wait for this batch
-// or a later one get OutcomeUnknown.
+// get OutcomeUnknown. Jobs that no batch contains yet are lost with the core, so that their callers get
+// OutcomeTermOver.
 func (c *Core) Abandon(batch *Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -442,6 +451,9 @@
 	for _, waiter := range waiting {
 		waiter <- Outcome{Kind: OutcomeUnknown}
 	}
+	for j := range c.dirtyJobs {
+		c.answerSubmitters(j, Outcome{Kind: OutcomeTermOver})
+	}
 }
 
 // ObserveDelay records how late a periodic check of this process began. A process that has more to do than its
@@ -453,6 +465,13 @@
 	c.delay = max(delay, c.delay/2)
 }
 
+// Size returns the number of workers and unfinished jobs.
+func (c *Core) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.workers) + len(c.activeJobs)
+}
+
 // Fenced reports whether a worker or host has seen a higher fencing token than this term's.
 func (c *Core) Fenced() bool {
 	c.mu.Lock()
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -96,7 +96,9 @@
 			if err := cbor.Unmarshal(record.Value, &body); err != nil {
 				c.logger.WithFields(logrus.Fields{"event": "host_record_skipped", "key": record.Key}).WithError(err).Error("can't decode the record of a host order; the host gets no orders for the full delay")
 			} else {
-				delay = min(delay, time.UnixMilli(body.AtMs).Sub(c.wallClock())+c.options.HostOrderDelay+maxClockSkew)
+				// The difference is limited before the subtractions, since it is that of any two times.
+				sinceOrder := max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs))) - maxClockSkew
+				delay -= min(max(0, sinceOrder), delay)
 			}
 			c.fleet.heldBackUntil[host] = c.clock() + delay
 			continue
@@ -162,7 +164,8 @@
 	if len(c.fleet.hosts) == 0 {
 		return
 	}
-	for id, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
+		id := w.entry.ID
 		if c.fleet.byWorker[id] != "" || w.ended || w.hasReported && len(w.items) == 0 || (w.failedRenewals == 0 && w.entry.Address != "") {
 			continue
 		}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -38,7 +38,7 @@
 	}
 	w.sentAck = 0
 	if w.failedRenewals == 1 {
-		c.logger.WithFields(logrus.Fields{"event": "worker_lost", "worker": id, "kind": string(infra.KindOf(err)), "items": len(w.items)}).WithError(err).Warn("lease renewal of the worker failed; it gets no new work until one succeeds")
+		c.logLoss(w, err)
 	}
 	switch infra.KindOf(err) {
 	case infra.Fenced:
@@ -314,10 +314,7 @@
 // whose start or stop the worker confirmed before the lease renewal was sent, and items placed by earlier
 // terms, whose delayed orders the worker now refuses.
 func (c *Core) releaseAbsent(w *worker, listed map[*item]bool, sentAt time.Duration) {
-	for i := range w.items {
-		if listed[i] {
-			continue
-		}
+	for _, i := range w.sortedItems(func(i *item) bool { return !listed[i] }) {
 		// The next process of a restarted worker may still carry out an attempt that had no response.
 		pending := i.processUncertain && i.mayStillBegin(c.clock())
 		started := i.startConfirmedAt > 0 && i.startConfirmedAt < sentAt && !pending
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -152,6 +152,9 @@
 	waited, wasDone := step.countInState(itemWaiting) > 0, step.done()
 	step.stateCounts[i.state]--
 	step.stateCounts[state]++
+	if waits := state == itemWaiting; waits != (i.state == itemWaiting) {
+		i.adjustWaiting(waits)
+	}
 	if waited != (step.countInState(itemWaiting) > 0) || wasDone != step.done() {
 		step.job.openStepsChanged = true
 	}
@@ -176,9 +179,13 @@
 	inherited bool
 	// definitionWritten is set once a batch contains the record of the definition.
 	definitionWritten bool
-	cancelled         bool
-	failed            bool
-	completed         bool
+	// submitters wait for the acceptance, until a batch contains the record of the definition.
+	submitters []chan<- Outcome
+	// booked is the time by which the job moved its customer's booked time forward.
+	booked    time.Duration
+	cancelled bool
+	failed    bool
+	completed bool
 	// visibleCompleted, visibleFailed and visibleCancelled are the states that callers see. They are set to
 	// completed, failed and cancelled once these are durable.
 	visibleCompleted bool
@@ -211,6 +218,8 @@
 	// total and remaining are the cached work of all steps of one occurrence, and of the unfinished steps of the
 	// last one; nil if they have to be computed.
 	total, remaining *declaredWork
+	// supply is the entry of the supplyCache that includes the job's work; nil if none does.
+	supply *poolSupply
 }
 
 func newJob(def *work.Job) *job {
@@ -231,19 +240,19 @@
 // finished reports whether the job is cancelled, failed or completed, so that no more runs are started.
 func (j *job) finished() bool { return j.cancelled || j.failed || j.completed }
 
-// stepAt returns a step of an occurrence, or nil if the job doesn't have it.
+// stepAt returns a step of an occurrence, or nil if the job doesn't have it. The numbers may come from a report or a
+// record, and each is checked by itself, since their product may overflow.
 func (j *job) stepAt(occurrence, number int) *stepInstance {
-	index := occurrence*len(j.def.Steps) + number
-	if number >= len(j.def.Steps) || index >= len(j.steps) {
+	if occurrence < 0 || occurrence >= j.def.Occurrences() || number < 0 || number >= len(j.def.Steps) {
 		return nil
 	}
-	return j.steps[index]
+	return j.steps[occurrence*len(j.def.Steps)+number]
 }
 
 // itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it.
 func (j *job) itemAt(occurrence, number, index int) *item {
 	step := j.stepAt(occurrence, number)
-	if step == nil || index >= len(step.items) {
+	if step == nil || index < 0 || index >= len(step.items) {
 		return nil
 	}
 	return step.items[index]
--- a/internal/scheduler/workercheck.go
+++ b/internal/scheduler/workercheck.go
@@ -3,7 +3,7 @@
 import "time"
 
 // checkWorkers checks the runs of all workers for unconfirmed starts and stops and for stragglers, and stops lasting
-// work on draining workers. It passes over each run once, in the order of the workers' IDs.
+// work on draining workers. It passes over the workers, and over the runs that may need an order, in the order of their IDs.
 func (c *Core) checkWorkers(now time.Duration) {
 	var unanswered unansweredRuns
 	for _, w := range c.sortedWorkers() {
@@ -11,10 +11,12 @@
 		if len(w.items) == 0 {
 			continue
 		}
-		stragglers := 0
 		for i := range w.items {
-			c.retryStop(i, now)
 			unanswered.observe(i, now)
+		}
+		stragglers := 0
+		for _, i := range w.sortedItems(func(i *item) bool { return i.stopping || w.entry.Draining || c.isStraggler(i, now) }) {
+			c.retryStop(i, now)
 			switch {
 			case w.failedRenewals > 0:
 			case w.entry.Draining:
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -11,6 +11,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.wakeUp()
+	c.nextWorkerExpiry = 0
 	if update.Full {
 		for _, w := range c.workers {
 			w.listed = false
@@ -82,7 +83,7 @@
 	c.workerLists.remove(w)
 }
 
-// sortedWorkers returns all workers, sorted by ID.
+// sortedWorkers returns all workers, sorted by ID. The result is valid until a worker is added or removed.
 func (c *Core) sortedWorkers() []*worker { return c.workerLists.all }
 
 // WorkerIDs returns the IDs of all workers.
@@ -115,6 +116,7 @@
 		c.countCrash(w)
 	}
 	w.ended, w.crashCounted, w.listed = true, true, false
+	c.nextWorkerExpiry = 0
 	c.releaseAllItems(w, c.clock())
 	w.wakeRenewalLoop()
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -18,14 +18,19 @@
 	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/scheduler"
+	"turmericyoke/internal/telemetry"
 )
 
 const (
 	// idlePlanInterval is the interval at which the core plans without a wakeup, for example to release items
 	// whose leases have lapsed.
 	idlePlanInterval = 50 * time.Millisecond
-	// batchPause is the pause after each append. Changes during it are written in one append.
-	batchPause = 4 * time.Millisecond
+	// batchPause is the pause after each append. Changes during it are written in one append. It grows by
+	// batchPausePerUnit for each worker and unfinished job, up to maxBatchPause: planning may consider all of them, and
+	// must leave most of the processor time to the calls to workers.
+	batchPause        = 4 * time.Millisecond
+	batchPausePerUnit = 10 * time.Microsecond
+	maxBatchPause     = 20 * time.Millisecond
 	// maxConfirmationAge is how long after its last confirmed append an idle term appends a confirmation
 	// record, which proves that it isn't fenced. It is well below scheduler.LeaderLease.
 	maxConfirmationAge = 500 * time.Millisecond
@@ -75,6 +80,8 @@
 	// term is over and the core must not be used any more.
 	AttachCore func(core *scheduler.Core)
 	DetachCore func()
+	// Usage measures the stages of sessions. It may be nil.
+	Usage *telemetry.Usage
 }
 
 // session is the state of the scheduler process during one term. Its core is used in this term only.
@@ -84,6 +91,7 @@
 	core      *scheduler.Core
 	writer    *journal.Writer
 	startedAt time.Duration
+	stages    stages
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -101,6 +109,7 @@
 		writer: journal.New(config.Log, scheduler.Topic, term, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
 	s.Logger = logger
+	s.stages = newStages(config.Usage)
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
 	err := s.run(ctx)
 	logger.WithField("event", "term_ended").WithError(err).Info("this process is no longer the scheduler")
@@ -159,7 +168,8 @@
 var errFenced = errors.New("fenced: a worker or host has seen a higher fencing token")
 
 // watchFence ends the term once a higher fencing token was seen. Unlike commitBatches, it does so even while an
-// append is in progress. It also tells the core how late its checks begin.
+// append is in progress. It also tells the core how late its checks begin, and has it reject what waits behind an append
+// that takes too long.
 func (s *session) watchFence(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if s.core.Fenced() {
@@ -168,6 +178,7 @@
 		checkedAt := s.Clock()
 		_ = periodic.Pause(ctx, fenceCheckInterval)
 		s.core.ObserveDelay(s.Clock() - checkedAt - fenceCheckInterval)
+		s.core.RejectUnwrittenJobs()
 	}
 	return ctx.Err()
 }
@@ -190,7 +201,7 @@
 			s.core.Abandon(&scheduler.Batch{})
 			return errFenced
 		}
-		batch := s.core.Collect()
+		batch := s.collect()
 		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
 			batch.Records = s.confirmationRecords()
 		}
@@ -201,13 +212,20 @@
 			s.core.Abandon(&batch)
 			return err
 		}
+		committedAt := time.Now()
 		s.core.Committed(&batch)
+		s.stages.commit.Since(committedAt)
 		if len(batch.Records) > 0 {
-			_ = periodic.Pause(ctx, batchPause)
+			_ = periodic.Pause(ctx, pauseAfterBatch(s.core.Size()))
 		}
 	}
 }
 
+// pauseAfterBatch returns the pause after an append of a core of the given size.
+func pauseAfterBatch(size int) time.Duration {
+	return min(maxBatchPause, batchPause+time.Duration(size)*batchPausePerUnit)
+}
+
 // send sends one order to a worker and passes the result to the core.
 func (s *session) send(ctx context.Context, order *scheduler.Order) {
 	switch order.Kind {
@@ -238,7 +256,9 @@
 				s.Logger.WithFields(logrus.Fields{"event": "directory_regained", "failures": failures}).Info("list of workers can be read again")
 			}
 			failures = 0
+			updatedAt := time.Now()
 			s.core.UpdateWorkers(update)
+			s.stages.workers.Since(updatedAt)
 			s.core.WorkersListed(requestedAt)
 			for _, id := range s.core.WorkerIDs() {
 				s.startRenewalLoop(ctx, group, id)
@@ -270,7 +290,9 @@
 // worker responds to each with a report of its runs.
 func (s *session) renewLeases(ctx context.Context, id string) {
 	for ctx.Err() == nil {
+		plannedAt := time.Now()
 		plan := s.core.NextRenewal(id)
+		s.stages.renewal.Since(plannedAt)
 		if plan.Ended {
 			return
 		}
@@ -283,7 +305,9 @@
 			s.core.RenewalFailed(id, err)
 			continue
 		}
+		reportedAt := time.Now()
 		s.core.ApplyReport(id, report, sentAt)
+		s.stages.report.Since(reportedAt)
 	}
 }
 
@@ -325,12 +349,7 @@
 		s.Logger.WithField("event", "hosts_unlisted").WithError(err).Warn("can't read the list of hosts; maintenance waves and host moves wait until it can be read")
 		return readTime
 	}
-	s.core.SetHosts(hosts, requestedAt)
-	if !s.mayOrderHosts() {
-		s.core.ObserveLoads()
-		return readTime
-	}
-	orders, waveChanges := s.core.PlanHosts()
+	orders, waveChanges := s.planHosts(hosts, requestedAt)
 	for _, order := range orders {
 		group.Go(func() error {
 			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
@@ -346,3 +365,15 @@
 	}
 	return readTime
 }
+
+// planHosts passes the list of hosts that was requested at the given time to the core, and returns the orders and the
+// changes of waves that it plans.
+func (s *session) planHosts(hosts []infra.Host, requestedAt time.Duration) ([]scheduler.HostOrder, []scheduler.WaveStateChange) {
+	defer s.stages.hosts.Since(time.Now())
+	s.core.SetHosts(hosts, requestedAt)
+	if !s.mayOrderHosts() {
+		s.core.ObserveLoads()
+		return nil, nil
+	}
+	return s.core.PlanHosts()
+}
