--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -40,7 +40,7 @@
 // workers once they are unlisted. It sets nextWorkerExpiry to when the next lease may lapse, within workerCheckInterval.
 func (c *Core) dropExpiredWorkers(now time.Duration) {
 	next := now + workerCheckInterval
-	var removed []*worker
+	var gone []*worker
 	for _, w := range c.sortedWorkers() {
 		if len(w.items) == 0 && w.listed {
 			continue
@@ -57,9 +57,9 @@
 			next = now
 			continue
 		}
-		removed = append(removed, w)
+		gone = append(gone, w)
 	}
-	for _, w := range removed {
+	for _, w := range gone {
 		c.removeWorker(w)
 		w.wakeRenewalLoop()
 	}
--- a/internal/scheduler/workercheck_test.go
+++ b/internal/scheduler/workercheck_test.go
@@ -79,3 +79,20 @@
 		}
 	})
 }
+
+// Guards against expired workers that stay since others were removed from the list during the pass over it.
+func TestAllExpiredWorkersAreRemovedAtOnce(t *testing.T) {
+	tc := newTestCore(1)
+	var removed []string
+	for n := range 6 {
+		removed = append(removed, tc.addWorker(n, 8))
+	}
+	kept := tc.addWorker(6, 8)
+	tc.UpdateWorkers(infra.WorkerUpdate{Removed: removed})
+	for _, id := range removed {
+		tc.endWorker(tc.workers[id])
+	}
+	tc.now += workerCheckInterval
+	tc.Collect()
+	assert.DeepEqual(t, tc.WorkerIDs(), []string{kept})
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -83,7 +83,7 @@
 	c.workerLists.remove(w)
 }
 
-// sortedWorkers returns all workers, sorted by ID.
+// sortedWorkers returns all workers, sorted by ID. The result is valid until a worker is added or removed.
 func (c *Core) sortedWorkers() []*worker { return c.workerLists.all }
 
 // WorkerIDs returns the IDs of all workers.
