Start suspects on trial on workers paused after an unconfirmed start

- A worker that is paused for this reason alone takes trials, and no other work: sound work isn't held up, and the pause's next start is a probe anyway.
Every run there must be known, so that a crash shows its cause.
- A run on trial whose start has no response leaves the trial after 0.45 s instead of 0.6 s.
Until then the worker is asked every 0.05 s whether it has begun.
A start that is still repeated after that keeps no trial away.
- Trials may take all but one worker once a suspect has waited for 1.5 s instead of 3 s, which was the bound itself.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -23,6 +23,8 @@
 	otherWork bool
 	// overdue is set while a suspect has waited for longer than maxTrialDelay.
 	overdue bool
+	// probes are further workers that get no work but trials, see mayProbe.
+	probes []*worker
 	// onTrial is the number of further workers of the pool, on which trials of earlier cycles are in progress.
 	onTrial int
 	// tooLargeForTrials holds the needs of suspects that fitted on no worker that admits a trial in this cycle.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -101,9 +101,9 @@
 			return
 		}
 	case infra.NoCapacity:
-		w.pausedUntil = max(w.pausedUntil, now+noCapacityPause)
+		w.pauseUntil(now + noCapacityPause)
 	case infra.Unavailable, infra.Refused:
-		w.pausedUntil = max(w.pausedUntil, now+refusedStartPause)
+		w.pauseUntil(now + refusedStartPause)
 	}
 	if uncertain || kind == infra.Unknown {
 		w.pauseUnconfirmed(now)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -72,7 +72,8 @@
 func (c *Core) candidatePools(now time.Duration) map[string]*candidatePool {
 	pools := map[string]*candidatePool{}
 	for _, w := range c.sortedWorkers() {
-		if !c.isCandidate(w, now) {
+		probe := c.mayProbe(w, now)
+		if !probe && !c.isCandidate(w, now) {
 			continue
 		}
 		pool := pools[w.entry.Pool]
@@ -80,9 +81,13 @@
 			pool = &candidatePool{separateStarts: c.hasRecentCrash(w.entry.Pool, now)}
 			pools[w.entry.Pool] = pool
 		}
-		if w.trial == nil {
+		switch {
+		case probe && w.trial == nil:
+			pool.probes = append(pool.probes, w)
+		case probe:
+		case w.trial == nil:
 			pool.add(w)
-		} else {
+		default:
 			pool.onTrial++
 		}
 	}
@@ -104,7 +109,12 @@
 
 // schedulable reports whether the worker may get new work.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0 && now >= w.pausedUntil
+	return w.available() && now >= w.pausedUntil
+}
+
+// available reports whether the worker may get new work if it isn't paused.
+func (w *worker) available() bool {
+	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0
 }
 
 // evacuateDraining stops lasting work on draining workers, so that it starts on others before they leave.
@@ -220,6 +230,9 @@
 			continue
 		}
 		w := c.chooseWorker(i, pool, now)
+		if w == nil && trials {
+			w = c.chooseProbe(i, pool, now)
+		}
 		if w == nil {
 			// The other items of the step have the same needs. None of them can be placed either,
 			// unless workers were excluded for this item only.
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -115,6 +115,8 @@
 // suspects wait, workers also respond soon so that all their runs are known and a trial can begin.
 func (c *Core) maxTrialWait(w *worker, now time.Duration) time.Duration {
 	switch {
+	case w.trial != nil && w.trial.hasUnconfirmedStart():
+		return unconfirmedTrialWait
 	case w.trial != nil:
 		return w.trial.remaining(now) + trialReportMargin
 	case w.reserved || c.jobsOnHoldByPool[w.entry.Pool] > 0:
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -274,7 +274,7 @@
 	w.consecutiveFailures++
 	if w.consecutiveFailures >= failurePauseThreshold {
 		pause := min(maxFailurePause, minFailurePause<<min(w.consecutiveFailures-failurePauseThreshold, maxFailurePauseDoublings))
-		w.pausedUntil = max(w.pausedUntil, now+pause)
+		w.pauseUntil(now + pause)
 		c.logger.WithFields(logrus.Fields{"event": "worker_paused", "worker": w.entry.ID, "failed_in_a_row": w.consecutiveFailures}).Warn("consecutive runs failed on the worker; it gets no new work until its pause ends")
 	}
 	i.failures++
--- a/internal/scheduler/responsiveness.go
+++ b/internal/scheduler/responsiveness.go
@@ -62,6 +62,13 @@
 	}
 	w.unconfirmedPause = min(maxUnconfirmedPause, max(minUnconfirmedPause, 2*w.unconfirmedPause))
 	w.pausedUntil = now + w.unconfirmedPause
+	w.probeUntil = w.pausedUntil
+}
+
+// pauseUntil keeps new work from the worker until then.
+func (w *worker) pauseUntil(until time.Duration) {
+	w.pausedUntil = max(w.pausedUntil, until)
+	w.probeUntil = 0
 }
 
 // Unresponsive reports whether the worker has recently left a call unanswered.
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -86,7 +86,7 @@
 	}
 	w.ackedEnd, w.sentAck = 0, 0
 	if now < w.ackUnansweredUntil {
-		w.pausedUntil = max(w.pausedUntil, w.ackUnansweredUntil)
+		w.pauseUntil(w.ackUnansweredUntil)
 		c.logger.WithFields(logrus.Fields{"event": "worker_paused", "worker": w.entry.ID, "paused_ms": (w.ackUnansweredUntil - now).Milliseconds()}).Warn(
 			"restarted worker gets no new work until no acknowledgement of its earlier process's run ends can reach it")
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -327,8 +327,9 @@
 	unconfirmedPause time.Duration
 	// failedRenewals is the number of lease renewals that failed since the last report.
 	failedRenewals int
-	// pausedUntil is when the worker may get new work again.
-	pausedUntil time.Duration
+	// pausedUntil is when the worker may get new work again. Until probeUntil a suspect may start there on trial: a start
+	// that wasn't confirmed is the only reason for the pause.
+	pausedUntil, probeUntil time.Duration
 	// lastStragglerPause is the length of the last pause for stragglers; 0 after a successful run.
 	lastStragglerPause time.Duration
 	// consecutiveFailures is the number of failed runs since the last successful one.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -40,7 +40,7 @@
 		}
 		if stragglers >= slowWorkerStragglers && now >= w.pausedUntil {
 			w.lastStragglerPause = min(maxStragglerPause, max(minStragglerPause, 2*w.lastStragglerPause))
-			w.pausedUntil = now + w.lastStragglerPause
+			w.pauseUntil(now + w.lastStragglerPause)
 		}
 	}
 }
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -79,7 +79,7 @@
 			n.onTrial++
 		case !c.isCandidate(w, now):
 			n.closed++
-		case w.pendingStarts() > 0:
+		case w.pendingStarts(now) > 0:
 			n.pending++
 		case !i.step.reservation().Fits(w.freeCapacity()):
 			n.full++
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -57,9 +57,13 @@
 	return longest
 }
 
+// unconfirmedTrialWait is how long a lease renewal waits at a worker while a start on trial has had no response: only a
+// report then tells that the run has begun.
+const unconfirmedTrialWait = 50 * time.Millisecond
+
 // maxTrialTime is how long after its planning a run may keep a trial open without a response to its start. By then
 // a run that had begun is known: its worker has answered a second order, or listed it.
-const maxTrialTime = 2 * trialTime
+const maxTrialTime = trialTime + 3*unconfirmedTrialWait
 
 // dropUnansweredStarts ends the part of the runs in trials whose starts have had no response for maxTrialTime. They
 // may still begin, but the other runs of the trial have been tried.
@@ -129,27 +133,42 @@
 		return needsTrial && w.trial.accepts(i, now)
 	case !needsTrial:
 		return !w.reserved
-	case w.pendingStarts() == 0:
+	case w.pendingStarts(now) == 0:
 		return true
 	}
-	return i.step.def.Gang && w.pendingStarts() == i.step.countOnWorker(w)
+	return i.step.def.Gang && w.pendingStarts(now) == i.step.countOnWorker(w)
+}
+
+// hasUnconfirmedStart reports whether the start of a run on trial has had no response yet.
+func (t *trial) hasUnconfirmedStart() bool {
+	for i := range t.items {
+		if i.startConfirmedAt == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // pendingStarts returns the number of runs on the worker that no report has listed yet, without those that are being
-// stopped because their starts had no response.
-func (w *worker) pendingStarts() int {
+// stopped because their starts had no response, and those whose starts have had none for maxTrialTime.
+func (w *worker) pendingStarts(now time.Duration) int {
 	if w.unreportedItems == 0 {
 		return 0
 	}
 	n := 0
 	for i := range w.items {
-		if !i.reported && !i.stopping {
+		if !i.reported && !i.stopping && !i.isUnanswered(now) {
 			n++
 		}
 	}
 	return n
 }
 
+// isUnanswered reports whether the item's start has had no response for maxTrialTime.
+func (i *item) isUnanswered(now time.Duration) bool {
+	return i.startInFlight && i.startConfirmedAt == 0 && now-i.placedAt >= maxTrialTime
+}
+
 // beginTrial puts the item, which is placed now, on trial at its worker if it needs one.
 func (i *item) beginTrial(now time.Duration) {
 	w := i.worker
@@ -157,7 +176,7 @@
 		return
 	}
 	if w.trial == nil {
-		isolated := w.pendingStarts() == w.unreportedItems
+		isolated := w.pendingStarts(now) == w.unreportedItems
 		w.trial = &trial{job: i.step.job, plannedAt: now, items: map[*item]struct{}{}, alone: i.triedAlone(), isolated: isolated}
 	}
 	w.trial.items[i] = struct{}{}
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -56,7 +56,7 @@
 		if pool != nil && now-hold.oldest.waitingSince > maxTrialDelay && c.withinLimit(hold.oldest) {
 			pool.overdue = true
 		}
-		if pool != nil && pool.freeTrials(now) > 0 {
+		if pool != nil && (pool.freeTrials(now) > 0 || len(pool.probes) > 0) {
 			c.planJob(hold.job, pool, true, now)
 		}
 		if !c.waitsAsSuspect(hold.oldest, wallTime) || !c.withinLimit(hold.oldest) {
@@ -70,6 +70,35 @@
 	c.reserveWorkers(waiting, now)
 }
 
+// mayProbe reports whether a suspect may start on trial on a worker that is paused after a start that wasn't confirmed.
+// Other work isn't held up by that, since it doesn't start there, and the suspects don't wait until the pauses are over.
+func (c *Core) mayProbe(w *worker, now time.Duration) bool {
+	return w.available() && now < w.pausedUntil && w.pausedUntil == w.probeUntil && w.withinCapacity() && c.mayRelyOnCapacity(w, now)
+}
+
+// chooseProbe returns the worker for a waiting suspect among those that get no work but trials, or nil. It joins the
+// trial of its job, or begins one where every run is known, so that a crash shows its cause.
+func (c *Core) chooseProbe(i *item, pool *candidatePool, now time.Duration) *worker {
+	if !c.withinLimit(i) {
+		return nil
+	}
+	need := i.step.reservation()
+	excluded := i.excludedWorker(now, len(pool.workers)+len(pool.probes))
+	var best *worker
+	for _, w := range pool.probes {
+		if w == excluded || !w.satisfies(i.step) || !need.Fits(w.freeCapacity()) || !w.admits(i, true, now) || w.trial == nil && w.unreportedItems > 0 {
+			continue
+		}
+		if w.trial != nil {
+			return w
+		}
+		if best == nil || freeFraction(w.freeCapacity(), w.entry.Capacity) > freeFraction(best.freeCapacity(), best.entry.Capacity) {
+			best = w
+		}
+	}
+	return best
+}
+
 // reserveWorkers reserves workers for the waiting suspects of each pool, and ends the reservations of the last cycle.
 func (c *Core) reserveWorkers(waiting map[*candidatePool][]*item, now time.Duration) {
 	for _, w := range c.workers {
@@ -81,7 +110,7 @@
 }
 
 // maxTrialDelay is how long a suspect may wait before trials may take more than half of a pool's workers.
-const maxTrialDelay = 3 * time.Second
+const maxTrialDelay = 1500 * time.Millisecond
 
 // maxTrials returns how many of the pool's workers may have trials or be reserved: half of them while other work
 // waits and no suspect is overdue, and otherwise all but one, which can start other work at once.
@@ -116,7 +145,7 @@
 		if free == 0 {
 			return
 		}
-		if w := p.bestToReserve(i); w != nil {
+		if w := p.bestToReserve(i, now); w != nil {
 			w.reserved = true
 			free--
 		}
@@ -124,14 +153,14 @@
 }
 
 // bestToReserve returns the worker that is expected to be able to start the suspect first, or nil.
-func (p *candidatePool) bestToReserve(i *item) *worker {
+func (p *candidatePool) bestToReserve(i *item, now time.Duration) *worker {
 	var best *worker
 	need := i.step.reservation()
 	for _, w := range p.workers {
 		if w.trial != nil || w.reserved || !w.satisfies(i.step) || !need.Fits(w.entry.Capacity) {
 			continue
 		}
-		if best == nil || compareForTrial(w, best, need) < 0 {
+		if best == nil || compareForTrial(w, best, need, now) < 0 {
 			best = w
 		}
 	}
@@ -140,9 +169,9 @@
 
 // compareForTrial compares two workers by how soon they can start a suspect: those come first that were reserved
 // before, that have room, that have fewest pending starts, and that have most free capacity.
-func compareForTrial(a, b *worker, need work.Resources) int {
+func compareForTrial(a, b *worker, need work.Resources, now time.Duration) int {
 	return cmp.Or(compareBool(!a.wasReserved, !b.wasReserved),
 		compareBool(!need.Fits(a.freeCapacity()), !need.Fits(b.freeCapacity())),
-		cmp.Compare(a.pendingStarts(), b.pendingStarts()),
+		cmp.Compare(a.pendingStarts(now), b.pendingStarts(now)),
 		cmp.Compare(freeFraction(b.freeCapacity(), b.entry.Capacity), freeFraction(a.freeCapacity(), a.entry.Capacity)))
 }
