--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -90,17 +90,20 @@
 // candidatesOf sets pool to the workers of the named pool that may get new work, sorted by ID, and returns it; nil if
 // there are none.
 func (c *Core) candidatesOf(name string, pool *candidatePool, now time.Duration) *candidatePool {
-	*pool = candidatePool{workers: pool.workers[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
+	*pool = candidatePool{workers: pool.workers[:0], probes: pool.probes[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
 	for _, w := range c.workerLists.byPool[name] {
+		probe := c.mayProbe(w, now)
 		switch {
-		case !c.isCandidate(w, now):
+		case probe && w.trial == nil:
+			pool.probes = append(pool.probes, w)
+		case probe || !c.isCandidate(w, now):
 		case w.trial == nil:
 			pool.add(w)
 		default:
 			pool.onTrial++
 		}
 	}
-	if len(pool.workers)+pool.onTrial == 0 {
+	if len(pool.workers)+len(pool.probes)+pool.onTrial == 0 {
 		return nil
 	}
 	return pool
@@ -113,7 +116,12 @@
 
 // schedulable reports whether the worker may get new work.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0 && now >= w.pausedUntil
+	return w.available() && now >= w.pausedUntil
+}
+
+// available reports whether the worker may get new work if it isn't paused.
+func (w *worker) available() bool {
+	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0
 }
 
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
@@ -133,7 +141,7 @@
 
 // planStep places the waiting work items of the step that need a trial if trials is set, and the others otherwise.
 func (c *Core) planStep(step *stepInstance, pool *candidatePool, trials bool, now time.Duration) {
-	if pool.excludes(step.reservation()) {
+	if !trials && pool.excludes(step.reservation()) {
 		return
 	}
 	placed := 0
@@ -142,6 +150,9 @@
 			continue
 		}
 		w := c.chooseWorker(i, pool, now)
+		if w == nil && trials {
+			w = c.chooseProbe(i, pool, now)
+		}
 		if w == nil {
 			// The other items of the step have the same needs. None of them can be placed either,
 			// unless workers were excluded for this item only.
