Don't count the silence of a worker that its host lists as a crash

A worker that was cut off for longer than its lease and its entry in the list of workers was taken to have crashed, and the crash counted as possible against each work item that had run there. The items became suspects, and after four such cuts a sound job failed. While the worker's host lists it, nothing shows a crash: the worker is kept until it reports, restarts under its ID, or its host lists another worker or none. A worker that no list shows counts as before, so that a crash isn't missed while the list of hosts can't be read (TestCrashesKnownAfterTheLeaseAreBounded).

TestCutOffWorkersAreNoCrashes failed before at the first cut.

--- a/internal/scheduler/crash_bounds_test.go
+++ b/internal/scheduler/crash_bounds_test.go
@@ -37,6 +37,37 @@
 	assert.Assert(t, starts < 6)
 }
 
+// Guards against giving up sound work because workers with it were cut off for longer than their leases and their entries
+// in the list of workers: their hosts list them all the while, so that nothing shows a crash.
+func TestCutOffWorkersAreNoCrashes(t *testing.T) {
+	const workers = 8
+	tc := newCrashCore(workers)
+	var hosts []infra.Host
+	for id := range tc.workers {
+		hosts = append(hosts, infra.Host{ID: "host-" + id, Pool: simPool, State: infra.HostUp, WorkerID: id})
+	}
+	sound := tc.submitItems(t, "job", 1)[0]
+	cutOff := sound.worker
+	for n := range workers - 1 {
+		tc.SetHosts(hosts, tc.now)
+		tc.lapse(sound.worker)
+		tc.commit()
+		assert.Equal(t, sound.crashes, crashCounts{}, "after %d workers were cut off", n+1)
+	}
+	assert.Equal(t, tc.state("job"), JobRunning)
+
+	// The end of the process shows in the list of hosts.
+	for n := range hosts {
+		if hosts[n].WorkerID == cutOff.entry.ID {
+			hosts[n].WorkerID = ""
+		}
+	}
+	tc.SetHosts(hosts, tc.now)
+	tc.commit()
+	assert.Equal(t, sound.crashes, crashCounts{possible: 1})
+	assert.Assert(t, tc.workers[cutOff.entry.ID] == nil)
+}
+
 // Guards against the same if the worker restarts under its ID, which a host lists all the while, after the lease.
 func TestRestartsUnderOneIDAfterTheLeaseAreBounded(t *testing.T) {
 	tc := newCrashCore(3)
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -15,6 +15,11 @@
 		}
 		if len(w.items) == 0 && !w.listed && (w.ended || now > w.leaseEnd) {
 			if !w.ended {
+				if len(w.lapsedItems) > 0 && c.fleet.byWorker[w.entry.ID] != "" {
+					// Its host lists it, so that it may only be cut off. Whether it crashed is known once it reports, or its
+					// host lists another worker.
+					continue
+				}
 				if !w.crashCounted {
 					c.countCrash(w)
 				}
