End a gateway's lease when its host was suspended

The monotonic clock stands still while a host is suspended, so that a gateway found its lease valid when it woke, although the others may have vowed against it and taken its rights meanwhile.

--- a/cmd/gateway/holder.go
+++ b/cmd/gateway/holder.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/gateway/account"
 	"turmericyoke/internal/gateway/fleet"
 	"turmericyoke/internal/periodic"
@@ -37,7 +38,7 @@
 		Name: config.Name, Zone: config.Zone, Address: config.PeerAddress(),
 		Proposer: rights.RemoteProposer{Clients: clients.controllers},
 		Peers:    rights.RemotePeers{Client: clients.peerClient},
-		Waiting:  waiting, Now: time.Now, Logger: log,
+		Waiting:  waiting, Now: time.Now, BootClock: boottime.Now, Logger: log,
 	})
 	h.refusalReplicator = newRefusalReplicator(config.Name, h.Incarnation(), clients.log)
 	store.OnChange(func(snapshot *fleet.Snapshot) {
--- a/internal/rights/holder.go
+++ b/internal/rights/holder.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/lease"
 	"turmericyoke/internal/structs"
 )
@@ -38,8 +39,10 @@
 	// gateway doesn't know the number.
 	Waiting func() map[string]uint64
 	// Now reads a monotonic clock.
-	Now    func() time.Time
-	Logger *logrus.Entry
+	Now func() time.Time
+	// BootClock also advances while the host is suspended. It is nil if the host is never suspended.
+	BootClock boottime.Clock
+	Logger    *logrus.Entry
 }
 
 // Holder holds the rights of one gateway and moves them by records of the log. It is safe for concurrent use.
@@ -77,7 +80,7 @@
 // New returns a holder without rights. It joins the fleet when Run or Step is called.
 func New(cfg Config) *Holder {
 	h := &Holder{
-		cfg: cfg, lease: lease.NewManager(cfg.Now),
+		cfg: cfg, lease: lease.NewManager(cfg.Now, cfg.BootClock),
 		left:  make(chan struct{}),
 		plans: newPlanState(), reclaims: newReclaimState(),
 	}
