Send stops and paces only while the term may act

A start names the end of its lease, and a host order is checked right before it is sent. A stop or a pace had no such check: a scheduler that was suspended or delayed for some seconds between planning and sending, or between two attempts, sent it although a later term may have begun and kept the run. The worker refuses it only if it has heard of the later term. The core orders an unconfirmed stop again.

--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -67,10 +67,22 @@
 	return true, err
 }
 
-// sendStop sends a stop until it is confirmed, or the attempts are used up.
+// mayAct reports whether the last confirmed append is recent enough for orders to workers. A process that was suspended,
+// or is far behind, may find that a later term has begun meanwhile. Starts are checked with their leases.
+func (s *session) mayAct() bool { return s.Clock()-s.writer.ConfirmedAt() <= scheduler.LeaderLease }
+
+// errTermUnconfirmed is the outcome of an order that isn't sent since the last confirmed append is too old.
+var errTermUnconfirmed = &infra.Error{Kind: infra.Refused, Op: "order", Detail: "the last confirmed append of this term is too old; the order wasn't sent"}
+
+// sendStop sends a stop until it is confirmed, the attempts are used up, or this term may no longer act. The core orders
+// an unconfirmed stop again.
 func (s *session) sendStop(ctx context.Context, order *scheduler.Order) {
 	a := attempts{}
 	for {
+		if !s.mayAct() {
+			s.core.ApplyStopResult(order, errTermUnconfirmed)
+			return
+		}
 		again, err := s.attempt(ctx, &a, order.Worker.ID, func(ctx context.Context) error {
 			_, err := s.Workers.Stop(ctx, order.Worker, order.Item, order.Run, s.term)
 			return err
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -216,6 +216,9 @@
 	case scheduler.OrderStop:
 		s.sendStop(ctx, order)
 	case scheduler.OrderPace:
+		if !s.mayAct() {
+			return
+		}
 		if _, err := s.Workers.SetPace(ctx, order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
 			s.Logger.WithFields(logrus.Fields{"event": "pace_failed", "item": order.Item.String(), "worker": order.Worker.ID}).WithError(err).Info("can't set the pace of a work item; the worker's next report may change the pace again")
 		}
@@ -297,7 +300,7 @@
 // alternate as the host's controller.
 func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder) error {
 	if !s.mayOrderHosts() {
-		return &infra.Error{Kind: infra.Refused, Op: "host order", Detail: "the last confirmed append of this term is too old; the order wasn't sent"}
+		return errTermUnconfirmed
 	}
 	if order.Pool != "" {
 		return s.Hosts.Move(ctx, order.Host, order.Pool, s.term)
