Move hosts with a late move after the others

A move without a response may be carried out up to 12.5 s later. It does nothing while the host is in the pool of that move, but if the host has been moved on since, it moves the host back and ends what runs there. Empty, busy and standby hosts with such a move are now taken last. Keeping them in their pools for 12.5 s would prevent it, at the price of the pools' moves in each outage of the calls about hosts; it wasn't measured.

--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -44,6 +44,9 @@
 	// heldBackUntil holds, by host, until when a host gets no orders because an earlier term ordered it
 	// recently.
 	heldBackUntil map[string]time.Duration
+	// lateMoveUntil holds, by host, until when a move without a response may still be carried out. It does nothing as long
+	// as the host is in the pool of that move.
+	lateMoveUntil map[string]time.Duration
 	// idleSince holds, by host, when an idle host became idle.
 	idleSince map[string]time.Duration
 }
@@ -64,7 +67,7 @@
 
 func newFleetState() fleetState {
 	return fleetState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pendingMaintenance: map[string]bool{},
-		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{}}
+		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, lateMoveUntil: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{}}
 }
 
 // awaitsMaintenance reports whether the worker's host still has to go down in a wave.
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -150,14 +150,18 @@
 			hosts = append(hosts, id)
 		}
 	}
-	// Hosts that still have to go down in a maintenance wave are taken last: maintenance of a host in
+	// Hosts with a late move are taken last of all. Hosts that still have to go down in a maintenance wave are taken last: maintenance of a host in
 	// standby interrupts no work.
 	slices.SortFunc(hosts, func(a, b string) int {
-		return cmp.Or(compareBool(c.fleet.pendingMaintenance[a], c.fleet.pendingMaintenance[b]), cmp.Compare(a, b))
+		return cmp.Or(compareBool(c.hasLateMove(a), c.hasLateMove(b)), compareBool(c.fleet.pendingMaintenance[a], c.fleet.pendingMaintenance[b]), cmp.Compare(a, b))
 	})
 	return pool, hosts
 }
 
+// hasLateMove reports whether a move of the host that had no response may still be carried out. It would move the host
+// back if it has been moved to another pool since, and end what runs there: such hosts move after the others.
+func (c *Core) hasLateMove(id string) bool { return c.clock() < c.fleet.lateMoveUntil[id] }
+
 // inStandby reports whether the host is in a standby pool and up.
 func (c *Core) inStandby(host infra.Host) bool {
 	return c.config.Pools[host.Pool].Standby && host.State == infra.HostUp
@@ -228,9 +232,11 @@
 	loads := make([]poolLoad, 0, len(byName))
 	for _, load := range byName {
 		slices.SortFunc(load.emptyHosts, func(a, b string) int {
-			return cmp.Or(cmp.Compare(c.fleet.idleSince[a], c.fleet.idleSince[b]), cmp.Compare(a, b))
+			return cmp.Or(compareBool(c.hasLateMove(a), c.hasLateMove(b)), cmp.Compare(c.fleet.idleSince[a], c.fleet.idleSince[b]), cmp.Compare(a, b))
+		})
+		slices.SortFunc(load.busyHosts, func(a, b string) int {
+			return cmp.Or(compareBool(c.hasLateMove(a), c.hasLateMove(b)), cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b))
 		})
-		slices.SortFunc(load.busyHosts, func(a, b string) int { return cmp.Or(cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b)) })
 		loads = append(loads, *load)
 	}
 	return loads
@@ -372,6 +378,7 @@
 	case infra.Unknown:
 		// The host may have moved, or may still move. The order is repeated until its outcome is known.
 		m.retryAt = now + hostOrderRetryDelay
+		c.fleet.lateMoveUntil[order.Host] = now + maxCallDelay
 	default:
 		delete(c.fleet.moves, order.Host)
 		if worker != nil {
