--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -53,7 +53,7 @@
 		if len(w.items) > 0 {
 			c.releaseAllItems(w, now)
 		}
-		if len(w.items) > 0 || w.listed || c.mayReturnSoon(w, now) {
+		if len(w.items) > 0 || w.listed || c.mayBeCutOff(w) || c.mayReturnSoon(w, now) {
 			next = now
 			continue
 		}
@@ -66,6 +66,12 @@
 	c.nextWorkerExpiry = next
 }
 
+// mayBeCutOff reports whether a worker whose lease has lapsed may live: its host still lists it. Whether it crashed is known
+// once it reports, or its host lists another worker.
+func (c *Core) mayBeCutOff(w *worker) bool {
+	return !w.ended && len(w.lapsedItems) > 0 && c.fleet.byWorker[w.entry.ID] != ""
+}
+
 // mayReturnSoon marks an unlisted worker without items as ended, and reports whether it has to be kept: a process that
 // restarts under its ID may still carry out an order that had no response.
 func (c *Core) mayReturnSoon(w *worker, now time.Duration) bool {
