Probe a leader that doesn't respond before requests are forwarded to it

A frozen process still takes connections and requests, so that the outcome of every request that was forwarded to it was unknown (502), until another leader was elected; while the log is down, none is. Without a response the call isn't sent, and its caller is told that it hasn't run.

TestSuspectProcessIsProbedBeforeCalls hangs without the probe.

--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -6,16 +6,15 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sync/singleflight"
 
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
@@ -147,7 +146,11 @@
 
 // Client implements Service by calling one entry process.
 type Client struct {
-	http    *http.Client
+	http *http.Client
+	// suspect is set while the process may have stopped responding, and probes is the probe in progress.
+	suspect atomic.Bool
+	probes  singleflight.Group
+
 	submit  *connect.Client[SubmitRequest, OutcomeResponse]
 	cancel  *connect.Client[CancelRequest, OutcomeResponse]
 	state   *connect.Client[StateRequest, StateResponse]
@@ -179,45 +182,24 @@
 	return connect.NewClient[Request, Response](client, "http://"+address+procedure, connect.WithCodec(jsonCodec{}))
 }
 
-// errNotSent is the error of a call for which no connection was open before it ended.
-var errNotSent = errors.New("the call wasn't sent")
-
-// callUnary calls the process of c. An error wraps errNotSent if nothing was sent. After a call without a response the
-// idle connections are closed, which may be dead as well: calls that need new ones are known not to have been sent
-// while the process can't be reached.
-func callUnary[Request, Response any](ctx context.Context, c *Client, client *connect.Client[Request, Response], request *Request) (*Response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	response, err := client.CallUnary(ctx, connect.NewRequest(request))
-	switch {
-	case err == nil:
-		return response.Msg, nil
-	case !connected.Load():
-		return nil, fmt.Errorf("%w: %w", errNotSent, err)
-	case !connect.IsWireError(err):
-		c.http.CloseIdleConnections()
-	}
-	return nil, err
-}
-
 // Submit implements Service.
 func (c *Client) Submit(ctx context.Context, request *SubmitRequest) (*OutcomeResponse, error) {
-	return callUnary(ctx, c, c.submit, request)
+	return callVerified(ctx, c, c.submit, request)
 }
 
 // Cancel implements Service.
 func (c *Client) Cancel(ctx context.Context, request *CancelRequest) (*OutcomeResponse, error) {
-	return callUnary(ctx, c, c.cancel, request)
+	return callVerified(ctx, c, c.cancel, request)
 }
 
 // State implements Service.
 func (c *Client) State(ctx context.Context, request *StateRequest) (*StateResponse, error) {
-	return callUnary(ctx, c, c.state, request)
+	return callVerified(ctx, c, c.state, request)
 }
 
 // Pending implements Service.
 func (c *Client) Pending(ctx context.Context, request *PendingRequest) (*PendingResponse, error) {
-	return callUnary(ctx, c, c.pending, request)
+	return callVerified(ctx, c, c.pending, request)
 }
 
 // Config implements Service.
--- a/internal/entry/peer/peer_test.go
+++ b/internal/entry/peer/peer_test.go
@@ -90,3 +90,54 @@
 	r.Transport.CloseIdleConnections()
 	close(r.closed)
 }
+
+// frozenService responds to nothing while it is frozen, and counts the submissions that reach it.
+type frozenService struct {
+	Service
+	frozen      atomic.Bool
+	submissions atomic.Int64
+	reached     chan struct{}
+}
+
+func (s *frozenService) Submit(ctx context.Context, _ *SubmitRequest) (*OutcomeResponse, error) {
+	s.submissions.Add(1)
+	s.reached <- struct{}{}
+	if s.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &OutcomeResponse{Kind: scheduler.OutcomeDone}, nil
+}
+
+func (s *frozenService) Config(ctx context.Context, _ *ConfigRequest) (*ConfigResponse, error) {
+	if s.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &ConfigResponse{}, nil
+}
+
+// Guards against submissions to a process that is frozen and still takes connections: the outcome of each of them is
+// unknown to its caller.
+func TestSuspectProcessIsProbedBeforeCalls(t *testing.T) {
+	service := &frozenService{reached: make(chan struct{}, 8)}
+	server := httptest.NewServer(NewHandler(service))
+	defer server.Close()
+	clients, address := NewClients(), server.Listener.Addr().String()
+	service.frozen.Store(true)
+	cancel, lost := submitAsync(t, clients, address)
+	<-service.reached
+	cancel()
+	assert.Assert(t, !HadNoEffect(<-lost))
+	_, unsent := submitAsync(t, clients, address)
+	assert.Assert(t, HadNoEffect(<-unsent))
+	// A caller that leaves isn't held until the end of the probe.
+	left, cancelLeft := context.WithCancel(t.Context())
+	cancelLeft()
+	_, err := clients.At(address).Submit(left, &SubmitRequest{Job: &work.Job{ID: "j"}})
+	assert.Assert(t, HadNoEffect(err))
+	assert.Equal(t, service.submissions.Load(), int64(1), "a submission was sent to a process that doesn't respond")
+	service.frozen.Store(false)
+	_, answered := submitAsync(t, clients, address)
+	assert.NilError(t, <-answered)
+}
