--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/work"
 )
 
 // An append usually takes a few milliseconds. While the log is slow or down, accepted work goes on, and submissions
@@ -24,7 +26,6 @@
 	if !c.logStalled(now) {
 		return
 	}
-	rejected := 0
 	for j := range c.dirtyJobs {
 		// A cancellation that was requested meanwhile has to be recorded with the job.
 		if j.definitionWritten || j.cancelled {
@@ -35,15 +36,17 @@
 		delete(c.jobs, j.def.ID)
 		delete(c.activeJobs, j)
 		delete(c.dirtyJobs, j)
-		c.metrics.jobRejected("log_down")
-		rejected++
-	}
-	if rejected > 0 {
-		c.logger.WithFields(logrus.Fields{"event": "unwritten_jobs_rejected", "jobs": rejected, "log_silent_ms": (now - c.appendStartedAt).Milliseconds()}).
-			Info("jobs rejected that wait to be written: the log takes no records at the moment")
+		c.noteLogDown(j.def, now)
 	}
 }
 
+// noteLogDown counts and logs the rejection of a job because the log takes no records.
+func (c *Core) noteLogDown(def *work.Job, now time.Duration) {
+	c.metrics.jobRejected("log_down")
+	c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "log_down",
+		"log_silent_ms": (now - c.appendStartedAt).Milliseconds()}).Info("job rejected: the log takes no records at the moment")
+}
+
 // answerSubmitters sends the outcome to those who wait for the acceptance of the job.
 func (c *Core) answerSubmitters(j *job, outcome Outcome) {
 	for _, submitter := range j.submitters {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -43,9 +43,7 @@
 		return
 	}
 	if c.logStalled(now) {
-		c.metrics.jobRejected("log_down")
-		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "log_down",
-			"log_silent_ms": (now - c.appendStartedAt).Milliseconds()}).Info("job rejected: the log takes no records at the moment")
+		c.noteLogDown(def, now)
 		waiter <- Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"}
 		return
 	}
