Apply the newest configuration that peers have

A process that restarts while it can't read the store asks its peers for the configuration. It applied each response as it came, and the first one may be that of a peer that is cut off itself: withdrawn keys were in use again, and dropped routes served, until a newer response arrived.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,7 +164,8 @@
 }
 
 // fetchConfigFromPeers asks maxConfigPeers other entry processes, chosen at random, in parallel for a newer
-// configuration.
+// configuration, and applies the newest one. A process that has just started has none, and a peer that is cut off itself
+// may answer first with one that still has withdrawn keys.
 func (e *Entry) fetchConfigFromPeers(ctx context.Context) {
 	version := int64(0)
 	if config := e.Config(); config != nil {
@@ -173,6 +174,8 @@
 	ctx, cancel := context.WithTimeout(ctx, peerConfigTimeout)
 	defer cancel()
 	var requests sync.WaitGroup
+	var mu sync.Mutex
+	var newest infra.ConfigUpdate
 	peers := e.Election.Peers()
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	for _, member := range peers[:min(len(peers), maxConfigPeers)] {
@@ -186,10 +189,17 @@
 				e.Logger.WithFields(logrus.Fields{"event": "peer_config_unreadable", "peer": member.Name}).WithError(err).Warn("configuration from a peer can't be decoded; ignoring it")
 				return
 			}
-			e.applyUpdate(infra.ConfigUpdate{Config: config, RawConfig: response.Source})
+			mu.Lock()
+			defer mu.Unlock()
+			if newest.Config == nil || config.Version > newest.Config.Version {
+				newest = infra.ConfigUpdate{Config: config, RawConfig: response.Source}
+			}
 		})
 	}
 	requests.Wait()
+	if newest.Config != nil {
+		e.applyUpdate(newest)
+	}
 }
 
 // schedulerService returns the service of the scheduler: the core of this process, or a client of the process
