Judge stragglers by recent reports only

A run counted as a straggler by the time since its start, however old its worker's last report was. A scheduler that was suspended for some seconds, or that got late reports, stopped runs that had ended or were about to, and started them elsewhere.

--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -15,6 +15,9 @@
 	// stops healthy runs, and costs more than it saves (docs/MEASUREMENTS.md).
 	stragglerFactor = 4.0
 	stragglerGrace  = 2 * time.Second
+	// maxReportAge is how old the last report of a worker may be: the time that a renewal may take. Its runs may have ended
+	// since an older one, as after a time in which this process was suspended.
+	maxReportAge = maxRenewalWait + maxResponseTime
 	// slowWorkerStragglers is the number of simultaneous stragglers that shows that the worker is at fault,
 	// rather than an item.
 	slowWorkerStragglers = 2
@@ -27,7 +30,7 @@
 // stopStragglers stops the stragglers, and pauses the workers that have several.
 func (c *Core) stopStragglers(now time.Duration) {
 	for _, w := range c.sortedWorkers() {
-		if w.failedRenewals > 0 || w.entry.Draining {
+		if w.failedRenewals > 0 || w.entry.Draining || now-w.lastReportAt > maxReportAge {
 			continue
 		}
 		stragglers := 0
