--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -15,6 +15,9 @@
 	// stops healthy runs, and costs more than it saves (docs/MEASUREMENTS.md).
 	stragglerFactor = 4.0
 	stragglerGrace  = 2 * time.Second
+	// maxReportAge is how old the last report of a worker may be: the time that a renewal may take. Its runs may have ended
+	// since an older one, as after a time in which this process was suspended.
+	maxReportAge = maxRenewalWait + maxResponseTime
 	// slowWorkerStragglers is the number of simultaneous stragglers that shows that the worker is at fault,
 	// rather than an item.
 	slowWorkerStragglers = 2
@@ -50,7 +53,7 @@
 	if i.step.def.Lasting || i.step.def.Gang || i.stopping || i.startConfirmedAt == 0 || i.avoidedWorker != nil && i.avoidedWorker != i.worker {
 		return false
 	}
-	if now-i.startConfirmedAt <= stragglerGrace {
+	if now-i.startConfirmedAt <= stragglerGrace || now-i.worker.lastReportAt > maxReportAge {
 		return false
 	}
 	limit := time.Duration(stragglerFactor*float64(c.predictRunTime(i.step.job.def, i.step.def))) + stragglerGrace
