--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -60,7 +60,7 @@
 
 // workerStates counts the workers of a pool by what keeps them from starting a suspect.
 type workerStates struct {
-	// closed workers get no work at all, and onTrial ones have a suspect on trial. Those in pending have starts
+	// closed workers get no work, or none but trials, and onTrial ones have a suspect on trial. Those in pending have starts
 	// that no report shows yet, those in full lack room, and open ones could start the suspect. Reserved workers
 	// are also counted among the others.
 	closed, onTrial, pending, reserved, full, open int
