Don't count gangs that don't fit as placed work

Each cycle in which a gang didn't fit added its whole run time to the placed work of its pool and took a tenth off again, since the items had no time of placement; admission then rejected jobs as overload until the sums were computed again. TestGangThatDoesNotFitIsNoPlacedWork had 720 core-seconds before.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -186,6 +186,7 @@
 		if w == nil {
 			break
 		}
+		i.placedAt = now
 		c.place(i, w)
 		placed = append(placed, i)
 		maxRuns = max(maxRuns, i.termRuns)
--- a/internal/scheduler/supply_test.go
+++ b/internal/scheduler/supply_test.go
@@ -46,3 +46,19 @@
 	}
 	assert.Assert(t, compared > 1000, "compared %d times", compared)
 }
+
+// Guards against work that is counted as placed again in each cycle in which a gang doesn't fit: admission then rejected
+// jobs for a load that didn't exist.
+func TestGangThatDoesNotFitIsNoPlacedWork(t *testing.T) {
+	tc := newTestCore(1)
+	tc.addWorker(0, 8)
+	step := needStep(4)
+	step.Count, step.Gang, step.Estimate = 4, true, 10*time.Second
+	tc.accept("gang", step)
+	supply, _ := tc.supplyOf(simPool, tc.now)
+	for range 10 {
+		tc.now += time.Millisecond
+		assert.Equal(t, tc.collectStarts(), 0)
+	}
+	assert.Assert(t, math.Abs(supply.placed) < 1e-6, "%f core-seconds are placed", supply.placed)
+}
