Keep the records of jobs that can't be used

A definition that this revision refuses counted as missing, so that its job was deleted from the log at a takeover, although the log line says that it is skipped; and the deletion of leftover records came after the records of a job that was submitted under the same ID meanwhile, so that it was lost at the next takeover.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -249,11 +249,12 @@
 	now := c.clock()
 	c.loadedAt = now
 	for id, entry := range jobs {
-		if entry.def == nil {
+		switch {
+		case entry.def != nil:
+			c.restoreJob(entry, now)
+		case !entry.unreadable:
 			c.deletedJobIDs = append(c.deletedJobIDs, id)
-			continue
 		}
-		c.restoreJob(entry, now)
 	}
 	c.logger.WithFields(logrus.Fields{"event": "state_loaded", "jobs": len(c.jobs), "active": len(c.activeJobs), "term": c.term}).Info("loaded jobs of earlier terms")
 }
@@ -376,6 +377,10 @@
 	c.observeSuspects(now)
 	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
 	c.pendingRecords = nil
+	// A job may have been submitted under an ID whose earlier records are deleted.
+	for _, id := range c.deletedJobIDs {
+		batch.Records = append(batch.Records, infra.Record{Key: definitionPrefix + id}, infra.Record{Key: progressPrefix + id})
+	}
 	for j := range c.dirtyJobs {
 		records, err := encodeJob(j, !j.definitionWritten)
 		if err != nil {
@@ -387,9 +392,6 @@
 		batch.Records = append(batch.Records, records...)
 		batch.changedJobs = append(batch.changedJobs, j)
 	}
-	for _, id := range c.deletedJobIDs {
-		batch.Records = append(batch.Records, infra.Record{Key: definitionPrefix + id}, infra.Record{Key: progressPrefix + id})
-	}
 	for w := range c.workersToAck {
 		if w.appliedEnd <= w.durableEnd || c.workers[w.entry.ID] != w {
 			delete(c.workersToAck, w)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -100,10 +100,11 @@
 	return append(records, infra.Record{Key: progressPrefix + j.def.ID, Value: value}), nil
 }
 
-// storedJob is a job as read from the log; def is nil if its definition is missing.
+// storedJob is a job as read from the log; def is nil if its definition is missing or, with unreadable set, can't be used.
 type storedJob struct {
-	def      *work.Job
-	progress progressRecord
+	def        *work.Job
+	unreadable bool
+	progress   progressRecord
 }
 
 // decodeJobs decodes the newest records of all jobs. It returns the jobs by ID, and the keys of records
@@ -126,6 +127,8 @@
 			var def *work.Job
 			if def, err = decodeDefinition(id, record.Value); err == nil {
 				entry(id).def = def
+			} else {
+				entry(id).unreadable = true
 			}
 		} else if id, ok := strings.CutPrefix(record.Key, progressPrefix); ok {
 			var progress progressRecord
