Notice a stalled log behind a confirmation, and answer callers of an append that panics

And a panic in an append left the callers of its batch without an outcome. Both are in one place of the commit loop. The extended tests failed before: TestSubmissionsDuringAnOutageAreRejectedSoon/behind_a_confirmation and TestPanicEndsTheTermOnly/append.

--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -11,6 +11,13 @@
 // An append usually takes a few milliseconds. While the log is down, submissions that would have to wait for it are
 // rejected.
 
+// AppendStarted notes that an append begins whose records aren't all those of a batch.
+func (c *Core) AppendStarted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.appendStartedAt = c.clock()
+}
+
 // logStalled reports whether the append in progress has taken longer than logStallTimeout.
 func (c *Core) logStalled(now time.Duration) bool {
 	return c.appendStartedAt > 0 && now-c.appendStartedAt > logStallTimeout
--- a/internal/session/guard_test.go
+++ b/internal/session/guard_test.go
@@ -81,6 +81,11 @@
 				step := work.Step{Count: 1, Need: work.Resources{CPUMilli: 1}}
 				var attached *scheduler.Core
 				detached := false
+				submittedAt, waiting := 1500*time.Millisecond, make(chan scheduler.Outcome, 1)
+				if part == "append" {
+					// The append that panics contains the job.
+					submittedAt = time.Second
+				}
 				config := Config{Log: &panickingLog{parts: parts}, Workers: parts, Hosts: panickingHosts{parts: parts}, NewDirectory: func() infra.Directory { return parts },
 					Clock: func() time.Duration { return time.Hour + time.Since(parts.begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
 					Options: scheduler.Options{Lease: 5 * time.Second},
@@ -92,8 +97,8 @@
 					},
 					AttachCore: func(core *scheduler.Core) {
 						attached = core
-						time.AfterFunc(1500*time.Millisecond, func() {
-							core.Submit(&work.Job{ID: "j", Queue: queue, Steps: []work.Step{step}}, make(chan scheduler.Outcome, 1))
+						time.AfterFunc(submittedAt, func() {
+							core.Submit(&work.Job{ID: "j", Queue: queue, Steps: []work.Step{step}}, waiting)
 						})
 					},
 					DetachCore: func() { detached = true }}
@@ -105,6 +110,7 @@
 				time.Sleep(3 * time.Second)
 				if attached != nil {
 					assert.Assert(t, detached)
+					assert.Equal(t, len(waiting), 1, "the caller got no outcome")
 					outcome := make(chan scheduler.Outcome, 1)
 					attached.Submit(&work.Job{ID: "late", Queue: queue, Steps: []work.Step{step}}, outcome)
 					assert.Equal(t, (<-outcome).Kind, scheduler.OutcomeTermOver)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -211,9 +211,10 @@
 		batch := s.collect()
 		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
 			batch.Records = s.confirmationRecords()
+			s.core.AppendStarted()
 		}
 		s.sendOrders(ctx, batch.Orders)
-		if err := s.writer.Append(ctx, batch.Records); err != nil {
+		if err := s.guarded(func() error { return s.writer.Append(ctx, batch.Records) }); err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
--- a/internal/session/stall_test.go
+++ b/internal/session/stall_test.go
@@ -20,6 +20,15 @@
 // Guards against submissions that wait for the whole of an outage of the log behind an append that they aren't part of,
 // and end with an unknown outcome.
 func TestSubmissionsDuringAnOutageAreRejectedSoon(t *testing.T) {
+	// The first submission is part of the append in progress, whose outcome isn't known.
+	t.Run("behind a submission", func(t *testing.T) { testOutage(t, 0, 1) })
+	// The append in progress confirms the term only.
+	t.Run("behind a confirmation", func(t *testing.T) { testOutage(t, 700*time.Millisecond, 0) })
+}
+
+// testOutage submits jobs from the given time after the beginning of an outage on, and checks that all but those whose
+// outcome may be unknown are rejected.
+func testOutage(t *testing.T, first time.Duration, unknown int) {
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
@@ -38,18 +47,17 @@
 			AttachCore: func(core *scheduler.Core) {
 				log.SetDown(true)
 				for n := range count {
-					time.AfterFunc(time.Duration(n)*50*time.Millisecond, func() {
+					time.AfterFunc(first+time.Duration(n)*50*time.Millisecond, func() {
 						core.Submit(&work.Job{ID: fmt.Sprint(n), Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}}}}, outcomes)
 					})
 				}
 			}}
-		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), first+2*time.Second)
 		defer cancel()
 		go Run(ctx, config, 1)
-		time.Sleep(1900 * time.Millisecond)
-		// The first submission is part of the append in progress, whose outcome isn't known.
-		assert.Equal(t, len(outcomes), count-1)
-		for range count - 1 {
+		time.Sleep(first + 1900*time.Millisecond)
+		assert.Equal(t, len(outcomes), count-unknown)
+		for range count - unknown {
 			outcome := <-outcomes
 			assert.Equal(t, outcome.Kind, scheduler.OutcomeUnavailable)
 		}
