Drop wakeups of lease renewals that came before their plan

The start of a run wakes the loop that renews the leases of its worker. A wakeup that came during a renewal stayed pending, and ended the pause in which the ends of that renewal's report become durable; the worker then responded at once with the same ends.

--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -53,3 +53,11 @@
 	default:
 	}
 }
+
+// Drain removes the value that is pending on wake, if there is one.
+func Drain(wake <-chan struct{}) {
+	select {
+	case <-wake:
+	default:
+	}
+}
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/work"
 )
 
@@ -56,6 +57,9 @@
 	if w == nil || w.ended && len(w.items) == 0 {
 		return RenewalPlan{Ended: true}
 	}
+	// The plan includes what the core has been woken for so far, for example the start of a run. A value that is left
+	// would end the next pause at once.
+	periodic.Drain(w.wake)
 	plan := RenewalPlan{Worker: w.ref(), Wake: w.wake}
 	w.renewalAddress = w.entry.Address
 	switch {
