Review: shorter way to the lost gang, and addresses of its own for each case

Cause: the first script of case 3 needed several failed runs to lose a gang, and two cases that start at the same moment could take the same free port. What was done: case 3 crashes minions instead (srv_crash), and each case uses a range of loopback addresses of its own.

--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -163,7 +163,9 @@
 	f.mu.Lock()
 	n := len(f.entries)
 	f.mu.Unlock()
-	ip := fmt.Sprintf("127.0.0.%d", 11+n)
+	// The addresses differ from those of other cases that run at the same time.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid/200%200, 1+pid%200, 11+n)
 	ports := freeRange(ip)
 	e := &entryProcess{name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, front: fmt.Sprintf("%s:%d", ip, freePort(ip)), readiness: fmt.Sprintf("%s:%d", ip, freePort(ip))}
 	e.settings = filepath.Join(f.dir, e.name+".toml")
--- a/review/standin/gang.go
+++ b/review/standin/gang.go
@@ -14,16 +14,16 @@
 	gangCPU     = 33000
 	gangWork    = 400 * time.Millisecond
 	gangWait    = 3 * time.Second
-	// failShare of what a grey minion starts fails after failAfter. One of the minions is grey for failTime, each
-	// failInterval from failAt on.
-	failShare    = 0.4
-	failAfter    = 150 * time.Millisecond
-	failTime     = 6500 * time.Millisecond
-	failAt       = 3 * time.Second
-	failInterval = 8 * time.Second
-	gangTraffic  = 34 * time.Second
-	gangInterval = 200 * time.Millisecond
-	gangMinions  = 12
+	// One minion crashes at crashAt and then each crashInterval, crashes times. Another one runs on its machine after
+	// crashTime, and the members of its gangs on other minions end after breakTime.
+	crashAt       = 4 * time.Second
+	crashInterval = 2500 * time.Millisecond
+	crashTime     = 2 * time.Second
+	crashes       = 11
+	breakTime     = 100 * time.Millisecond
+	gangTraffic   = 34 * time.Second
+	gangInterval  = 200 * time.Millisecond
+	gangMinions   = 12
 )
 
 // gang is a run of the gang of a step.
@@ -59,33 +59,59 @@
 		return
 	}
 	g.working = true
-	for member, at := range g.members {
-		if at.fails() {
-			time.AfterFunc(failAfter, func() { p.endGang(g, member, "failed") })
-			return
-		}
-	}
-	time.AfterFunc(item.work, func() { p.endGang(g, nil, "done") })
+	time.AfterFunc(item.work, func() { p.endGang(g, "done") })
 }
 
-// endGang ends all members of a gang. If one of them has failed, the others end broken.
-func (p *platform) endGang(g *gang, failed *run, how string) {
+// endGang ends all members of a gang that run.
+func (p *platform) endGang(g *gang, how string) {
 	p.mu.Lock()
 	members := make(map[*run]*minion, len(g.members))
 	for r, m := range g.members {
 		members[r] = m
 	}
 	p.mu.Unlock()
-	if failed != nil {
-		members[failed].end(failed, how)
-		delete(members, failed)
-		how = "broken"
-	}
 	for r, m := range members {
 		m.end(r, how)
 	}
 }
 
+// breakGangs ends the other members of the gangs of runs that were lost in a crash.
+func (p *platform) breakGangs(lost []*run) {
+	for _, r := range lost {
+		p.mu.Lock()
+		g := p.gangs[gangOf(r)]
+		p.mu.Unlock()
+		if g != nil {
+			p.endGang(g, "broken")
+		}
+	}
+}
+
+// crash crashes a minion of the pool that runs something, chosen at random. It reports whether there was one.
+func (p *platform) crash(pool string) bool {
+	minions := p.minions(pool)
+	rand.Shuffle(len(minions), func(a, b int) { minions[a], minions[b] = minions[b], minions[a] })
+	for _, m := range minions {
+		m.mu.Lock()
+		var lost []*run
+		for _, r := range m.running {
+			lost = append(lost, r)
+		}
+		m.mu.Unlock()
+		if len(lost) == 0 {
+			continue
+		}
+		p.record.line("minion %s crashes with %d runs", m.id, len(lost))
+		machine := p.setDown(m)
+		m.stop()
+		time.AfterFunc(breakTime, func() { p.breakGangs(lost) })
+		time.AfterFunc(missedBeats*heartbeat, func() { p.store.put(serversTopic, m.id, nil) })
+		time.AfterFunc(crashTime, func() { p.setUp(machine) })
+		return true
+	}
+	return false
+}
+
 // end ends a run.
 func (m *minion) end(r *run, how string) {
 	m.mu.Lock()
@@ -93,26 +119,15 @@
 	m.finish(r, how)
 }
 
-// fails reports whether the minion fails a run that it starts now.
-func (m *minion) fails() bool {
-	until := m.failUntil.Load()
-	return until != nil && time.Now().Before(*until) && rand.Float64() < failShare
-}
-
-// gangJobs hands in jobs with gangs while minions fail a part of what they start, and checks LOST finish_s after the end of
-// the traffic.
+// gangJobs hands in jobs with gangs while minions crash, and checks LOST finish_s after the end of the traffic.
 func gangJobs(s *scene) bool {
 	s.open(gangMinions, 0)
 	var accepted []string
-	next := failAt
+	crashed := 0
 	for began, n := time.Now(), 0; time.Since(began) < gangTraffic; n++ {
-		if s.trouble && time.Since(began) > next && time.Since(began) < gangTraffic-failTime {
-			minions := s.platform.minions(queuePool)
-			m := minions[rand.IntN(len(minions))]
-			until := time.Now().Add(failTime)
-			m.failUntil.Store(&until)
-			next += failInterval
-			s.record.line("minion %s fails %v of what it starts for %s", m.id, failShare, failTime)
+		due := crashAt + time.Duration(crashed)*crashInterval
+		if s.trouble && crashed < crashes && time.Since(began) > due && s.platform.crash(queuePool) {
+			crashed++
 		}
 		id := fmt.Sprintf("%016x", 0x9000000000000000+uint64(n))
 		s.platform.addItem(id, itemSpec{need: amount{CPU: gangCPU, MemMb: 1024}, work: gangWork, gang: gangMembers, total: gangMembers})
@@ -121,8 +136,8 @@
 		}
 		time.Sleep(gangInterval)
 	}
-	if len(accepted) < 10 {
-		fatal("only %d jobs were accepted", len(accepted))
+	if len(accepted) < 10 || s.trouble && crashed < crashes/2 {
+		fatal("only %d jobs were accepted, or %d minions crashed", len(accepted), crashed)
 	}
 	time.Sleep(finishTime)
 	return s.finished(accepted)
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // Figures of the minions, as in the settings that the entry processes get.
 const (
 	heartbeat     = 1500 * time.Millisecond
+	missedBeats   = 3
 	holdMax       = 6 * time.Second
 	checkpointDue = 2 * time.Second
 	leaseCheck    = 20 * time.Millisecond
@@ -72,8 +72,6 @@
 	sequence int64
 	// refuseUntil is until when the minion is unhealthy and answers starts with 503.
 	refuseUntil time.Time
-	// failUntil is until when the minion fails all that it starts; nil if it doesn't.
-	failUntil atomic.Pointer[time.Time]
 }
 
 // newMinion starts a minion on a free loopback port.
@@ -119,6 +117,12 @@
 
 // terminate ends the minion: all that runs there ends, and its entry goes.
 func (m *minion) terminate() {
+	m.stop()
+	m.platform.store.put(serversTopic, m.id, nil)
+}
+
+// stop ends the minion and all that runs there.
+func (m *minion) stop() {
 	m.mu.Lock()
 	m.gone = true
 	for _, r := range m.running {
@@ -126,7 +130,6 @@
 	}
 	m.mu.Unlock()
 	_ = m.server.Close()
-	m.platform.store.put(serversTopic, m.id, nil)
 }
 
 func (m *minion) clockMs() int64 { return 1 + time.Since(m.born).Milliseconds() }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -285,6 +285,27 @@
 	return http.StatusOK, ""
 }
 
+// setDown notes that the machine of a minion is down, and returns the machine.
+func (p *platform) setDown(leaving *minion) *machine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if m.minion == leaving {
+			m.minion, m.state = nil, "down"
+			return m
+		}
+	}
+	return nil
+}
+
+// setUp starts a new minion on a machine that was down.
+func (p *platform) setUp(m *machine) {
+	joined := newMinion(p, m.pool, m.zone, m.rack)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.minion, m.state = joined, "up"
+}
+
 // minions returns the minions of a pool.
 func (p *platform) minions(pool string) []*minion {
 	p.mu.Lock()
