Review: no process is started once a case ends

Cause: the goroutine that starts killed processes again could start one while a case was ending; front and readiness ports were chosen apart from the range of ports, and could lie in it. What was done: starting and stopping exclude each other, and all ports of a process come from one range.

--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +33,9 @@
 	mu      sync.Mutex
 	entries []*entryProcess
 	next    int
+	// starting is held while a process is started, and stopped is set when none may be started any more.
+	starting sync.Mutex
+	stopped  bool
 }
 
 // freePort returns a port that is free now at the address.
@@ -46,12 +48,12 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-// freeRange returns the first of four consecutive ports that are free now at the address.
+// freeRange returns the first of six consecutive ports that are free now at the address.
 func freeRange(ip string) int {
 	for range 200 {
 		first := freePort(ip)
 		free := true
-		for port := first; port < first+4 && free; port++ {
+		for port := first; port < first+6 && free; port++ {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 			if free = err == nil; free {
 				listener.Close()
@@ -167,13 +169,9 @@
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid/200%200, 1+pid%200, 11+n)
 	ports := freeRange(ip)
-	e := &entryProcess{name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, front: fmt.Sprintf("%s:%d", ip, freePort(ip)), readiness: fmt.Sprintf("%s:%d", ip, freePort(ip))}
+	frontPort, readyPort := ports+4, ports+5
+	e := &entryProcess{name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, front: fmt.Sprintf("%s:%d", ip, frontPort), readiness: fmt.Sprintf("%s:%d", ip, readyPort)}
 	e.settings = filepath.Join(f.dir, e.name+".toml")
-	_, front, _ := strings.Cut(e.front, ":")
-	_, ready, _ := strings.Cut(e.readiness, ":")
-	var frontPort, readyPort int
-	_, _ = fmt.Sscan(front, &frontPort)
-	_, _ = fmt.Sscan(ready, &readyPort)
 	text := fmt.Sprintf(settingsText, e.name, ip, zone, ports, ports+3, frontPort, readyPort, f.platform.storeAddr, f.platform.cloudAddr, f.platform.adviceAddr)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		fatal("can't write settings: %v", err)
@@ -185,8 +183,13 @@
 	return e
 }
 
-// start starts the process of an entry.
+// start starts the process of an entry, unless the case ends.
 func (f *fleet) start(e *entryProcess) {
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	if f.stopped {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(f.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fatal("can't write the log of a process: %v", err)
@@ -215,6 +218,9 @@
 
 // stop ends all processes.
 func (f *fleet) stop() {
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	f.stopped = true
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.entries {
