Place items of a queue with advice only on workers that are granted

The advice service gets thousands of requests.

Cause: a worker was chosen first and a ticket requested afterwards. StartNotSent released the item and forgot the refusal, so that the next cycle chose the same worker. Ruled out: a slow service and misread answers (each not_granted names the same worker, milliseconds apart).

Now the answers of the service are state of the step, and an input of the choice of the worker. Requests are sent beside the starts, so that a service that is away holds up only starts that need a ticket. A start whose ticket expires while it waits isn't sent. The status "ticket" of a worker has a kind of its own, since it says nothing about the worker: it paused the worker for all queues.

--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -38,6 +38,8 @@
 	LeaseExpired ErrorKind = "late"
 	// NoCapacity means that the worker doesn't have enough free resources.
 	NoCapacity ErrorKind = "no_room"
+	// NotGranted means that the worker wants a valid ticket of the advice service.
+	NotGranted ErrorKind = "not_granted"
 	// Unavailable means that the worker or service rejected the call for the time being.
 	Unavailable ErrorKind = "unhealthy"
 	// Busy means that the host is down, moving or leaving.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -56,6 +56,8 @@
 	HostOrderDelay time.Duration
 	// HostMoveTime is how long a host is unavailable while it moves to another pool.
 	HostMoveTime time.Duration
+	// Advice is set if there is an advice service.
+	Advice bool
 }
 
 // OrderKind is the action that an order requests.
@@ -85,8 +87,10 @@
 	// process is worker.restarts at the time of an OrderStop. A stop that an earlier process confirmed says nothing
 	// about the next one.
 	process int
-	// NeedsAdvice is set when the start needs a ticket from the advice service.
-	NeedsAdvice bool
+	// Ticket is the permission of the advice service for an OrderStart, valid until TicketValidUntil. It is empty if the
+	// start needs none.
+	Ticket           string
+	TicketValidUntil time.Duration
 }
 
 // Batch holds records that become durable in one append, the orders to send, and the effects to apply
@@ -191,7 +195,13 @@
 	// rejected jobs are thus counted once.
 	offeredJobs map[string]time.Duration
 	wake        chan struct{}
-	metrics     *Metrics
+	// adviceRequests are the requests to the advice service that the last planning cycle found due, the most urgent first.
+	adviceRequests []AdviceRequest
+	adviceWake     chan struct{}
+	// startsAwaitingAdvice and startsWithoutGrant are the numbers of work items for which the last planning cycle found
+	// room, but only on workers about which the advice service hasn't answered yet, or of which it grants none.
+	startsAwaitingAdvice, startsWithoutGrant int
+	metrics                                  *Metrics
 }
 
 // New returns a Core for the given term.
@@ -199,7 +209,7 @@
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
-		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), fleet: newFleetState(),
+		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
 }
@@ -262,6 +272,7 @@
 // restoreJob rebuilds a job from its records.
 func (c *Core) restoreJob(entry *storedJob, now time.Duration) {
 	j := newJob(entry.def)
+	c.applyAdvicePolicy(j)
 	progress := entry.progress
 	j.durable, j.definitionWritten, j.started, j.inherited = true, true, progress.Started, true
 	j.cancelled, j.failed, j.completed = progress.Cancelled, progress.Failed, progress.Completed
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,7 +17,11 @@
 	crashes    *prometheus.CounterVec
 	examined   prometheus.Counter
 	completion prometheus.Histogram
-	stages     stageMetrics
+	// adviceCalls counts the requests to the advice service, advisedWorkers the workers in its answers, and adviceWaits is
+	// the number of work items that wait for it although there is room.
+	adviceCalls, advisedWorkers *prometheus.CounterVec
+	adviceWaits                 *prometheus.GaugeVec
+	stages                      stageMetrics
 	// suspects and trials are the numbers of waiting suspects and of trials in progress, and suspectAge is how long the
 	// oldest waiting suspect has waited.
 	suspects, trials, suspectAge prometheus.Gauge
@@ -33,12 +37,15 @@
 		examined: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_workers_examined_total", Help: "Workers that were considered for work items."}),
 		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "scheduler_job_seconds", Help: "Time from acceptance to completion.",
 			Buckets: []float64{.25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60}}),
-		stages:     newStageMetrics(registry),
-		suspects:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_waiting", Help: "Work items that may have crashed a worker and wait for a trial."}),
-		trials:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_trials", Help: "Trials in progress."}),
-		suspectAge: prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
+		adviceCalls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advice_requests_total", Help: "Requests to the advice service by outcome."}, []string{"outcome"}),
+		advisedWorkers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advised_workers_total", Help: "Workers in the answers of the advice service."}, []string{"answer"}),
+		adviceWaits:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
+		stages:         newStageMetrics(registry),
+		suspects:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_waiting", Help: "Work items that may have crashed a worker and wait for a trial."}),
+		trials:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_trials", Help: "Trials in progress."}),
+		suspectAge:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
 	}
-	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge)
+	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits)
 	return m
 }
 
@@ -70,14 +77,41 @@
 
 // startResult counts the outcome of a start order; kind is empty if it succeeded.
 func (m *Metrics) startResult(kind infra.ErrorKind) {
-	if m == nil {
-		return
+	if m != nil {
+		m.starts.WithLabelValues(outcomeLabel(kind)).Inc()
 	}
-	outcome := "done"
-	if kind != "" {
-		outcome = string(kind)
+}
+
+// outcomeLabel returns the label of the outcome of a call; kind is empty if it succeeded.
+func outcomeLabel(kind infra.ErrorKind) string {
+	if kind == "" {
+		return "done"
+	}
+	return string(kind)
+}
+
+// adviceAnswered counts a request to the advice service; kind is empty if it succeeded.
+func (m *Metrics) adviceAnswered(kind infra.ErrorKind) {
+	if m != nil {
+		m.adviceCalls.WithLabelValues(outcomeLabel(kind)).Inc()
+	}
+}
+
+// workersAdvised counts the workers in an answer of the advice service.
+func (m *Metrics) workersAdvised(granted, denied int) {
+	if m != nil {
+		m.advisedWorkers.WithLabelValues("granted").Add(float64(granted))
+		m.advisedWorkers.WithLabelValues("denied").Add(float64(denied))
+	}
+}
+
+// startsAwaitAdvice records the work items for which there is room, but only on workers about which the advice service
+// hasn't answered, or of which it grants none.
+func (m *Metrics) startsAwaitAdvice(unanswered, denied int) {
+	if m != nil {
+		m.adviceWaits.WithLabelValues("unanswered").Set(float64(unanswered))
+		m.adviceWaits.WithLabelValues("denied").Set(float64(denied))
 	}
-	m.starts.WithLabelValues(outcome).Inc()
 }
 
 // unknownCause is the label of run ends whose cause isn't one of package infra.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -102,6 +102,8 @@
 		}
 	case infra.NoCapacity:
 		w.pauseUntil(now + noCapacityPause)
+	case infra.NotGranted:
+		c.rejectTicket(i, w, now)
 	case infra.Unavailable, infra.Refused:
 		w.pauseUntil(now + refusedStartPause)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -14,6 +14,8 @@
 	if c.config == nil || c.fenced {
 		return
 	}
+	c.adviceRequests, c.startsAwaitingAdvice, c.startsWithoutGrant = nil, 0, 0
+	defer c.publishAdviceRequests()
 	if now >= c.nextWorkerCheck {
 		c.nextWorkerCheck = now + workerCheckInterval
 		c.checkWorkers(now)
@@ -144,7 +146,7 @@
 	if !trials && pool.excludes(step.reservation()) {
 		return
 	}
-	placed := 0
+	placed, asked := 0, false
 	for _, i := range step.items {
 		if i.state != itemWaiting || i.givenUp || i.suspect() != trials {
 			continue
@@ -154,6 +156,10 @@
 			w = c.chooseProbe(i, pool, now)
 		}
 		if w == nil {
+			if step.advice != nil && !asked {
+				c.requestAdvice(i, pool, now)
+				asked = true
+			}
 			// The other items of the step have the same needs. None of them can be placed either,
 			// unless workers were excluded for this item only.
 			if i.avoidedWorker == nil {
@@ -184,6 +190,9 @@
 		}
 		w := c.chooseWorker(i, pool, now)
 		if w == nil {
+			if step.advice != nil {
+				c.requestAdvice(i, pool, now)
+			}
 			break
 		}
 		i.placedAt = now
@@ -221,8 +230,12 @@
 	j := i.step.job
 	i.worker.lastStartJob, i.worker.lastStartAt = j, now
 	j.started = true
-	c.pendingOrders = append(c.pendingOrders, Order{Kind: OrderStart, Worker: i.worker.ref(), Zone: i.worker.entry.Zone, Item: i.id(), Run: i.run, Spec: j.def.Spec,
-		Checkpoint: i.checkpoint, NeedsAdvice: j.def.Queue.NeedsAdvice})
+	order := Order{Kind: OrderStart, Worker: i.worker.ref(), Zone: i.worker.entry.Zone, Item: i.id(), Run: i.run, Spec: j.def.Spec, Checkpoint: i.checkpoint}
+	if i.step.advice != nil {
+		answer, _ := i.step.adviceFor(i.worker, now)
+		order.Ticket, order.TicketValidUntil = answer.ticket, answer.validUntil
+	}
+	c.pendingOrders = append(c.pendingOrders, order)
 	c.markDirty(j)
 }
 
@@ -264,7 +277,7 @@
 			continue
 		}
 		fits = true
-		if w == excluded || !w.satisfies(step) {
+		if w == excluded || !w.satisfies(step) || !step.granted(w, now) {
 			continue
 		}
 		score := c.score(i, w, now)
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -155,7 +155,7 @@
 		return 0
 	}
 	now := c.clock()
-	if !c.mayRelyOnCapacity(w, now) {
+	if !c.mayRelyOnCapacity(w, now) || order.Ticket != "" && now >= order.TicketValidUntil {
 		return 0
 	}
 	leaseEndMs := c.extendLease(w, now, confirmedAt)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -127,6 +127,8 @@
 	stateCounts [itemStates]int
 	// rack is the rack of the first placed item of a step with SameRack; empty while no item is placed.
 	rack string
+	// advice is nil unless the items start only with a ticket of the advice service.
+	advice *stepAdvice
 }
 
 // countOnWorker returns the number of items that are placed on the worker.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -56,6 +56,7 @@
 		return
 	}
 	j := newJob(def)
+	c.applyAdvicePolicy(j)
 	j.acceptedAt, j.offeredAt = now, offeredAt
 	j.overuseLevel = c.overuseLevel(def, now)
 	supply, cores := c.supplyOf(def.Queue.Pool, now)
--- a/internal/scheduler/trial_plan.go
+++ b/internal/scheduler/trial_plan.go
@@ -103,7 +103,7 @@
 	excluded := i.excludedWorker(now, len(pool.workers)+len(pool.probes))
 	var best *worker
 	for _, w := range pool.probes {
-		if w == excluded || !w.satisfies(i.step) || !need.Fits(w.freeCapacity()) || !w.admits(i, true, now) || w.trial == nil && w.unreportedItems > 0 {
+		if w == excluded || !w.satisfies(i.step) || !i.step.granted(w, now) || !need.Fits(w.freeCapacity()) || !w.admits(i, true, now) || w.trial == nil && w.unreportedItems > 0 {
 			continue
 		}
 		if w.trial != nil {
@@ -181,7 +181,7 @@
 	var best *worker
 	need := i.step.reservation()
 	for _, w := range p.workers {
-		if w.trial != nil || w.reserved || !w.satisfies(i.step) || !need.Fits(w.entry.Capacity) {
+		if w.trial != nil || w.reserved || !w.satisfies(i.step) || !i.step.granted(w, now) || !need.Fits(w.entry.Capacity) {
 			continue
 		}
 		if best == nil || compareForTrial(w, best, need, now) < 0 {
--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"turmericyoke/internal/infra"
 	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/scheduler"
@@ -108,13 +106,7 @@
 
 // sendStart sends a start until its outcome is known, or the attempts are used up.
 func (s *session) sendStart(ctx context.Context, order *scheduler.Order) {
-	start := infra.StartOrder{Item: order.Item, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Token: s.term}
-	if order.NeedsAdvice && s.Advice != nil {
-		if start.Ticket = s.requestTicket(ctx, order); start.Ticket == "" {
-			s.core.StartNotSent(order)
-			return
-		}
-	}
+	start := infra.StartOrder{Item: order.Item, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Token: s.term, Ticket: order.Ticket}
 	a := attempts{}
 	for {
 		sent, again, err := s.attemptStart(ctx, &a, order, start)
@@ -135,22 +127,6 @@
 	}
 }
 
-// requestTicket returns the ticket of the advice service for a start, or "" if it grants none.
-func (s *session) requestTicket(ctx context.Context, order *scheduler.Order) string {
-	window := s.startWindow(order.Zone)
-	if !window.acquire(ctx) {
-		return ""
-	}
-	defer window.release()
-	tickets, _, err := s.Advice.RequestTickets(ctx, order.Item.Job, order.Item.Occurrence, order.Item.Step, []string{order.Worker.ID})
-	ticket := tickets[order.Worker.ID]
-	if err != nil || ticket == "" {
-		s.Logger.WithFields(logrus.Fields{"event": "not_granted", "item": order.Item.String(), "worker": order.Worker.ID}).WithError(err).Info("advice service granted no ticket; the start isn't sent")
-		return ""
-	}
-	return ticket
-}
-
 // attemptStart sends a start once when the window of its zone admits it. sent is false if the start must not be sent, and
 // again is set if it has to be sent again.
 func (s *session) attemptStart(ctx context.Context, a *attempts, order *scheduler.Order, start infra.StartOrder) (sent, again bool, err error) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -107,6 +107,7 @@
 // Run runs the scheduler for the term until ctx ends or the term is fenced.
 func Run(ctx context.Context, config Config, term int64) {
 	logger := config.Logger.WithField("term", term)
+	config.Options.Advice = config.Advice != nil
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
@@ -139,6 +140,9 @@
 	s.goGuarded(group, func() error { return s.watchFence(groupCtx) })
 	s.goGuarded(group, func() error { return s.followDirectory(groupCtx, group) })
 	s.goGuarded(group, func() error { return s.manageHosts(groupCtx, group) })
+	for range maxAdviceCalls {
+		s.goGuarded(group, func() error { return s.requestAdvice(groupCtx) })
+	}
 	err := group.Wait()
 	// After a panic nothing else closes the core.
 	s.core.Abandon(&scheduler.Batch{})
