Let a record that the log refuses for good cost its own job only

New jobs of all customers got 503, accepted ones stayed running, and no other process took over.

Ruled out: a store that is down (it serves reads) and a fenced term (it would have ended).

Now the writer divides a batch that the log refuses until the refused records are found, appends the others and returns these; the core fails their jobs. Appends stay within recordBytes and callBytes of the settings, and a job whose definition is too long is rejected with 400 before it is accepted. Jobs with more than 64 work items are recorded in groups of 64, of which only the changed ones are written; old records are read. Long checkpoints are left out of a record that they would make too long.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -23,6 +23,7 @@
 	"turmericyoke/internal/election"
 	"turmericyoke/internal/entry"
 	"turmericyoke/internal/entry/peer"
+	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/session"
@@ -106,7 +107,7 @@
 	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: p.group, Logger: logger, Clock: boottime.Now}
 	p.entry = &entry.Entry{Self: self, Election: p.elector, PeerClients: peer.NewClients(), ConfigSource: services.ConfigSource, DecodeConfig: platform.DecodeConfig, Logger: logger}
 	config := session.Config{
-		Log: services.Log, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
+		Log: services.Log, LogLimits: journal.Limits{Record: settings.Platform.RecordBytes, Call: settings.Platform.CallBytes}, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
 		Clock: boottime.Now, WallClock: time.Now, Logger: logger, Metrics: scheduler.NewMetrics(registry),
 		Options: scheduler.Options{
 			MaxLease:          platform.Millis(settings.Bounds.HoldMaxMs),
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -95,6 +95,12 @@
 	Offset int64
 }
 
+// RecordOverhead is the most bytes that a log stores with the key and the value of a record.
+const RecordOverhead = 8
+
+// Size returns the most bytes that the record takes in a log.
+func (r *Record) Size() int { return len(r.Key) + len(r.Value) + RecordOverhead }
+
 // Page is a contiguous range of records.
 type Page struct {
 	Records []Record
@@ -126,7 +132,7 @@
 	// isn't an error.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
 	// Append adds all records or none, and returns the offset of the first one. Without records it only
-	// raises the writer's epoch.
+	// raises the writer's epoch. Its error is of kind Invalid if the log never accepts the records.
 	Append(ctx context.Context, topic string, records []Record, options AppendOptions) (int64, error)
 }
 
--- a/internal/infra/infratest/log.go
+++ b/internal/infra/infratest/log.go
@@ -12,6 +12,10 @@
 
 // Log implements infra.Log in memory. The zero value is ready for use.
 type Log struct {
+	// MaxRecordBytes and MaxCallBytes limit the size of a record and of an append, which fail with infra.Invalid beyond
+	// that; 0 means no limit.
+	MaxRecordBytes, MaxCallBytes int
+
 	mu     sync.Mutex
 	topics map[string]*topic
 	// down makes every call fail with infra.Refused.
@@ -108,6 +112,9 @@
 	if l.down {
 		return 0, logError(infra.Refused)
 	}
+	if l.exceedsLimits(records) {
+		return 0, logError(infra.Invalid)
+	}
 	offset, err := l.append(l.topic(name), records, options)
 	if err == nil && l.responsesToLose > 0 {
 		l.responsesToLose--
@@ -116,6 +123,18 @@
 	return offset, err
 }
 
+func (l *Log) exceedsLimits(records []infra.Record) bool {
+	total := 0
+	for n := range records {
+		size := records[n].Size()
+		if l.MaxRecordBytes > 0 && size > l.MaxRecordBytes {
+			return true
+		}
+		total += size
+	}
+	return l.MaxCallBytes > 0 && total > l.MaxCallBytes
+}
+
 func (l *Log) append(t *topic, records []infra.Record, options infra.AppendOptions) (int64, error) {
 	end := int64(len(t.records))
 	if options.ExpectedEnd != nil && *options.ExpectedEnd != end {
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -404,7 +404,7 @@
 	first := newTestCore(1)
 	worker := first.addWorker(0, 8)
 	first.accept("job", needStep(4))
-	records, err := encodeJob(first.jobs["job"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 	batch := first.Collect()
 	records = append(records, batch.Records...)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +61,8 @@
 	HostMoveTime time.Duration
 	// Advice is set if there is an advice service.
 	Advice bool
+	// MaxRecordBytes limits the records of the log, see infra.Record.Size; 0 means no limit.
+	MaxRecordBytes int
 }
 
 // OrderKind is the action that an order requests.
@@ -101,10 +106,15 @@
 	// changedJobs are the jobs whose records the batch contains.
 	changedJobs []*job
 	// waiters get OutcomeDone once the batch is durable.
-	waiters []chan<- Outcome
+	waiters []jobWaiter
 	// durableEnds maps workers to their highest run end whose effect the batch makes durable.
-	durableEnds   map[*worker]processEnd
-	deletedJobIDs []string
+	durableEnds map[*worker]processEnd
+}
+
+// jobWaiter waits for records of a job to become durable.
+type jobWaiter struct {
+	job      *job
+	outcomes chan<- Outcome
 }
 
 // processEnd is the number of a run end that a process of a worker reported. process is worker.restarts at that time.
@@ -162,9 +172,9 @@
 	// pendingOrders are sent with the next batch.
 	pendingOrders []Order
 	// waiters get their outcome once the next batch is durable.
-	waiters []chan<- Outcome
-	// deletedJobIDs are the IDs of jobs whose records the next batch deletes.
-	deletedJobIDs []string
+	waiters []jobWaiter
+	// deletions are the records that delete those of jobs that are no longer kept, for the next batch.
+	deletions []infra.Record
 	// pendingRecords are records of waves and host orders for the next batch.
 	pendingRecords []infra.Record
 	// appendStartedAt is when the append in progress began; 0 if none is in progress.
@@ -263,7 +273,7 @@
 		case entry.def != nil:
 			c.restoreJob(entry, now)
 		case !entry.unreadable:
-			c.deletedJobIDs = append(c.deletedJobIDs, id)
+			c.deleteRecords(id, slices.Collect(maps.Keys(entry.groups)))
 		}
 	}
 	c.logger.WithFields(logrus.Fields{"event": "state_loaded", "jobs": len(c.jobs), "active": len(c.activeJobs), "term": c.term}).Info("loaded jobs of earlier terms")
@@ -281,17 +291,19 @@
 	j.offeredAt = j.acceptedAt
 	j.endedAt = now
 	c.jobs[j.def.ID] = j
-	for _, record := range progress.Items {
+	items, crashes := entry.items(j.groupOf)
+	for _, record := range items {
 		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
 			c.restoreItem(i, record, now)
 		}
 	}
-	for _, record := range progress.Crashes {
+	for _, record := range crashes {
 		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
 			i.crashes, i.givenUp, i.waitingSince = crashCounts{known: record.Known, possible: record.Possible, late: record.Late}, record.GivenUp, now
 			c.suspects[i] = struct{}{}
 		}
 	}
+	j.restoreGroups(entry)
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
 		c.addWaiting(j)
@@ -367,6 +379,12 @@
 	if i.step.def.SameRack && i.step.countInState(itemPlaced) == 0 {
 		i.step.rack = ""
 	}
+	c.markItemDirty(i)
+}
+
+// markItemDirty adds the records of the item and its job to the next batch.
+func (c *Core) markItemDirty(i *item) {
+	i.step.job.noteChanged(i)
 	c.markDirty(i.step.job)
 }
 
@@ -389,17 +407,22 @@
 	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
 	c.pendingRecords = nil
 	// A job may have been submitted under an ID whose earlier records are deleted.
-	for _, id := range c.deletedJobIDs {
-		batch.Records = append(batch.Records, infra.Record{Key: definitionPrefix + id}, infra.Record{Key: progressPrefix + id})
-	}
-	for j := range c.dirtyJobs {
-		records, err := encodeJob(j, !j.definitionWritten)
+	batch.Records = append(batch.Records, c.deletions...)
+	encoder := jobEncoder{maxValueBytes: c.maxValueBytes(), checkpointOmitted: c.noteOmittedCheckpoint}
+	for _, j := range c.sortedDirtyJobs() {
+		if j.definitionRejected {
+			continue
+		}
+		records, err := encoder.encodeJob(j, !j.definitionWritten)
 		if err != nil {
 			c.logger.WithFields(logrus.Fields{"event": "job_unencodable", "job": j.def.ID}).WithError(err).Error("can't encode the records of a job; this change isn't recorded")
 			continue
 		}
 		j.definitionWritten = true
-		c.waiters, j.submitters = append(c.waiters, j.submitters...), nil
+		for _, submitter := range j.submitters {
+			c.waiters = append(c.waiters, jobWaiter{j, submitter})
+		}
+		j.submitters = nil
 		batch.Records = append(batch.Records, records...)
 		batch.changedJobs = append(batch.changedJobs, j)
 	}
@@ -410,44 +433,56 @@
 		}
 		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
-	batch.Orders, batch.waiters, batch.deletedJobIDs = c.pendingOrders, c.waiters, c.deletedJobIDs
+	batch.Orders, batch.waiters = c.pendingOrders, c.waiters
 	if len(batch.Records) > 0 {
 		c.appendStartedAt = now
 	}
 	clear(c.dirtyJobs)
-	c.pendingOrders, c.waiters, c.deletedJobIDs = nil, nil, nil
+	c.pendingOrders, c.waiters, c.deletions = nil, nil, nil
 	return batch
 }
 
+// sortedDirtyJobs returns the jobs that have changed since the last batch, sorted by ID.
+func (c *Core) sortedDirtyJobs() []*job {
+	return slices.SortedFunc(maps.Keys(c.dirtyJobs), func(a, b *job) int { return strings.Compare(a.def.ID, b.def.ID) })
+}
+
 // Empty reports whether the batch has neither records and orders nor effects to apply once it is durable.
 func (b *Batch) Empty() bool {
 	return len(b.Records) == 0 && len(b.Orders) == 0 && len(b.waiters) == 0 && len(b.durableEnds) == 0
 }
 
-// Committed applies the effects of a durable batch: it makes job states visible to callers, marks run ends
-// for acknowledgement to workers, and sends the outcomes to waiters. The caller of Collect sends the orders.
-func (c *Core) Committed(batch *Batch) {
+// Committed applies the effects of a batch that is durable but for the rejected records, which the log never accepts: it
+// makes job states visible to callers, marks run ends for acknowledgement to workers, and sends the outcomes to waiters.
+// The caller of Collect sends the orders.
+func (c *Core) Committed(batch *Batch, rejected ...infra.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.appendStartedAt = 0
+	unrecorded := c.failUnrecordable(rejected)
 	for _, j := range batch.changedJobs {
-		j.durable = true
+		j.durable = j.durable || !unrecorded[j]
 	}
 	for _, j := range batch.changedJobs {
 		// If the job changed again after this batch was collected, its state becomes visible with the
 		// batch that records the later change.
-		if _, pending := c.dirtyJobs[j]; !pending {
+		if _, pending := c.dirtyJobs[j]; !pending && !unrecorded[j] {
 			j.visibleCompleted, j.visibleFailed, j.visibleCancelled = j.completed, j.failed, j.cancelled
 		}
 	}
 	for w, end := range batch.durableEnds {
-		if end.process == w.restarts && end.number <= w.appliedEnd {
+		// If a record was rejected, the ends wait for the next batch, which records that its job has failed.
+		if len(unrecorded) == 0 && end.process == w.restarts && end.number <= w.appliedEnd {
 			w.durableEnd = end.number
 			w.wakeRenewalLoop()
 		}
 	}
 	for _, waiter := range batch.waiters {
-		waiter <- Outcome{Kind: OutcomeDone}
+		if unrecorded[waiter.job] {
+			waiter.outcomes <- waiter.job.unrecordedOutcome()
+		} else {
+			waiter.outcomes <- Outcome{Kind: OutcomeDone}
+		}
 	}
 }
 
@@ -462,7 +497,7 @@
 	waiting := append(batch.waiters, c.waiters...)
 	c.waiters = nil
 	for _, waiter := range waiting {
-		waiter <- Outcome{Kind: OutcomeUnknown}
+		waiter.outcomes <- Outcome{Kind: OutcomeUnknown}
 	}
 	for j := range c.dirtyJobs {
 		c.answerSubmitters(j, Outcome{Kind: OutcomeTermOver})
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -113,7 +113,7 @@
 	}
 	if i.step.def.Lasting && i.available && i.crashes.sum() > 0 && age >= crashFreeTime {
 		i.crashes, i.clearedCrashes, i.givenUp = crashCounts{}, 0, false
-		c.markDirty(i.step.job)
+		c.markItemDirty(i)
 	}
 }
 
@@ -208,7 +208,7 @@
 	c.metrics.crashCounted(onTrial)
 	c.logger.WithFields(logrus.Fields{"event": "run_crashed", "item": i.id().String(), "worker": worker, "on_trial": onTrial,
 		"crashes": i.crashes.known, "possible": i.crashes.possible, "late": i.crashes.late}).Info("worker crashed with a run of the work item; the item may be the cause")
-	c.markDirty(j)
+	c.markItemDirty(i)
 	if i.crashes.known >= maxCrashes || onTrial && i.crashes.known >= maxTrialCrashes || i.crashes.sum() >= maxUncertainCrashes {
 		c.giveUp(i)
 	}
--- a/internal/scheduler/crash_bounds_test.go
+++ b/internal/scheduler/crash_bounds_test.go
@@ -142,7 +142,7 @@
 func TestInheritedRunOfARestartedWorkerIsAPossibleCrash(t *testing.T) {
 	first := newCrashCore(1)
 	first.submitItems(t, "job", 1)
-	records, err := encodeJob(first.jobs["job"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 
 	second := newTestCore(2)
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,7 +33,7 @@
 	for id, j := range c.jobs {
 		if _, active := c.activeJobs[j]; !active && j.finished() && now-j.endedAt > c.options.EndedJobRetention {
 			delete(c.jobs, id)
-			c.deletedJobIDs = append(c.deletedJobIDs, id)
+			c.deleteRecords(id, slices.Collect(maps.Keys(j.recordedGroups)))
 		}
 	}
 }
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -22,6 +22,9 @@
 	adviceCalls, advisedWorkers *prometheus.CounterVec
 	adviceWaits                 *prometheus.GaugeVec
 	stages                      stageMetrics
+	// rejectedRecords counts the records that the log never accepts, and omittedCheckpoints the records without a checkpoint
+	// that is too long for them.
+	rejectedRecords, omittedCheckpoints prometheus.Counter
 	// suspects and trials are the numbers of waiting suspects and of trials in progress, and suspectAge is how long the
 	// oldest waiting suspect has waited.
 	suspects, trials, suspectAge prometheus.Gauge
@@ -37,15 +40,18 @@
 		examined: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_workers_examined_total", Help: "Workers that were considered for work items."}),
 		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "scheduler_job_seconds", Help: "Time from acceptance to completion.",
 			Buckets: []float64{.25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60}}),
-		adviceCalls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advice_requests_total", Help: "Requests to the advice service by outcome."}, []string{"outcome"}),
-		advisedWorkers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advised_workers_total", Help: "Workers in the answers of the advice service."}, []string{"answer"}),
-		adviceWaits:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
-		stages:         newStageMetrics(registry),
-		suspects:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_waiting", Help: "Work items that may have crashed a worker and wait for a trial."}),
-		trials:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_trials", Help: "Trials in progress."}),
-		suspectAge:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
-	}
-	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits)
+		adviceCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advice_requests_total", Help: "Requests to the advice service by outcome."}, []string{"outcome"}),
+		advisedWorkers:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advised_workers_total", Help: "Workers in the answers of the advice service."}, []string{"answer"}),
+		adviceWaits:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
+		stages:             newStageMetrics(registry),
+		rejectedRecords:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_records_rejected_total", Help: "Records that the log never accepts."}),
+		omittedCheckpoints: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_checkpoints_omitted_total", Help: "Records of work items without some checkpoints, which are too long for the log."}),
+		suspects:           prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_waiting", Help: "Work items that may have crashed a worker and wait for a trial."}),
+		trials:             prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_trials", Help: "Trials in progress."}),
+		suspectAge:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
+	}
+	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits,
+		m.rejectedRecords, m.omittedCheckpoints)
 	return m
 }
 
@@ -152,3 +158,17 @@
 		m.suspectAge.Set(longest.Seconds())
 	}
 }
+
+// recordRejected counts a record that the log never accepts.
+func (m *Metrics) recordRejected() {
+	if m != nil {
+		m.rejectedRecords.Inc()
+	}
+}
+
+// checkpointOmitted counts a record without a checkpoint that is too long for it.
+func (m *Metrics) checkpointOmitted() {
+	if m != nil {
+		m.omittedCheckpoints.Inc()
+	}
+}
--- a/internal/scheduler/outcome.go
+++ b/internal/scheduler/outcome.go
@@ -27,6 +27,8 @@
 	OutcomeUnavailable
 	// OutcomeTermOver: the term was over before the request, which had no effect.
 	OutcomeTermOver
+	// OutcomeInvalid: the job can never be accepted, and never runs.
+	OutcomeInvalid
 )
 
 // JobState is the state of a job as callers see it.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -236,7 +236,7 @@
 		order.Ticket, order.TicketValidUntil = answer.ticket, answer.validUntil
 	}
 	c.pendingOrders = append(c.pendingOrders, order)
-	c.markDirty(j)
+	c.markItemDirty(i)
 }
 
 // Penalties of a worker in score; the worker with the lowest score is chosen. A rack other than that of
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,17 +14,29 @@
 	"turmericyoke/internal/work"
 )
 
-// Topic is the log topic for jobs. Each job has two keys: one for its definition, written once, and one
-// for its progress, written at every change.
+// Topic is the log topic for jobs. Each job has a key for its definition, written once, and one for its progress, written
+// at every change. The work items of a job with more than groupItems of them have keys of their own, one for each group of
+// so many items, written when an item of the group changes: the records of a job are bounded, whatever its size, and a
+// change of an item doesn't write the whole job.
 const Topic = "jobs"
 
-// Key prefixes in Topic; a job's ID follows them.
+// Key prefixes in Topic; a job's ID follows them, and in the key of a group a slash and the number of the group.
 const (
 	definitionPrefix = "d/"
 	progressPrefix   = "p/"
+	groupPrefix      = "g/"
 )
 
-// progressRecord is the durable state of a job without its definition.
+const (
+	// groupItems is the number of work items in a group.
+	groupItems = 64
+	// maxItemRecordBytes is the most that an itemRecord and a crashRecord take without the checkpoint, and maxProgressBytes
+	// what a progressRecord takes without its items.
+	maxItemRecordBytes = 384
+	maxProgressBytes   = 64
+)
+
+// progressRecord is the durable state of a job without its definition, or of a group of its work items.
 type progressRecord struct {
 	Cancelled bool         `cbor:"1,keyasint,omitempty"`
 	Failed    bool         `cbor:"2,keyasint,omitempty"`
@@ -57,34 +73,70 @@
 	Checkpoint string
 }
 
-// progressOf returns the progress record of the job. A completed job needs no item records.
-func progressOf(j *job) progressRecord {
-	record := progressRecord{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed, Started: j.started}
-	if j.completed {
-		return record
+// grouped reports whether the job's work items are recorded in groups.
+func (j *job) grouped() bool { return j.itemCount > groupItems }
+
+// group returns the number of the item's group.
+func (i *item) group() int {
+	step := i.step
+	return (step.occurrence*step.job.occurrenceItems + step.firstItem + i.index) / groupItems
+}
+
+// addItem adds the records of the item, unless nothing has happened to it since the job was accepted. maxCheckpoint is the
+// longest checkpoint that is recorded. It reports whether the checkpoint was left out.
+func (record *progressRecord) addItem(i *item, maxCheckpoint int) (omitted bool) {
+	step := i.step
+	if i.crashes.sum() > 0 {
+		record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index,
+			Known: i.crashes.known, Possible: i.crashes.possible, Late: i.crashes.late, GivenUp: i.givenUp})
 	}
-	for _, step := range j.steps {
-		for _, i := range step.items {
-			if i.crashes.sum() > 0 {
-				record.Crashes = append(record.Crashes, crashRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index,
-					Known: i.crashes.known, Possible: i.crashes.possible, Late: i.crashes.late, GivenUp: i.givenUp})
-			}
-			if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
-				continue
-			}
-			entry := itemRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, State: i.state,
-				Run: i.run, Failures: i.failures, Checkpoint: i.checkpoint}
-			if i.worker != nil {
-				entry.Worker = i.worker.entry.ID
-			}
-			record.Items = append(record.Items, entry)
+	if i.state == itemWaiting && i.run == 0 && i.failures == 0 && i.checkpoint == "" {
+		return false
+	}
+	entry := itemRecord{Occurrence: step.occurrence, Step: step.number, Index: i.index, State: i.state,
+		Run: i.run, Failures: i.failures, Checkpoint: i.checkpoint}
+	if omitted = len(i.checkpoint) > maxCheckpoint; omitted {
+		entry.Checkpoint = ""
+	}
+	if i.worker != nil {
+		entry.Worker = i.worker.entry.ID
+	}
+	record.Items = append(record.Items, entry)
+	return omitted
+}
+
+// jobEncoder encodes the records of jobs within the limit of the log.
+type jobEncoder struct {
+	// maxValueBytes limits the value of a record; 0 means no limit.
+	maxValueBytes int
+	// checkpointOmitted is called when a checkpoint is too long to be recorded.
+	checkpointOmitted func(j *job)
+}
+
+// encodeItems encodes the record with the items added. If it gets too long, it leaves out long checkpoints: their items
+// start from the beginning if the term ends before they do.
+func (e *jobEncoder) encodeItems(record progressRecord, items []*item) ([]byte, error) {
+	encode := func(maxCheckpoint int) ([]byte, bool, error) {
+		full, omitted := record, false
+		for _, i := range items {
+			omitted = full.addItem(i, maxCheckpoint) || omitted
 		}
+		value, err := cbor.Marshal(full)
+		return value, omitted, err
+	}
+	value, _, err := encode(math.MaxInt)
+	if err != nil || e.maxValueBytes <= 0 || len(value) <= e.maxValueBytes {
+		return value, err
+	}
+	value, omitted, err := encode(max(0, (e.maxValueBytes-maxProgressBytes)/groupItems-maxItemRecordBytes))
+	if omitted && e.checkpointOmitted != nil {
+		e.checkpointOmitted(items[0].step.job)
 	}
-	return record
+	return value, err
 }
 
-// encodeJob returns the records that make the job's state durable.
-func encodeJob(j *job, withDefinition bool) ([]infra.Record, error) {
+// encodeJob returns the records that make the job's state durable. Groups that haven't changed are left out.
+func (e *jobEncoder) encodeJob(j *job, withDefinition bool) ([]infra.Record, error) {
 	var records []infra.Record
 	if withDefinition {
 		value, err := cbor.Marshal(j.def)
@@ -93,11 +145,88 @@
 		}
 		records = append(records, infra.Record{Key: definitionPrefix + j.def.ID, Value: value})
 	}
-	value, err := cbor.Marshal(progressOf(j))
+	progress := progressRecord{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed, Started: j.started}
+	// A completed job needs no records of its items, and the items of one that can't be recorded are the reason.
+	var items []*item
+	if withItems := !j.completed && !j.unrecordable; withItems && j.grouped() {
+		groups, err := e.encodeGroups(j)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, groups...)
+	} else if withItems {
+		items = j.allItems()
+	}
+	value, err := e.encodeItems(progress, items)
 	if err != nil {
 		return nil, err
 	}
-	return append(records, infra.Record{Key: progressPrefix + j.def.ID, Value: value}), nil
+	records = append(records, infra.Record{Key: progressPrefix + j.def.ID, Value: value})
+	if j.completed {
+		// Until the record above is durable, a new term needs the groups.
+		records = append(records, groupDeletions(j)...)
+	}
+	return records, nil
+}
+
+// encodeGroups returns the records of the changed groups, in the order of their numbers: the groups of steps come before
+// those of the steps that depend on them.
+func (e *jobEncoder) encodeGroups(j *job) ([]infra.Record, error) {
+	changed := make(map[int][]*item, len(j.changedGroups))
+	for _, i := range j.allItems() {
+		if number := i.group(); j.changedGroups[number] {
+			changed[number] = append(changed[number], i)
+		}
+	}
+	var records []infra.Record
+	for _, number := range slices.Sorted(maps.Keys(changed)) {
+		value, err := e.encodeItems(progressRecord{}, changed[number])
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, infra.Record{Key: groupKey(j.def.ID, number), Value: value})
+	}
+	for number := range changed {
+		j.recordedGroups[number] = true
+	}
+	clear(j.changedGroups)
+	return records, nil
+}
+
+// groupDeletions returns the records that delete the job's groups.
+func groupDeletions(j *job) []infra.Record {
+	var records []infra.Record
+	for _, number := range slices.Sorted(maps.Keys(j.recordedGroups)) {
+		records = append(records, infra.Record{Key: groupKey(j.def.ID, number)})
+	}
+	clear(j.recordedGroups)
+	return records
+}
+
+func groupKey(job string, number int) string {
+	return groupPrefix + job + "/" + strconv.Itoa(number)
+}
+
+// parseGroupKey returns the job and the number in the key of a group.
+func parseGroupKey(key string) (job string, number int, ok bool) {
+	id, isGroup := strings.CutPrefix(key, groupPrefix)
+	slash := strings.LastIndexByte(id, '/')
+	if !isGroup || slash < 0 {
+		return "", 0, false
+	}
+	number, err := strconv.Atoi(id[slash+1:])
+	return id[:slash], number, err == nil && number >= 0 && number < work.MaxItems
+}
+
+// jobOfKey returns the ID of the job to which the record belongs; "" if it belongs to none.
+func jobOfKey(key string) string {
+	for _, prefix := range []string{definitionPrefix, progressPrefix} {
+		if id, ok := strings.CutPrefix(key, prefix); ok {
+			return id
+		}
+	}
+	id, _, _ := parseGroupKey(key)
+	return id
 }
 
 // storedJob is a job as read from the log; def is nil if its definition is missing or, with unreadable set, can't be used.
@@ -105,6 +234,31 @@
 	def        *work.Job
 	unreadable bool
 	progress   progressRecord
+	groups     map[int]progressRecord
+}
+
+// items returns the records of the work items. Those in the progress record are of a revision without groups, and count
+// unless their group has been recorded since.
+func (s *storedJob) items(groupOf func(itemRecord) int) ([]itemRecord, []crashRecord) {
+	if len(s.groups) == 0 {
+		return s.progress.Items, s.progress.Crashes
+	}
+	var items []itemRecord
+	var crashes []crashRecord
+	for _, i := range s.progress.Items {
+		if _, recorded := s.groups[groupOf(i)]; !recorded {
+			items = append(items, i)
+		}
+	}
+	for _, c := range s.progress.Crashes {
+		if _, recorded := s.groups[groupOf(itemRecord{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})]; !recorded {
+			crashes = append(crashes, c)
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.groups)) {
+		items, crashes = append(items, s.groups[number].Items...), append(crashes, s.groups[number].Crashes...)
+	}
+	return items, crashes
 }
 
 // decodeJobs decodes the newest records of all jobs. It returns the jobs by ID, and the keys of records
@@ -135,6 +289,14 @@
 			if err = cbor.Unmarshal(record.Value, &progress); err == nil {
 				entry(id).progress = progress
 			}
+		} else if id, number, ok := parseGroupKey(record.Key); ok {
+			var group progressRecord
+			if err = cbor.Unmarshal(record.Value, &group); err == nil {
+				if entry(id).groups == nil {
+					entry(id).groups = map[int]progressRecord{}
+				}
+				entry(id).groups[number] = group
+			}
 		}
 		if err != nil {
 			unreadable = append(unreadable, record.Key)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -127,7 +127,7 @@
 		i.run, i.placedAt = running.Run, now
 		w.leaseEnd = max(w.leaseEnd, c.inheritedLeaseEnd())
 		c.place(i, w)
-		c.markDirty(i.step.job)
+		c.markItemDirty(i)
 	}
 	if i == nil || i.worker != w || i.run != running.Run {
 		// The run isn't the item's current one. Either the item was released from this worker, or the job
@@ -202,7 +202,7 @@
 			c.release(i)
 		}
 	}
-	c.markDirty(i.step.job)
+	c.markItemDirty(i)
 }
 
 // hasUnresolvedRun reports whether an unresolved run of the item is one on the worker.
@@ -297,15 +297,22 @@
 	failedByAttempts = "attempts"
 	// failedByCrashes: workers crashed with runs of a work item.
 	failedByCrashes = "crashes"
+	// failedByRecord: the log never accepts a record of the job.
+	failedByRecord = "unrecordable"
 )
 
 // failJob fails the job of the item for the given cause, and stops its runs.
 func (c *Core) failJob(i *item, cause string) {
 	j := i.step.job
-	j.failed, j.endedAt = true, c.clock()
-	c.metrics.jobFailed(cause)
 	c.logger.WithFields(logrus.Fields{"event": "job_failed", "job": j.def.ID, "queue": j.def.Queue.Name, "item": i.id().String(), "cause": cause,
 		"failures": i.failures, "crashes": i.crashes.sum()}).Warn("job failed: one of its work items isn't started any more")
+	c.endAsFailed(j, cause)
+}
+
+// endAsFailed ends the job as failed for the given cause, and stops its runs.
+func (c *Core) endAsFailed(j *job, cause string) {
+	j.failed, j.endedAt = true, c.clock()
+	c.metrics.jobFailed(cause)
 	c.orderJobStops(j)
 	c.markDirty(j)
 }
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -323,7 +323,7 @@
 	tc.SetHosts(hosts, tc.now)
 	tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
 	def := &work.Job{ID: "job", Queue: tc.config.Queues[0], Customer: "big", Accepted: tc.wallClock(), Steps: []work.Step{needStep(1)}}
-	records, err := encodeJob(newJob(def), true)
+	records, err := (&jobEncoder{}).encodeJob(newJob(def), true)
 	assert.NilError(t, err)
 	tc.Load(records)
 	tc.now += 10 * time.Millisecond
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -245,9 +245,12 @@
 	// delayedActions are the functions that run at a later time.
 	delayedActions []simAction
 	// stopTime is how long a stop takes, and listDown is set while the list of workers can't be read.
-	stopTime    time.Duration
-	listDown    bool
-	logDown     bool
+	stopTime time.Duration
+	listDown bool
+	logDown  bool
+	// tornAppends makes the first records of a batch durable that is being appended when a new term starts: the writer
+	// divides large batches.
+	tornAppends bool
 	workerCount int64
 	startCount  int
 }
@@ -292,6 +295,9 @@
 // takeOver starts a new term, which fences the earlier ones at the log.
 func (s *sim) takeOver() *simScheduler {
 	s.term++
+	if s.tornAppends {
+		s.tearAppend()
+	}
 	core := New(s.term, simOptions(), s.clock, s.wall, discardLogger(), nil)
 	var records []infra.Record
 	for key, value := range s.log {
@@ -305,6 +311,26 @@
 	return scheduler
 }
 
+// tearAppend makes the first records of the append in progress durable, a random number of them.
+func (s *sim) tearAppend() {
+	if len(s.schedulers) == 0 || s.leader().ended || s.leader().batch == nil {
+		return
+	}
+	records := s.leader().batch.Records
+	for _, record := range records[:s.rng.IntN(len(records)+1)] {
+		s.store(record)
+	}
+}
+
+// store makes a record durable.
+func (s *sim) store(record infra.Record) {
+	if record.Value == nil {
+		delete(s.log, record.Key)
+		return
+	}
+	s.log[record.Key] = record.Value
+}
+
 func (s *sim) leader() *simScheduler { return s.schedulers[len(s.schedulers)-1] }
 
 func (s *sim) stepOf(id work.ItemID) *work.Step { return &s.jobs[id.Job].Steps[id.Step] }
@@ -469,7 +495,7 @@
 			return
 		}
 		for _, record := range scheduler.batch.Records {
-			s.log[record.Key] = record.Value
+			s.store(record)
 		}
 		scheduler.confirmedAt = scheduler.sentAt
 		scheduler.core.Committed(scheduler.batch)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -129,6 +129,8 @@
 	rack string
 	// advice is nil unless the items start only with a ticket of the advice service.
 	advice *stepAdvice
+	// firstItem is the number of items in the earlier steps of an occurrence.
+	firstItem int
 }
 
 // countOnWorker returns the number of items that are placed on the worker.
@@ -167,6 +169,7 @@
 		i.step.job.placedCount++
 	}
 	i.state = state
+	step.job.noteChanged(i)
 	if state == itemDone && i.step.done() {
 		i.step.job.remaining = nil
 	}
@@ -222,13 +225,47 @@
 	total, remaining *declaredWork
 	// supply is the entry of the supplyCache that includes the job's work; nil if none does.
 	supply *poolSupply
+	// itemCount is the number of work items, and occurrenceItems that of one occurrence.
+	itemCount, occurrenceItems int
+	// changedGroups holds the groups of work items that have changed since they were last encoded, and recordedGroups those
+	// that may be in the log. Both are used only if the job is grouped.
+	changedGroups, recordedGroups map[int]bool
+	// unrecordable is set when the log has refused a record of the job for good, and definitionRejected if that was its
+	// definition. The job has failed then.
+	unrecordable, definitionRejected bool
+	// checkpointOmitted is set once a checkpoint was too long to be recorded.
+	checkpointOmitted bool
+}
+
+// noteChanged adds the item's group to the changed ones.
+func (j *job) noteChanged(i *item) {
+	if j.grouped() {
+		j.changedGroups[i.group()] = true
+	}
+}
+
+// allItems returns the items of all steps.
+func (j *job) allItems() []*item {
+	var items []*item
+	for _, step := range j.steps {
+		items = append(items, step.items...)
+	}
+	return items
 }
 
 func newJob(def *work.Job) *job {
 	j := &job{def: def, openStepsChanged: true}
+	for n := range def.Steps {
+		j.occurrenceItems += def.Steps[n].Count
+	}
+	if j.itemCount = j.occurrenceItems * def.Occurrences(); j.grouped() {
+		j.changedGroups, j.recordedGroups = map[int]bool{}, map[int]bool{}
+	}
 	for k := range def.Occurrences() {
+		firstItem := 0
 		for number := range def.Steps {
-			step := &stepInstance{job: j, occurrence: k, number: number, def: &def.Steps[number]}
+			step := &stepInstance{job: j, occurrence: k, number: number, def: &def.Steps[number], firstItem: firstItem}
+			firstItem += step.def.Count
 			for index := range step.def.Count {
 				step.items = append(step.items, &item{step: step, index: index, pacePercent: fullPacePercent})
 			}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -21,6 +21,10 @@
 		return
 	}
 	if existing := c.jobs[def.ID]; existing != nil {
+		if existing.definitionRejected {
+			waiter <- existing.unrecordedOutcome()
+			return
+		}
 		if existing.durable {
 			waiter <- Outcome{Kind: OutcomeDone}
 			return
@@ -29,10 +33,17 @@
 			existing.submitters = append(existing.submitters, waiter)
 			return
 		}
-		c.waiters = append(c.waiters, waiter)
+		c.waiters = append(c.waiters, jobWaiter{existing, waiter})
 		c.markDirty(existing)
 		return
 	}
+	if !c.isRecordable(def) {
+		c.metrics.jobRejected(failedByRecord)
+		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": failedByRecord,
+			"limit": c.options.MaxRecordBytes}).Info("job rejected: its definition is too long for the log")
+		waiter <- Outcome{Kind: OutcomeInvalid, Reason: failedByRecord}
+		return
+	}
 	now := c.clock()
 	offeredAt := c.noteOffered(def, now)
 	if c.delay > maxDelay {
@@ -114,7 +125,7 @@
 		c.logger.WithFields(logrus.Fields{"event": "job_cancelled", "job": id, "queue": j.def.Queue.Name, "placed": j.placedCount}).Info("job cancelled")
 		c.orderJobStops(j)
 	}
-	c.waiters = append(c.waiters, waiter)
+	c.waiters = append(c.waiters, jobWaiter{j, waiter})
 	c.markDirty(j)
 }
 
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -66,7 +66,7 @@
 		}
 		first.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
 		i := first.jobs["job"].steps[0].items[0]
-		durable, err := encodeJob(first.jobs["job"], true)
+		durable, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 		assert.NilError(t, err)
 		type reportedEnd struct {
 			worker string
@@ -139,7 +139,7 @@
 	}
 	def := &work.Job{ID: "job", Queue: tc.config.Queues[0], Customer: "big", Accepted: tc.wallClock(),
 		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second}}}
-	records, err := encodeJob(newJob(def), true)
+	records, err := (&jobEncoder{}).encodeJob(newJob(def), true)
 	assert.NilError(t, err)
 	tc.Load(records)
 	i := tc.jobs["job"].steps[0].items[0]
@@ -155,7 +155,7 @@
 	first := newTestCore(1)
 	first.addWorker(0, 8)
 	first.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
-	records, err := encodeJob(first.jobs["job"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 
 	second := newTestCore(2)
@@ -226,7 +226,7 @@
 func newTermWithWaitingItem(t *testing.T) *testCore {
 	tc := newTestCore(2)
 	def := &work.Job{ID: "lasting", Queue: tc.config.Queues[0], Customer: "big", Accepted: tc.wallClock(), Steps: []work.Step{lastingStep(1, 0)}}
-	records, err := encodeJob(newJob(def), true)
+	records, err := (&jobEncoder{}).encodeJob(newJob(def), true)
 	assert.NilError(t, err)
 	tc.Load(records)
 	tc.addWorker(0, 8)
@@ -334,7 +334,7 @@
 	waiter := make(chan Outcome, 1)
 	first.Submit(&work.Job{ID: "lasting", Queue: first.config.Queues[0], Steps: []work.Step{lastingStep(1, 0)}}, waiter)
 	first.commit()
-	records, err := encodeJob(first.jobs["lasting"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["lasting"], true)
 	assert.NilError(t, err)
 
 	second := newTestCore(2)
@@ -357,7 +357,7 @@
 	first.addWorker(1, 8)
 	first.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
 	i := first.jobs["job"].steps[0].items[0]
-	records, err := encodeJob(first.jobs["job"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 
 	second := newTestCore(2)
@@ -379,7 +379,7 @@
 	first := newTestCore(1)
 	first.addWorker(1, 8)
 	first.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
-	records, err := encodeJob(first.jobs["job"], true)
+	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 
 	second := newTestCore(2)
--- a/internal/scheduler/trial_test.go
+++ b/internal/scheduler/trial_test.go
@@ -255,7 +255,7 @@
 
 	successor := newTestCore(2)
 	successor.Load(batch.Records)
-	definition, err := encodeJob(tc.jobs["job"], true)
+	definition, err := (&jobEncoder{}).encodeJob(tc.jobs["job"], true)
 	assert.NilError(t, err)
 	successor.Load(definition)
 	for _, i := range successor.jobs["job"].steps[0].items {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -61,9 +61,11 @@
 
 // Config holds the dependencies and settings of sessions. It is shared by the sessions of all terms.
 type Config struct {
-	Log     infra.Log
-	Workers infra.Workers
-	Hosts   infra.Hosts
+	Log infra.Log
+	// LogLimits are the limits of Log.
+	LogLimits journal.Limits
+	Workers   infra.Workers
+	Hosts     infra.Hosts
 	// NewDirectory returns a directory whose first Poll returns the whole list of workers.
 	NewDirectory func() infra.Directory
 	Status       WaveStatus
@@ -107,9 +109,9 @@
 // Run runs the scheduler for the term until ctx ends or the term is fenced.
 func Run(ctx context.Context, config Config, term int64) {
 	logger := config.Logger.WithField("term", term)
-	config.Options.Advice = config.Advice != nil
+	config.Options.Advice, config.Options.MaxRecordBytes = config.Advice != nil, config.LogLimits.Record
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
-		writer: journal.New(config.Log, scheduler.Topic, term, config.Clock, logger),
+		writer: journal.New(config.Log, scheduler.Topic, term, config.LogLimits, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
 	s.Logger = logger
 	s.stages = newStages(config.Usage)
@@ -151,8 +153,10 @@
 
 // load fences earlier terms by an append, so that they can't change the state any more, and then reads it.
 func (s *session) load(ctx context.Context) error {
-	if err := s.writer.Append(ctx, s.confirmationRecords()); err != nil {
+	if rejected, err := s.writer.Append(ctx, s.confirmationRecords()); err != nil {
 		return err
+	} else if len(rejected) > 0 {
+		return errUnconfirmable
 	}
 	s.core.EarlierTermsFenced()
 	for {
@@ -174,6 +178,9 @@
 	return []infra.Record{{Key: termKey, Value: []byte(strconv.FormatInt(s.term, 10))}}
 }
 
+// errUnconfirmable ends a term whose first append the log never accepts: earlier terms may not be fenced.
+var errUnconfirmable = errors.New("the log rejects the first record of the term")
+
 // errFenced ends a term after a worker or host has refused a call because it had seen the token of a later
 // term.
 var errFenced = errors.New("fenced: a worker or host has seen a higher fencing token")
@@ -218,12 +225,17 @@
 			s.core.AppendStarted()
 		}
 		s.sendOrders(ctx, batch.Orders)
-		if err := s.guarded(func() error { return s.writer.Append(ctx, batch.Records) }); err != nil {
+		var rejected []infra.Record
+		err := s.guarded(func() (err error) {
+			rejected, err = s.writer.Append(ctx, batch.Records)
+			return err
+		})
+		if err != nil {
 			s.core.Abandon(&batch)
 			return err
 		}
 		committedAt := time.Now()
-		s.core.Committed(&batch)
+		s.core.Committed(&batch, rejected...)
 		s.stages.commit.Since(committedAt)
 		if len(batch.Records) > 0 {
 			_ = periodic.Pause(ctx, pauseAfterBatch(s.core.Size()))
