Record exact times, so that occurrences don't start early

Cause: records hold due times as time.Time, which the CBOR library writes in whole seconds by default. Ruled out: clocks that differ (the case has one clock). Now one encoding serves all records, with exact times; records of earlier revisions are read as before.

The simulated fleet checks due times now. TestKeptRankingMatchesTheItems failed with that check before the fix: an item started 20 ms before it was due. It passes now.

--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -264,7 +264,7 @@
 
 // recordHostOrder adds the record of an order to the host, given now, to the next batch.
 func (c *Core) recordHostOrder(host string) {
-	value, err := cbor.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli()})
+	value, err := recordEncoding.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli()})
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
 		return
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -27,6 +27,17 @@
 	groupPrefix      = "g/"
 )
 
+// recordEncoding encodes the values of all records. By default, the library writes times in whole seconds.
+var recordEncoding = newRecordEncoding()
+
+func newRecordEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}
+
 const (
 	// groupItems is the number of work items in a group.
 	groupItems = 64
@@ -121,7 +132,7 @@
 		for _, i := range items {
 			omitted = full.addItem(i, maxCheckpoint) || omitted
 		}
-		value, err := cbor.Marshal(full)
+		value, err := recordEncoding.Marshal(full)
 		return value, omitted, err
 	}
 	value, _, err := encode(math.MaxInt)
@@ -139,7 +150,7 @@
 func (e *jobEncoder) encodeJob(j *job, withDefinition bool) ([]infra.Record, error) {
 	var records []infra.Record
 	if withDefinition {
-		value, err := cbor.Marshal(j.def)
+		value, err := recordEncoding.Marshal(j.def)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/scheduler/recordlimit.go
+++ b/internal/scheduler/recordlimit.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"turmericyoke/internal/infra"
@@ -28,7 +27,7 @@
 	if limit == 0 {
 		return true
 	}
-	value, err := cbor.Marshal(def)
+	value, err := recordEncoding.Marshal(def)
 	return err == nil && len(value) <= limit
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -355,6 +355,9 @@
 				r.run, w.entry.ID, w.unreachable, w.leaseEndMs-w.clockMs())
 		}
 	}
+	if due := s.jobs[order.Item.Job].DueAt(order.Item.Occurrence); s.wall().Before(due) {
+		s.t.Fatalf("%s: %s starts %s before it is due", s.now, order.Item, due.Sub(s.wall()))
+	}
 	for _, dependency := range s.stepOf(order.Item).After {
 		for index := range s.jobs[order.Item.Job].Steps[dependency].Count {
 			if !s.doneItems[work.ItemID{Job: order.Item.Job, Occurrence: order.Item.Occurrence, Step: dependency, Index: index}] {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
@@ -389,3 +390,27 @@
 	second.now += firstReportTime + time.Millisecond
 	assert.Equal(t, countStarts(second.Collect().Orders), 1)
 }
+
+// Guards against times that a new term knows in whole seconds only, so that occurrences start up to a second early
+// (incident 0012), and against records of earlier revisions, which have such times, that can't be read any more.
+func TestTimesOfRecordsAreExact(t *testing.T) {
+	tc := newTestCore(1)
+	def := &work.Job{ID: "job", Queue: tc.config.Queues[0], Steps: []work.Step{needStep(1)}, Accepted: tc.wallClock().Add(123456789),
+		Recurrence: work.Recurrence{First: tc.wallClock().Add(900 * time.Millisecond), Interval: 1500 * time.Millisecond, Times: 3}}
+	records, err := (&jobEncoder{}).encodeJob(newJob(def), true)
+	assert.NilError(t, err)
+	for _, local := range []*time.Location{time.UTC, time.FixedZone("", -7*60*60)} {
+		decoded, err := decodeDefinition("job", records[0].Value)
+		assert.NilError(t, err)
+		assert.Assert(t, decoded.Recurrence.First.Equal(def.Recurrence.First), "%s", decoded.Recurrence.First)
+		assert.Assert(t, decoded.Accepted.Equal(def.Accepted), "%s", decoded.Accepted)
+		def.Recurrence.First, def.Accepted = def.Recurrence.First.In(local), def.Accepted.In(local)
+		records, err = (&jobEncoder{}).encodeJob(newJob(def), true)
+		assert.NilError(t, err)
+	}
+	earlier, err := cbor.Marshal(def)
+	assert.NilError(t, err)
+	decoded, err := decodeDefinition("job", earlier)
+	assert.NilError(t, err)
+	assert.Assert(t, decoded.Recurrence.First.Equal(def.Recurrence.First.Truncate(time.Second)))
+}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"turmericyoke/internal/infra"
@@ -242,7 +241,7 @@
 		record.Ordered = append(record.Ordered, host)
 	}
 	slices.Sort(record.Ordered)
-	value, err := cbor.Marshal(record)
+	value, err := recordEncoding.Marshal(record)
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "wave_unencodable", "wave": w.ID}).WithError(err).Error("record of a wave can't be encoded; its progress isn't recorded")
 		return
