Bound the memory that the state of jobs takes

Cause: all work items of all occurrences had state from acceptance on, 1.46 MB for a job of 600 occurrences with 8 items, and maxActiveJobs counts jobs. Ruled out: a leak, and the encoded records (150 bytes a job).

Now an occurrence has state from 1 s before it is due until its items are done, and a finished job loses that of its items after 10 s. The estimated size of all state is bounded by 0.3 of the process's memory: admission reserves room for one occurrence of each job and rejects what doesn't fit; further occurrences and, after a takeover, jobs that haven't started wait for room. A job whose items are all recorded as done, but not its completion, is completed when it is loaded; the state of recurring jobs between two records showed that it wasn't.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -55,6 +55,9 @@
 	// memoryFraction is the fraction of the memory granted by the platform that is set as the Go runtime's
 	// soft memory limit.
 	memoryFraction = 0.6
+	// stateFraction is the fraction of that memory which the state of jobs may take. The garbage collector needs as much
+	// again, and so does a process that loads the state.
+	stateFraction = 0.3
 	// garbagePercent makes garbage collections rarer than by default, which saves processor time. The heap
 	// is only a few MB, so the additional memory doesn't matter.
 	garbagePercent = 400
@@ -115,6 +118,7 @@
 			EndedJobRetention: platform.Seconds(settings.Bounds.StatusS + 1),
 			HostMoveTime:      platform.Seconds(settings.Bounds.MoveS),
 			HostOrderDelay:    platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
+			MaxStateBytes:     int64(stateFraction * float64(settings.Limits.MemoryMb) * (1 << 20)),
 		},
 		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore, Usage: usage,
 	}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -24,7 +24,7 @@
 	// minRunTimeRatio and maxRunTimeRatio bound the ratio of actual to declared run times: declared times
 	// are off by a factor of about two.
 	minRunTimeRatio, maxRunTimeRatio = 0.5, 2.0
-	// maxActiveJobs limits the number of unfinished jobs, and with it the use of memory.
+	// maxActiveJobs limits the number of unfinished jobs: planning passes over all of them.
 	maxActiveJobs = 4000
 	// minRetryAfter is the shortest retry delay that a rejected caller is given.
 	minRetryAfter = time.Second
@@ -132,6 +132,9 @@
 	if len(c.activeJobs) >= maxActiveJobs {
 		return admission{reason: "too_many_jobs", retryAfter: minRetryAfter}
 	}
+	if !c.hasMemoryFor(definitionBytes(def) + occurrenceBytes(def)) {
+		return admission{reason: "memory", retryAfter: memoryRetryAfter}
+	}
 	if def.Lasting() || def.Recurrence.Times > 0 {
 		return admission{accepted: true}
 	}
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -72,11 +72,11 @@
 
 // applyAdvicePolicy makes the items of the job start only with tickets if its queue has an advice service.
 func (c *Core) applyAdvicePolicy(j *job) {
-	if !c.options.Advice || !j.def.Queue.NeedsAdvice {
-		return
-	}
+	j.needsAdvice = c.options.Advice && j.def.Queue.NeedsAdvice
 	for _, step := range j.steps {
-		step.needAdvice()
+		if j.needsAdvice {
+			step.needAdvice()
+		}
 	}
 }
 
@@ -203,6 +203,7 @@
 		return
 	}
 	// The operators may have changed the policy of the queue since the job was accepted.
+	i.step.job.needsAdvice = true
 	i.step.needAdvice()
 	i.step.advice.answers[w.process()] = adviceAnswer{validUntil: now + rejectedTicketTime}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -63,6 +63,8 @@
 	Advice bool
 	// MaxRecordBytes limits the records of the log, see infra.Record.Size; 0 means no limit.
 	MaxRecordBytes int
+	// MaxStateBytes limits the size of the state of all jobs in memory; 0 means no limit.
+	MaxStateBytes int64
 }
 
 // OrderKind is the action that an order requests.
@@ -142,6 +144,12 @@
 	queuePools map[string]string
 	jobs       map[string]*job
 	activeJobs map[*job]struct{}
+	// recurring holds the jobs of which occurrences may have to be created or dropped, see maintainOccurrences.
+	recurring map[*job]struct{}
+	// memoryUsed is the estimated size of the state of all jobs, in bytes.
+	memoryUsed int64
+	// nextOccurrenceCheck is when the check of occurrenceCheckInterval is due.
+	nextOccurrenceCheck time.Duration
 	// waiting holds the jobs that may have work items to place, by pool.
 	waiting map[string]*waitingJobs
 	// placeable is the result of placeableJobs.
@@ -218,7 +226,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
@@ -268,8 +276,8 @@
 	}
 	now := c.clock()
 	c.loadedAt = now
-	for id, entry := range jobs {
-		switch {
+	for _, id := range loadOrder(jobs) {
+		switch entry := jobs[id]; {
 		case entry.def != nil:
 			c.restoreJob(entry, now)
 		case !entry.unreadable:
@@ -281,7 +289,7 @@
 
 // restoreJob rebuilds a job from its records.
 func (c *Core) restoreJob(entry *storedJob, now time.Duration) {
-	j := newJob(entry.def)
+	j := newJobWithoutState(entry.def)
 	c.applyAdvicePolicy(j)
 	progress := entry.progress
 	j.durable, j.definitionWritten, j.started, j.inherited = true, true, progress.Started, true
@@ -290,20 +298,25 @@
 	j.acceptedAt = now - max(0, c.wallClock().Sub(j.def.Accepted))
 	j.offeredAt = j.acceptedAt
 	j.endedAt = now
-	c.jobs[j.def.ID] = j
+	j.restoreDone(&progress)
 	items, crashes := entry.items(j.groupOf)
 	for _, record := range items {
-		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, record.State); i != nil {
 			c.restoreItem(i, record, now)
 		}
 	}
+	j.reserved = len(j.occurrences) > 0 || c.hasMemoryFor(definitionBytes(j.def)+occurrenceBytes(j.def))
+	c.addJob(j)
+	c.createOccurrences(j)
 	for _, record := range crashes {
-		if i := j.itemAt(record.Occurrence, record.Step, record.Index); i != nil {
+		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, itemWaiting); i != nil {
 			i.crashes, i.givenUp, i.waitingSince = crashCounts{known: record.Known, possible: record.Possible, late: record.Late}, record.GivenUp, now
 			c.suspects[i] = struct{}{}
 		}
 	}
 	j.restoreGroups(entry)
+	// The term may have ended after the records of the last work items and before that of the job.
+	c.completeJobIfDone(j, now)
 	if !j.finished() || j.placedCount > 0 {
 		c.activeJobs[j] = struct{}{}
 		c.addWaiting(j)
@@ -402,6 +415,7 @@
 	defer c.mu.Unlock()
 	now := c.clock()
 	c.dropExpired(now)
+	c.maintainOccurrences(now)
 	c.plan(now)
 	c.observeSuspects(now)
 	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -31,8 +31,11 @@
 		}
 	}
 	for id, j := range c.jobs {
-		if _, active := c.activeJobs[j]; !active && j.finished() && now-j.endedAt > c.options.EndedJobRetention {
-			delete(c.jobs, id)
+		if _, active := c.activeJobs[j]; active || !j.finished() {
+			continue
+		}
+		if c.trimEndedJob(j, now); now-j.endedAt > c.options.EndedJobRetention {
+			c.removeJob(j)
 			c.deleteRecords(id, slices.Collect(maps.Keys(j.recordedGroups)))
 		}
 	}
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -87,9 +87,11 @@
 // itemsOf returns the IDs of the job's work items.
 func (s *sim) itemsOf(job string) []work.ItemID {
 	var items []work.ItemID
-	for step := range s.jobs[job].Steps {
-		for index := range s.jobs[job].Steps[step].Count {
-			items = append(items, work.ItemID{Job: job, Step: step, Index: index})
+	for occurrence := range s.jobs[job].Occurrences() {
+		for step := range s.jobs[job].Steps {
+			for index := range s.jobs[job].Steps[step].Count {
+				items = append(items, work.ItemID{Job: job, Occurrence: occurrence, Step: step, Index: index})
+			}
 		}
 	}
 	return items
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -25,6 +25,10 @@
 	// rejectedRecords counts the records that the log never accepts, and omittedCheckpoints the records without a checkpoint
 	// that is too long for them.
 	rejectedRecords, omittedCheckpoints prometheus.Counter
+	// stateBytes is the estimated size of the state of all jobs, and delayedOccurrences counts the checks that found no room
+	// for an occurrence that was due.
+	stateBytes         prometheus.Gauge
+	delayedOccurrences prometheus.Counter
 	// suspects and trials are the numbers of waiting suspects and of trials in progress, and suspectAge is how long the
 	// oldest waiting suspect has waited.
 	suspects, trials, suspectAge prometheus.Gauge
@@ -44,6 +48,8 @@
 		advisedWorkers:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advised_workers_total", Help: "Workers in the answers of the advice service."}, []string{"answer"}),
 		adviceWaits:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
 		stages:             newStageMetrics(registry),
+		stateBytes:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_state_bytes", Help: "Estimated size of the state of all jobs in memory."}),
+		delayedOccurrences: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_occurrences_delayed_total", Help: "Checks that found no room in memory for an occurrence that was due."}),
 		rejectedRecords:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_records_rejected_total", Help: "Records that the log never accepts."}),
 		omittedCheckpoints: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_checkpoints_omitted_total", Help: "Records of work items without some checkpoints, which are too long for the log."}),
 		suspects:           prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_waiting", Help: "Work items that may have crashed a worker and wait for a trial."}),
@@ -51,7 +57,7 @@
 		suspectAge:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
 	}
 	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits,
-		m.rejectedRecords, m.omittedCheckpoints)
+		m.rejectedRecords, m.omittedCheckpoints, m.stateBytes, m.delayedOccurrences)
 	return m
 }
 
@@ -172,3 +178,17 @@
 		m.omittedCheckpoints.Inc()
 	}
 }
+
+// stateSized records the size of the state of all jobs.
+func (m *Metrics) stateSized(bytes int64) {
+	if m != nil {
+		m.stateBytes.Set(float64(bytes))
+	}
+}
+
+// occurrenceDelayed counts an occurrence that is due and finds no room in memory.
+func (m *Metrics) occurrenceDelayed() {
+	if m != nil {
+		m.delayedOccurrences.Inc()
+	}
+}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -45,7 +45,10 @@
 }
 
 // lastStepDone reports whether the step is done in the last occurrence.
-func (j *job) lastStepDone(number int) bool { return j.stepAt(j.def.Occurrences()-1, number).done() }
+func (j *job) lastStepDone(number int) bool {
+	step := j.stepAt(j.def.Occurrences()-1, number)
+	return step != nil && step.done()
+}
 
 // predict predicts the run time of the job.
 func (c *Core) predict(j *job) prediction {
--- a/internal/scheduler/rank_test.go
+++ b/internal/scheduler/rank_test.go
@@ -171,6 +171,9 @@
 func TestOpenStepsMatchTheItems(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		j := newJob(randomDefinition(t))
+		for number := range j.def.Occurrences() {
+			j.createOccurrence(number)
+		}
 		for range 30 {
 			for range rapid.IntRange(1, 3).Draw(t, "changes") {
 				step := rapid.SampledFrom(j.steps).Draw(t, "step")
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -56,6 +56,9 @@
 	Items     []itemRecord `cbor:"5,keyasint,omitempty"`
 	// Crashes has the items on whose workers crashes were counted.
 	Crashes []crashRecord `cbor:"6,keyasint,omitempty"`
+	// DoneBefore and DoneLater tell which occurrences are done, see doneOccurrences.
+	DoneBefore int   `cbor:"7,keyasint,omitempty"`
+	DoneLater  []int `cbor:"8,keyasint,omitempty"`
 }
 
 // crashRecord holds the crash counts of one work item. It is encoded as an array.
@@ -157,6 +160,9 @@
 		records = append(records, infra.Record{Key: definitionPrefix + j.def.ID, Value: value})
 	}
 	progress := progressRecord{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed, Started: j.started}
+	if !j.completed {
+		progress.DoneBefore, progress.DoneLater = j.done.first, j.done.laterList()
+	}
 	// A completed job needs no records of its items, and the items of one that can't be recorded are the reason.
 	var items []*item
 	if withItems := !j.completed && !j.unrecordable; withItems && j.grouped() {
@@ -173,11 +179,8 @@
 		return nil, err
 	}
 	records = append(records, infra.Record{Key: progressPrefix + j.def.ID, Value: value})
-	if j.completed {
-		// Until the record above is durable, a new term needs the groups.
-		records = append(records, groupDeletions(j)...)
-	}
-	return records, nil
+	// Until the record above is durable, a new term needs the groups of what is done.
+	return append(records, groupDeletions(j)...), nil
 }
 
 // encodeGroups returns the records of the changed groups, in the order of their numbers: the groups of steps come before
@@ -204,13 +207,19 @@
 	return records, nil
 }
 
-// groupDeletions returns the records that delete the job's groups.
+// groupDeletions returns the records that delete the groups of which the progress record says that all items are done.
 func groupDeletions(j *job) []infra.Record {
+	first := j.done.first * j.occurrenceItems / groupItems
+	if j.completed {
+		first = math.MaxInt
+	}
 	var records []infra.Record
 	for _, number := range slices.Sorted(maps.Keys(j.recordedGroups)) {
-		records = append(records, infra.Record{Key: groupKey(j.def.ID, number)})
+		if number < first {
+			records = append(records, infra.Record{Key: groupKey(j.def.ID, number)})
+			delete(j.recordedGroups, number)
+		}
 	}
-	clear(j.recordedGroups)
 	return records
 }
 
--- a/internal/scheduler/recordlimit.go
+++ b/internal/scheduler/recordlimit.go
@@ -88,11 +88,36 @@
 
 // groupOf returns the number of the group of a recorded item, or -1 if the job has no such item.
 func (j *job) groupOf(record itemRecord) int {
-	i := j.itemAt(record.Occurrence, record.Step, record.Index)
-	if i == nil {
+	if record.Occurrence < 0 || record.Occurrence >= j.def.Occurrences() || record.Step < 0 || record.Step >= len(j.def.Steps) ||
+		record.Index < 0 || record.Index >= j.def.Steps[record.Step].Count {
 		return -1
 	}
-	return i.group()
+	firstItem := 0
+	for n := range record.Step {
+		firstItem += j.def.Steps[n].Count
+	}
+	return (record.Occurrence*j.occurrenceItems + firstItem + record.Index) / groupItems
+}
+
+// recordedItem returns the item to which a record belongs, or nil if the job has no such item or doesn't need it. It creates
+// the state of its occurrence. Of a finished job only what may still run is needed.
+func (j *job) recordedItem(occurrence, step, index int, state itemState) *item {
+	if j.groupOf(itemRecord{Occurrence: occurrence, Step: step, Index: index}) < 0 || j.finished() && state != itemPlaced {
+		return nil
+	}
+	j.createOccurrence(occurrence)
+	return j.itemAt(occurrence, step, index)
+}
+
+// restoreDone restores which occurrences are done.
+func (j *job) restoreDone(progress *progressRecord) {
+	total := j.def.Occurrences()
+	j.done.first = min(max(0, progress.DoneBefore), total)
+	for _, number := range progress.DoneLater {
+		if number >= j.done.first && number < total {
+			j.done.add(number)
+		}
+	}
 }
 
 // restoreGroups notes which groups of a restored job are in the log. Items in its progress record are of a revision
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -118,7 +118,7 @@
 // applyRunning applies one entry of a worker's list of running work. If the item is placed on the worker
 // with this run, it is added to listed.
 func (c *Core) applyRunning(w *worker, running infra.ActiveRun, listed map[*item]bool, now time.Duration) {
-	i := c.findItem(running.Item)
+	i := c.reportedItem(running.Item)
 	if i != nil && !i.step.job.finished() && c.isUnrecordedRun(i, running.Run) && (i.state == itemWaiting || i.inherited && running.Run > i.run) {
 		// An earlier term started this run, and the record of the start was lost. The recorded run must
 		// have ended, since an item never has two runs at the same time. Its end is counted when its worker
@@ -166,7 +166,7 @@
 // applyEnd applies one entry of a worker's list of run ends, unless it was applied before. If the item is
 // placed on the worker with this run, it is added to listed.
 func (c *Core) applyEnd(w *worker, end infra.EndedRun, listed map[*item]bool, now time.Duration) {
-	i := c.findItem(end.Item)
+	i := c.reportedItem(end.Item)
 	if i != nil && i.worker == w && i.run == end.Run {
 		listed[i] = true
 	}
@@ -257,10 +257,8 @@
 	if j.finished() {
 		return
 	}
-	for _, step := range j.steps {
-		if !step.done() {
-			return
-		}
+	if !j.allDone() {
+		return
 	}
 	j.completed, j.endedAt = true, now
 	c.metrics.jobCompleted(now - j.acceptedAt)
--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -41,8 +41,7 @@
 		c.answerSubmitters(j, Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"})
 		c.cancelBooking(j)
 		j.cancelled = true // Jobs that are ranked leave the ranking when they are finished.
-		delete(c.jobs, j.def.ID)
-		delete(c.activeJobs, j)
+		c.removeJob(j)
 		delete(c.dirtyJobs, j)
 		c.noteLogDown(j.def, now)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -198,9 +198,23 @@
 	visibleCancelled bool
 	// started is set once the start of any item has been ordered.
 	started bool
-	// steps are all steps of the first occurrence, then those of the second, and so on.
-	steps      []*stepInstance
-	acceptedAt time.Duration
+	// occurrences are those with state, sorted by their numbers, and steps all steps of the first one, then those of the
+	// second, and so on.
+	occurrences []occurrenceState
+	steps       []*stepInstance
+	// done tells which occurrences are done.
+	done doneOccurrences
+	// needsAdvice is set if the work items start only with a ticket of the advice service.
+	needsAdvice bool
+	// reserved is set while there is room in memory for at least one occurrence, and memoryUsed is the room that the job
+	// takes.
+	reserved   bool
+	memoryUsed int64
+	// trimmed is set once the state of a finished job has been dropped.
+	trimmed bool
+	// delayLogged is set once it was logged that an occurrence finds no room in memory.
+	delayLogged bool
+	acceptedAt  time.Duration
 	// offeredAt is when the job was first submitted to this term, or accepted in an earlier one. Its deadline
 	// counts from then: its caller may have been turned away before.
 	offeredAt time.Duration
@@ -253,7 +267,17 @@
 	return items
 }
 
+// newJob returns a job. The occurrences of a recurring one have no state yet.
 func newJob(def *work.Job) *job {
+	j := newJobWithoutState(def)
+	if def.Recurrence.Times == 0 {
+		j.createOccurrence(0)
+	}
+	return j
+}
+
+// newJobWithoutState returns a job without the state of any occurrence.
+func newJobWithoutState(def *work.Job) *job {
 	j := &job{def: def, openStepsChanged: true}
 	for n := range def.Steps {
 		j.occurrenceItems += def.Steps[n].Count
@@ -261,34 +285,23 @@
 	if j.itemCount = j.occurrenceItems * def.Occurrences(); j.grouped() {
 		j.changedGroups, j.recordedGroups = map[int]bool{}, map[int]bool{}
 	}
-	for k := range def.Occurrences() {
-		firstItem := 0
-		for number := range def.Steps {
-			step := &stepInstance{job: j, occurrence: k, number: number, def: &def.Steps[number], firstItem: firstItem}
-			firstItem += step.def.Count
-			for index := range step.def.Count {
-				step.items = append(step.items, &item{step: step, index: index, pacePercent: fullPacePercent})
-			}
-			step.stateCounts[itemWaiting] = len(step.items)
-			j.steps = append(j.steps, step)
-		}
-	}
 	return j
 }
 
 // finished reports whether the job is cancelled, failed or completed, so that no more runs are started.
 func (j *job) finished() bool { return j.cancelled || j.failed || j.completed }
 
-// stepAt returns a step of an occurrence, or nil if the job doesn't have it. The numbers may come from a report or a
-// record, and each is checked by itself, since their product may overflow.
+// stepAt returns a step of an occurrence, or nil if the job doesn't have it or it has no state. The numbers may come from
+// a report or a record.
 func (j *job) stepAt(occurrence, number int) *stepInstance {
-	if occurrence < 0 || occurrence >= j.def.Occurrences() || number < 0 || number >= len(j.def.Steps) {
+	position, exists := j.findOccurrence(occurrence)
+	if !exists || number < 0 || number >= len(j.def.Steps) {
 		return nil
 	}
-	return j.steps[occurrence*len(j.def.Steps)+number]
+	return j.occurrences[position].steps[number]
 }
 
-// itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it.
+// itemAt returns an item of a step of an occurrence, or nil if the job doesn't have it or it has no state.
 func (j *job) itemAt(occurrence, number, index int) *item {
 	step := j.stepAt(occurrence, number)
 	if step == nil || index < 0 || index >= len(step.items) {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -8,6 +8,9 @@
 	"turmericyoke/internal/work"
 )
 
+// tooLarge is the reason for the rejection of a job that can't be kept.
+const tooLarge = "too_large"
+
 // busyRetryAfter is the retry delay that callers are given while this process is too far behind.
 const busyRetryAfter = time.Second
 
@@ -37,11 +40,11 @@
 		c.markDirty(existing)
 		return
 	}
-	if !c.isRecordable(def) {
-		c.metrics.jobRejected(failedByRecord)
-		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": failedByRecord,
-			"limit": c.options.MaxRecordBytes}).Info("job rejected: its definition is too long for the log")
-		waiter <- Outcome{Kind: OutcomeInvalid, Reason: failedByRecord}
+	if !c.isRecordable(def) || c.exceedsMemory(def) {
+		c.metrics.jobRejected(tooLarge)
+		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": tooLarge,
+			"record_limit": c.options.MaxRecordBytes, "memory_limit": c.options.MaxStateBytes}).Info("job rejected: it is too large for the log or for the memory of this process")
+		waiter <- Outcome{Kind: OutcomeInvalid, Reason: tooLarge}
 		return
 	}
 	now := c.clock()
@@ -75,8 +78,10 @@
 	if def.Recurrence.Times == 0 {
 		supply.addJob(j, now)
 	}
-	c.jobs[def.ID] = j
+	j.reserved = true
+	c.addJob(j)
 	c.activeJobs[j] = struct{}{}
+	c.createOccurrences(j)
 	j.submitters = append(j.submitters, waiter)
 	c.metrics.jobAccepted()
 	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.overuseLevel}).Info("job accepted")
