Plan gangs completely or not at all

Cause: planGang placed members one after the other and returned when it met one whose end wasn't known yet. The members placed so far had no start, so that nothing ever released them, and each later call returned at them. Ruled out: unknown runs and a lack of room. An invariant of the simulated fleet shows it: what is placed has a start, a run or a stop under way.

Now a gang is planned only when all its members wait, and what was placed is undone if there is no room for all. Undoing changes nothing else; a gang without room was written to the log in each cycle before. Near by: a restored gang of which one member is recorded as done is completed, and a lasting gang with a member that was given up isn't started again.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -315,6 +315,9 @@
 		}
 	}
 	j.restoreGroups(entry)
+	for _, step := range j.steps {
+		c.completeRestoredGang(step)
+	}
 	// The term may have ended after the records of the last work items and before that of the job.
 	c.completeJobIfDone(j, now)
 	if !j.finished() || j.placedCount > 0 {
@@ -323,6 +326,16 @@
 	}
 }
 
+// completeRestoredGang completes a restored gang of which an item is done, which stands for all of them: the term may have
+// ended between the records of the items.
+func (c *Core) completeRestoredGang(step *stepInstance) {
+	if !step.def.Gang || step.def.Lasting || step.countInState(itemDone) == 0 || step.done() {
+		return
+	}
+	c.completeGang(step)
+	c.markDirty(step.job)
+}
+
 // restoreItem restores an item from its record. If the record's worker isn't known yet, it is added with the
 // longest lease that an earlier term may have granted.
 func (c *Core) restoreItem(i *item, record itemRecord, now time.Duration) {
@@ -376,23 +389,30 @@
 		return
 	}
 	c.logSlowAnswers(i, c.clock())
-	i.removePlaced(c.clock())
-	w.remove(i, c.clock())
 	c.keepLateStart(i, w)
-	customer := i.step.job.def.Customer
-	c.customerUsage[customer] = c.customerUsage[customer].Minus(i.step.def.Need)
+	c.unplace(i)
 	i.startInFlight, i.unansweredUntil = false, 0
-	i.worker, i.inherited, i.startSent, i.startConfirmedAt, i.startClockMs, i.reported, i.survived, i.processUncertain = nil, false, false, 0, 0, false, false, false
+	i.inherited, i.startSent, i.startConfirmedAt, i.startClockMs, i.reported, i.survived, i.processUncertain = false, false, 0, 0, false, false, false
 	i.stopping, i.stopRequestedAt, i.stopOrderedAt, i.stopConfirmedAt = false, 0, 0, 0
 	i.resetProgress()
 	i.waitingSince = c.clock()
+	c.markItemDirty(i)
+}
+
+// unplace takes the item from its worker and frees its resources. By itself, it undoes place for an item that hasn't been
+// ordered to start.
+func (c *Core) unplace(i *item) {
+	i.removePlaced(c.clock())
+	i.worker.remove(i, c.clock())
+	i.worker = nil
+	customer := i.step.job.def.Customer
+	c.customerUsage[customer] = c.customerUsage[customer].Minus(i.step.def.Need)
 	if i.state == itemPlaced {
 		i.setState(itemWaiting)
 	}
 	if i.step.def.SameRack && i.step.countInState(itemPlaced) == 0 {
 		i.step.rack = ""
 	}
-	c.markItemDirty(i)
 }
 
 // markItemDirty adds the records of the item and its job to the next batch.
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -225,9 +225,14 @@
 	c.failJob(i, failedByCrashes)
 }
 
-// hasItemsLeft reports whether an item of the job is neither done nor given up.
+// hasGivenUp reports whether an item of the step was given up.
+func (s *stepInstance) hasGivenUp() bool {
+	return slices.ContainsFunc(s.items, func(i *item) bool { return i.givenUp })
+}
+
+// hasItemsLeft reports whether an item of the job is neither done nor given up. A gang without one of its items never works.
 func (j *job) hasItemsLeft() bool {
 	return slices.ContainsFunc(j.steps, func(s *stepInstance) bool {
-		return slices.ContainsFunc(s.items, func(i *item) bool { return !i.givenUp && i.state != itemDone })
+		return !(s.def.Gang && s.hasGivenUp()) && slices.ContainsFunc(s.items, func(i *item) bool { return !i.givenUp && i.state != itemDone })
 	})
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -178,41 +178,49 @@
 
 // planGang places and starts all items of a gang, or none.
 func (c *Core) planGang(step *stepInstance, pool *candidatePool, now time.Duration) {
-	var placed []*item
-	maxRuns := int64(0)
-	for _, i := range step.items {
-		if i.state == itemDone {
-			continue
-		}
-		if i.state == itemPlaced {
-			// An item of the gang's previous run hasn't ended yet.
-			return
+	if !step.gangMayStart() {
+		return
+	}
+	if !c.placeGang(step, pool, now) {
+		for _, i := range step.items {
+			if i.worker != nil {
+				c.unplace(i)
+			}
 		}
+		// What the gang had taken is free again.
+		pool.tooLarge, pool.tooLargeForTrials = nil, nil
+		return
+	}
+	maxRuns, checkpoint := int64(0), step.items[0].checkpoint
+	for _, i := range step.items {
+		maxRuns = max(maxRuns, i.termRuns)
+	}
+	for _, i := range step.items {
+		i.termRuns, i.checkpoint = maxRuns, checkpoint
+		c.orderStart(i, now)
+	}
+}
+
+// gangMayStart reports whether all items of a gang wait. The ends of a run come one after the other, and the worker of an
+// item may not have listed its end yet.
+func (s *stepInstance) gangMayStart() bool {
+	return s.countInState(itemWaiting) == len(s.items) && !s.hasGivenUp()
+}
+
+// placeGang places the items of a gang. It reports whether there was room for all of them.
+func (c *Core) placeGang(step *stepInstance, pool *candidatePool, now time.Duration) bool {
+	for _, i := range step.items {
 		w := c.chooseWorker(i, pool, now)
 		if w == nil {
 			if step.advice != nil {
 				c.requestAdvice(i, pool, now)
 			}
-			break
+			return false
 		}
 		i.placedAt = now
 		c.place(i, w)
-		placed = append(placed, i)
-		maxRuns = max(maxRuns, i.termRuns)
-	}
-	if len(placed) < len(step.items) {
-		for _, i := range placed {
-			c.release(i)
-		}
-		// What the gang had taken is free again.
-		pool.tooLarge, pool.tooLargeForTrials = nil, nil
-		return
-	}
-	checkpoint := step.items[0].checkpoint
-	for _, i := range placed {
-		i.termRuns, i.checkpoint = maxRuns, checkpoint
-		c.orderStart(i, now)
 	}
+	return true
 }
 
 // placeAndStart places the item on the worker and orders its start.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -236,11 +236,20 @@
 		c.observeRunTime(i, now)
 		c.release(i)
 	}
-	members := []*item{i}
 	if i.step.def.Gang {
-		members = i.step.items
+		c.completeGang(i.step)
+	} else if i.state != itemDone {
+		if i.state == itemPlaced {
+			c.orderStop(i)
+		}
+		i.setState(itemDone)
 	}
-	for _, member := range members {
+	c.completeJobIfDone(i.step.job, now)
+}
+
+// completeGang completes all items of a gang, and stops those whose runs haven't ended.
+func (c *Core) completeGang(step *stepInstance) {
+	for _, member := range step.items {
 		if member.state == itemDone {
 			continue
 		}
@@ -249,7 +258,6 @@
 		}
 		member.setState(itemDone)
 	}
-	c.completeJobIfDone(i.step.job, now)
 }
 
 // completeJobIfDone completes the job if all its items are done.
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -38,6 +38,8 @@
 	stopsAt time.Duration
 	// crashesAt is when the run crashes its worker; 0 if it doesn't.
 	crashesAt time.Duration
+	// gang is set for members of gangs, which end together, see tickGangs.
+	gang bool
 }
 
 // simWorker is a simulated worker that follows the platform's rules: it refuses orders with a token lower
@@ -107,9 +109,9 @@
 			w.endRun(id, r, infra.EndLeaseExpired)
 		case r.stopsAt > 0 && w.sim.now >= r.stopsAt:
 			w.endRun(id, r, infra.EndStopped)
-		case !r.lasting && w.sim.now >= r.endsAt && r.fails:
+		case !r.lasting && !r.gang && w.sim.now >= r.endsAt && r.fails:
 			w.endRun(id, r, infra.EndFailed)
-		case !r.lasting && w.sim.now >= r.endsAt:
+		case !r.lasting && !r.gang && w.sim.now >= r.endsAt:
 			w.endRun(id, r, infra.EndDone)
 		}
 	}
@@ -135,7 +137,7 @@
 	w.sim.checkStart(w, order)
 	w.extendLease(leaseEndMs)
 	step := w.sim.stepOf(order.Item)
-	w.running[order.Item] = &simRun{run: order.Run, startedAt: w.sim.now, lasting: step.Lasting, endsAt: w.sim.now + w.sim.randomRunTime(step),
+	w.running[order.Item] = &simRun{run: order.Run, startedAt: w.sim.now, lasting: step.Lasting, gang: step.Gang, endsAt: w.sim.now + w.sim.randomRunTime(step),
 		fails: w.failsAllRuns || w.sim.rng.Float64() < w.sim.failedRunShare}
 	if w.sim.crashingItems[order.Item] {
 		w.sim.scheduleCrash(w.running[order.Item])
@@ -170,7 +172,7 @@
 	w.extendLease(request.LeaseEndMs)
 	w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(e infra.EndedRun) bool {
 		if e.Sequence <= request.AckedEnd && e.Cause == infra.EndDone {
-			w.sim.ackedItems[e.Item] = true
+			w.sim.ackDone(e.Item)
 		}
 		if e.Sequence <= request.AckedEnd && e.Cause == infra.EndFailed {
 			w.sim.ackFailure(e.Item, w.endTimes[e.Sequence])
@@ -235,9 +237,11 @@
 	crashTimes, causedCrashTimes, lostEndTimes map[work.ItemID][]time.Duration
 	// startsAfterLimit counts the starts of each item after it caused crashLimit crashes.
 	startsAfterLimit map[work.ItemID]int
-	crashCount       int
-	config           *work.Config
-	waiters          map[string]chan Outcome
+	// gangs holds the state of the runs of gangs.
+	gangs      map[simGangRun]*simGang
+	crashCount int
+	config     *work.Config
+	waiters    map[string]chan Outcome
 	// lostResponseShare and delayedOrderShare are the shares of orders that are executed without a response
 	// or seconds late, delayedRenewalShare is the share of lease renewals that are executed seconds late, and
 	// failedRunShare is the share of runs that fail.
@@ -269,7 +273,7 @@
 		accepted: map[string]bool{}, doneItems: map[work.ItemID]bool{}, ackedItems: map[work.ItemID]bool{},
 		failureTimes: map[work.ItemID][]time.Duration{}, startTimes: map[work.ItemID][]time.Duration{},
 		crashingItems: map[work.ItemID]bool{}, maxCrashDelay: 2 * simTickTime, crashTimes: map[work.ItemID][]time.Duration{}, causedCrashTimes: map[work.ItemID][]time.Duration{}, lostEndTimes: map[work.ItemID][]time.Duration{},
-		startsAfterLimit: map[work.ItemID]int{}, waiters: map[string]chan Outcome{}, now: time.Hour}
+		startsAfterLimit: map[work.ItemID]int{}, gangs: map[simGangRun]*simGang{}, waiters: map[string]chan Outcome{}, now: time.Hour}
 	s.config = &work.Config{Version: 1, Pools: map[string]work.Pool{simPool: {Name: simPool, AdmissionControl: true}},
 		Customers: map[string]work.Customer{"clips": {Name: "clips", Share: 1}},
 		Queues:    []work.Queue{{Name: "review", Pool: simPool, MaxAttempts: 3, Slack: 2, Target: time.Second}}}
@@ -411,6 +415,7 @@
 		for _, w := range s.workers {
 			w.tick()
 		}
+		s.tickGangs()
 		s.restartEndedWorkers()
 		s.runDelayedActions()
 		s.trackLastingItems()
@@ -512,5 +517,6 @@
 	for i := range batch.Orders {
 		s.sendOrder(scheduler, batch.Orders[i])
 	}
+	s.checkPlacedItems(scheduler)
 	scheduler.batch, scheduler.sentAt, scheduler.commitDueAt = &batch, s.now, s.now+2*simTickTime
 }
