Count a job as begun from its first confirmed start on

Cause: a job counted as started from when its first start was ordered. Now pending, the state running and the record go by confirmed starts and listed runs and ends; the order of jobs in a plan still goes by ordered starts.

Before: TestRefusedStartsLeaveAJobPending fails with 0 of 1 pending.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -292,7 +292,7 @@
 	j := newJobWithoutState(entry.def)
 	c.applyAdvicePolicy(j)
 	progress := entry.progress
-	j.durable, j.definitionWritten, j.started, j.inherited = true, true, progress.Started, true
+	j.durable, j.definitionWritten, j.started, j.begun, j.inherited = true, true, progress.Begun, progress.Begun, true
 	j.cancelled, j.failed, j.completed = progress.Cancelled, progress.Failed, progress.Completed
 	j.visibleCancelled, j.visibleFailed, j.visibleCompleted = progress.Cancelled, progress.Failed, progress.Completed
 	j.acceptedAt = now - max(0, c.wallClock().Sub(j.def.Accepted))
@@ -301,6 +301,8 @@
 	j.restoreDone(&progress)
 	items, crashes := entry.items(j.groupOf)
 	for _, record := range items {
+		j.started = j.started || record.Run > 0
+		j.begun = j.begun || record.State == itemDone || record.Failures > 0 || record.Checkpoint != ""
 		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, record.State); i != nil {
 			c.restoreItem(i, record, now)
 		}
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -95,6 +95,7 @@
 
 // confirmStart notes that the placed item's run has begun, unless that is already known.
 func (i *item) confirmStart(now time.Duration) {
+	i.step.job.begun = true
 	if i.startConfirmedAt == 0 {
 		i.startConfirmedAt = now
 		i.startClockMs = i.worker.clockMs + (now - i.worker.clockReadAt).Milliseconds()
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -52,7 +52,7 @@
 	Cancelled bool         `cbor:"1,keyasint,omitempty"`
 	Failed    bool         `cbor:"2,keyasint,omitempty"`
 	Completed bool         `cbor:"3,keyasint,omitempty"`
-	Started   bool         `cbor:"4,keyasint,omitempty"`
+	Begun     bool         `cbor:"4,keyasint,omitempty"`
 	Items     []itemRecord `cbor:"5,keyasint,omitempty"`
 	// Crashes has the items on whose workers crashes were counted.
 	Crashes []crashRecord `cbor:"6,keyasint,omitempty"`
@@ -159,7 +159,7 @@
 		}
 		records = append(records, infra.Record{Key: definitionPrefix + j.def.ID, Value: value})
 	}
-	progress := progressRecord{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed, Started: j.started}
+	progress := progressRecord{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed, Begun: j.begun}
 	if !j.completed {
 		progress.DoneBefore, progress.DoneLater = j.done.first, j.done.laterList()
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -187,6 +187,7 @@
 	// The item's record holds the last run whose end is accounted for, so that a later term doesn't count
 	// this end again.
 	i.run = max(i.run, end.Run)
+	i.step.job.begun = true
 	if end.Checkpoint != "" && i.state != itemDone {
 		i.checkpoint = end.Checkpoint
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -196,8 +196,9 @@
 	visibleCompleted bool
 	visibleFailed    bool
 	visibleCancelled bool
-	// started is set once the start of any item has been ordered.
-	started bool
+	// started is set once the start of any item has been ordered, and begun once a worker has confirmed a start, or listed a
+	// run or its end: an order may be refused.
+	started, begun bool
 	// occurrences are those with state, sorted by their numbers, and steps all steps of the first one, then those of the
 	// second, and so on.
 	occurrences []occurrenceState
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -148,19 +148,19 @@
 		return JobCompleted, true
 	case j.visibleFailed:
 		return JobFailed, true
-	case j.started:
+	case j.begun:
 		return JobRunning, true
 	}
 	return JobQueued, true
 }
 
-// Pending returns the number of accepted jobs of a queue that haven't started.
+// Pending returns the number of accepted jobs of a queue of which no work item has begun.
 func (c *Core) Pending(queue string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for j := range c.activeJobs {
-		if j.def.Queue.Name == queue && !j.started && !j.finished() && j.durable {
+		if j.def.Queue.Name == queue && !j.begun && !j.finished() && j.durable {
 			n++
 		}
 	}
