Check again that a worker stays when a start is sent to it

Cause: a start may wait for its turn for over 2 s behind orders without answers, and was sent without a look at the worker's state. Timeline of one item in docs/incidents/0015. Ruled out: a late list of workers; the notice was stored 2.5 s before the start was sent, and the list is read every 150 ms.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -475,3 +475,33 @@
 	tc.ApplyReport(id, infra.WorkerReport{ClockMs: 2000, Running: []infra.ActiveRun{{Item: i.id(), Run: i.run}}}, tc.now)
 	assert.Equal(t, tc.Pending("review"), 0)
 }
+
+// Guards against a start that waited for its turn and is sent to a worker that has said meanwhile that it leaves, or whose
+// host is about to go down (incident 0015).
+func TestStartsAreNotSentToLeavingWorkers(t *testing.T) {
+	for _, leave := range []func(tc *testCore, w *worker){
+		func(tc *testCore, w *worker) {
+			entry := w.entry
+			entry.Draining = true
+			tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
+		},
+		func(_ *testCore, w *worker) { w.cordoned = true },
+	} {
+		tc := newTestCore(1)
+		id := tc.addWorker(0, 8)
+		tc.Submit(&work.Job{ID: "job", Queue: tc.config.Queues[0], Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}}}}, make(chan Outcome, 1))
+		var order *Order
+		for range 2 {
+			batch := tc.Collect()
+			tc.Committed(&batch)
+			if len(batch.Orders) > 0 {
+				order = &batch.Orders[0]
+			}
+		}
+		leave(tc, tc.workers[id])
+		other := tc.addWorker(1, 8)
+		assert.Equal(t, tc.LeaseForStart(order, tc.now), int64(0), "the start was sent")
+		tc.StartNotSent(order)
+		assert.DeepEqual(t, startedOn(tc.commit()), []string{other})
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -123,9 +123,12 @@
 
 // available reports whether the worker may get new work if it isn't paused.
 func (w *worker) available() bool {
-	return w.listed && w.hasReported && !w.ended && !w.entry.Draining && !w.cordoned && !w.vacating && w.failedRenewals == 0
+	return w.listed && w.hasReported && !w.leaves() && !w.vacating && w.failedRenewals == 0
 }
 
+// leaves reports whether the worker has ended, drains, or is on a host that is about to go down or to move.
+func (w *worker) leaves() bool { return w.ended || w.entry.Draining || w.cordoned }
+
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
 // is set, and the others otherwise.
 func (c *Core) planJob(j *job, pool *candidatePool, trials bool, now time.Duration) {
