Send the start of an item with crashes once it is recorded

Cause: orders are sent while their records are written. A crash that was just counted and the start after it are lost together if the term ends then, so that each term may miss one. Ruled out: crashes that a term forgets although they are in the log.

Now the start of an item with counted crashes, or of one that needs a trial, is sent with the batch after the one that records it.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -105,6 +105,8 @@
 type Batch struct {
 	Records []infra.Record
 	Orders  []Order
+	// heldStarts are starts that are sent once the batch is durable, see holdsStart.
+	heldStarts []Order
 	// changedJobs are the jobs whose records the batch contains.
 	changedJobs []*job
 	// waiters get OutcomeDone once the batch is durable.
@@ -179,6 +181,8 @@
 	dirtyJobs map[*job]struct{}
 	// pendingOrders are sent with the next batch.
 	pendingOrders []Order
+	// heldStarts are sent once the next batch is durable.
+	heldStarts []Order
 	// waiters get their outcome once the next batch is durable.
 	waiters []jobWaiter
 	// deletions are the records that delete those of jobs that are no longer kept, for the next batch.
@@ -469,12 +473,12 @@
 		}
 		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
-	batch.Orders, batch.waiters = c.pendingOrders, c.waiters
+	batch.Orders, batch.heldStarts, batch.waiters = c.pendingOrders, c.heldStarts, c.waiters
 	if len(batch.Records) > 0 {
 		c.appendStartedAt = now
 	}
 	clear(c.dirtyJobs)
-	c.pendingOrders, c.waiters, c.deletions = nil, nil, nil
+	c.pendingOrders, c.heldStarts, c.waiters, c.deletions = nil, nil, nil, nil
 	return batch
 }
 
@@ -506,6 +510,7 @@
 			j.visibleCompleted, j.visibleFailed, j.visibleCancelled = j.completed, j.failed, j.cancelled
 		}
 	}
+	c.releaseStarts(batch.heldStarts)
 	for w, end := range batch.durableEnds {
 		// If a record was rejected, the ends wait for the next batch, which records that its job has failed.
 		if len(unrecorded) == 0 && end.process == w.restarts && end.number <= w.appliedEnd {
--- a/internal/scheduler/crash_bounds_test.go
+++ b/internal/scheduler/crash_bounds_test.go
@@ -321,3 +321,30 @@
 	assert.Equal(t, tc.state("job"), JobFailed)
 	assert.Assert(t, starts < 6)
 }
+
+// Guards against starts of an item that crashes its workers which no later term knows of, because the term ended before the
+// start and the crash before it were recorded (incident 0016).
+func TestStartsAfterACrashAreRecordedFirst(t *testing.T) {
+	tc := newCrashCore(3)
+	i := tc.submitItems(t, "job", 1)[0]
+	tc.confirmStarts()
+	tc.crash(i.worker)
+	batch := tc.Collect()
+	assert.Equal(t, i.state, itemPlaced)
+	assert.Equal(t, countStarts(batch.Orders), 0, "the start was sent before its record is durable")
+	second := newTestCore(2)
+	second.Load(append(batch.Records, definitionOf(t, tc.jobs["job"])))
+	restored := second.jobs["job"].itemAt(0, 0, 0)
+	assert.Equal(t, restored.crashes.known, 1)
+	assert.Equal(t, restored.worker.entry.ID, i.worker.entry.ID)
+	tc.Committed(&batch)
+	next := tc.Collect()
+	assert.Equal(t, countStarts(next.Orders), 1)
+}
+
+// definitionOf returns the record of the job's definition.
+func definitionOf(t *testing.T, j *job) infra.Record {
+	records, err := (&jobEncoder{}).encodeJob(j, true)
+	assert.NilError(t, err)
+	return records[0]
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -127,6 +127,10 @@
 func (c *Core) StartNotSent(order *Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.startNotSent(order)
+}
+
+func (c *Core) startNotSent(order *Order) {
 	i := c.findItem(order.Item)
 	if i == nil {
 		return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -246,7 +246,11 @@
 		answer, _ := i.step.adviceFor(i.worker, now)
 		order.Ticket, order.TicketValidUntil = answer.ticket, answer.validUntil
 	}
-	c.pendingOrders = append(c.pendingOrders, order)
+	if i.holdsStart() {
+		c.heldStarts = append(c.heldStarts, order)
+	} else {
+		c.pendingOrders = append(c.pendingOrders, order)
+	}
 	c.markItemDirty(i)
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -517,6 +517,6 @@
 	for i := range batch.Orders {
 		s.sendOrder(scheduler, batch.Orders[i])
 	}
-	s.checkPlacedItems(scheduler)
 	scheduler.batch, scheduler.sentAt, scheduler.commitDueAt = &batch, s.now, s.now+2*simTickTime
+	s.checkPlacedItems(scheduler)
 }
