Wait for a report before an unanswered start of a lasting item is stopped

Now such an item stays placed, the worker is asked for a report, and the run is stopped only if a report that was requested after the start doesn't list it. Before: TestUnansweredStartOfALastingItemAwaitsAReport fails, since the stop is ordered at once. After: it and all tests of the package pass.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -397,7 +397,7 @@
 	c.logSlowAnswers(i, c.clock())
 	c.keepLateStart(i, w)
 	c.unplace(i)
-	i.startInFlight, i.unansweredUntil = false, 0
+	i.startInFlight, i.unansweredUntil, i.awaitsReportSince = false, 0, 0
 	i.inherited, i.startSent, i.startConfirmedAt, i.startClockMs, i.reported, i.survived, i.processUncertain = false, false, 0, 0, false, false, false
 	i.stopping, i.stopRequestedAt, i.stopOrderedAt, i.stopConfirmedAt = false, 0, 0, 0
 	i.resetProgress()
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -110,7 +110,7 @@
 	if uncertain || kind == infra.Unknown {
 		w.pauseUnconfirmed(now)
 		if !i.reported && !i.stopping {
-			c.orderStop(i)
+			c.stopUnanswered(i, now)
 			// The run may begin seconds later or never. The worker gets no trial until it is known to have ended.
 			if w.endTrial(i, now) {
 				c.wakeUp()
@@ -123,6 +123,17 @@
 	c.stopOtherMembers(i)
 }
 
+// stopUnanswered orders the stop of a run whose start had no response. A lasting item may be in service by now, while others
+// of its step are away: it is stopped only if a report shows that the run isn't there.
+func (c *Core) stopUnanswered(i *item, now time.Duration) {
+	if !i.step.def.Lasting || i.step.def.Gang {
+		c.orderStop(i)
+		return
+	}
+	i.awaitsReportSince = now
+	i.worker.wakeRenewalLoop()
+}
+
 // StartNotSent releases the item of a start that was never sent, so that it waits again.
 func (c *Core) StartNotSent(order *Order) {
 	c.mu.Lock()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -143,7 +143,7 @@
 	}
 	i.findInNextProcess()
 	c.confirmStart(i, now)
-	i.reported, i.inherited = true, false
+	i.reported, i.inherited, i.awaitsReportSince = true, false, 0
 	if running.Checkpoint != "" {
 		i.checkpoint = running.Checkpoint
 	}
@@ -329,6 +329,11 @@
 // terms, whose delayed orders the worker now refuses.
 func (c *Core) releaseAbsent(w *worker, listed map[*item]bool, sentAt time.Duration) {
 	for _, i := range w.sortedItems(func(i *item) bool { return !listed[i] }) {
+		if i.awaitsReportSince > 0 && i.awaitsReportSince < sentAt && !i.stopping {
+			i.awaitsReportSince = 0
+			c.orderStop(i)
+			continue
+		}
 		// The next process of a restarted worker may still carry out an attempt that had no response.
 		pending := i.processUncertain && i.mayStillBegin(c.clock())
 		started := i.startConfirmedAt > 0 && i.startConfirmedAt < sentAt && !pending
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -69,6 +69,9 @@
 	startInFlight bool
 	// unansweredUntil is until when an attempt to start the run that had no response may still be carried out.
 	unansweredUntil time.Duration
+	// awaitsReportSince is since when a report has to tell whether the run of a lasting item is there whose start had no
+	// response; 0 if that is known or doesn't matter.
+	awaitsReportSince time.Duration
 	// startConfirmedAt is when the worker confirmed the start; 0 before that.
 	startConfirmedAt time.Duration
 	// startClockMs is about the time of the worker's clock at startConfirmedAt.
