--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -322,9 +322,6 @@
 		m.retryAt = now + hostOrderRetryDelay
 		c.fleet.lateMoveUntil[order.Host] = now + maxCallDelay
 	default:
-		delete(c.fleet.moves, order.Host)
-		if worker != nil {
-			worker.cordoned = false
-		}
+		c.dropMove(order.Host, m)
 	}
 }
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -226,10 +227,8 @@
 func (c *Core) completeWave(w *wave) {
 	w.completed = true
 	c.logger.WithFields(logrus.Fields{"event": "wave_completed", "wave": w.ID, "hosts": len(w.orderedAt), "took_ms": (c.clock() - w.firstSeen).Milliseconds()}).Info("wave completed: the maintenance of all its hosts has begun")
-	for id := range w.cordoned {
-		if worker := c.workers[c.fleet.hosts[id].WorkerID]; worker != nil {
-			worker.cordoned = false
-		}
+	for _, id := range slices.Collect(maps.Keys(w.cordoned)) {
+		c.uncordonAfterMaintenance(w, id)
 	}
 	c.recordWave(w)
 }
