--- a/internal/scheduler/occurrence.go
+++ b/internal/scheduler/occurrence.go
@@ -53,6 +53,9 @@
 
 // findOccurrence returns the position of the occurrence in j.occurrences, and whether it is there.
 func (j *job) findOccurrence(number int) (int, bool) {
+	if len(j.occurrences) == 1 && j.occurrences[0].number == number {
+		return 0, true
+	}
 	return slices.BinarySearchFunc(j.occurrences, number, func(o occurrenceState, n int) int { return cmp.Compare(o.number, n) })
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -292,7 +292,7 @@
 			continue
 		}
 		fits = true
-		if w == excluded || !w.satisfies(step) || !step.granted(w, now) {
+		if w == excluded || !w.satisfies(step) || step.advice != nil && !step.granted(w, now) {
 			continue
 		}
 		score := c.score(i, w, now)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -132,6 +132,7 @@
 func (e *jobEncoder) encodeItems(record progressRecord, items []*item) ([]byte, error) {
 	encode := func(maxCheckpoint int) ([]byte, bool, error) {
 		full, omitted := record, false
+		full.Items = make([]itemRecord, 0, len(items))
 		for _, i := range items {
 			omitted = full.addItem(i, maxCheckpoint) || omitted
 		}
--- a/internal/scheduler/recordlimit.go
+++ b/internal/scheduler/recordlimit.go
@@ -24,7 +24,9 @@
 // isRecordable reports whether the log accepts the definition of the job.
 func (c *Core) isRecordable(def *work.Job) bool {
 	limit := c.maxValueBytes()
-	if limit == 0 {
+	queue := &def.Queue
+	if limit == 0 || definitionBytes(def)+int64(len(queue.Name)+len(queue.Host)+len(queue.Prefix)+len(queue.Pool)+len(def.ID)+len(def.Customer)) <= int64(limit) {
+		// The encoding is smaller than the state in memory.
 		return true
 	}
 	value, err := recordEncoding.Marshal(def)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -264,7 +264,11 @@
 
 // allItems returns the items of all steps.
 func (j *job) allItems() []*item {
-	var items []*item
+	count := 0
+	for _, step := range j.steps {
+		count += len(step.items)
+	}
+	items := make([]*item, 0, count)
 	for _, step := range j.steps {
 		items = append(items, step.items...)
 	}
