--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,9 +1,6 @@
 package scheduler
 
 import (
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -100,33 +97,6 @@
 	TicketValidUntil time.Duration
 }
 
-// Batch holds records that become durable in one append, the orders to send, and the effects to apply
-// once the append is confirmed.
-type Batch struct {
-	Records []infra.Record
-	Orders  []Order
-	// heldStarts are starts that are sent once the batch is durable, see holdsStart.
-	heldStarts []Order
-	// changedJobs are the jobs whose records the batch contains.
-	changedJobs []*job
-	// waiters get OutcomeDone once the batch is durable.
-	waiters []jobWaiter
-	// durableEnds maps workers to their highest run end whose effect the batch makes durable.
-	durableEnds map[*worker]processEnd
-}
-
-// jobWaiter waits for records of a job to become durable.
-type jobWaiter struct {
-	job      *job
-	outcomes chan<- Outcome
-}
-
-// processEnd is the number of a run end that a process of a worker reported. process is worker.restarts at that time.
-type processEnd struct {
-	number  int64
-	process int
-}
-
 // Core is the state of the scheduler in one term.
 type Core struct {
 	mu        sync.Mutex
@@ -270,110 +240,6 @@
 	c.startedAt, c.startedUnixMs = c.clock(), c.wallClock().UnixMilli()
 }
 
-// Load restores jobs of earlier terms from the newest records of the log.
-func (c *Core) Load(records []infra.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	jobs, unreadable := decodeJobs(records)
-	for _, key := range unreadable {
-		c.logger.WithFields(logrus.Fields{"event": "job_record_skipped", "key": key}).Error("can't decode the record of a job; skipping it")
-	}
-	now := c.clock()
-	c.loadedAt = now
-	for _, id := range loadOrder(jobs) {
-		switch entry := jobs[id]; {
-		case entry.def != nil:
-			c.restoreJob(entry, now)
-		case !entry.unreadable:
-			c.deleteRecords(id, slices.Collect(maps.Keys(entry.groups)))
-		}
-	}
-	c.logger.WithFields(logrus.Fields{"event": "state_loaded", "jobs": len(c.jobs), "active": len(c.activeJobs), "term": c.term}).Info("loaded jobs of earlier terms")
-}
-
-// restoreJob rebuilds a job from its records.
-func (c *Core) restoreJob(entry *storedJob, now time.Duration) {
-	j := newJobWithoutState(entry.def)
-	c.applyAdvicePolicy(j)
-	progress := entry.progress
-	j.durable, j.definitionWritten, j.started, j.begun, j.inherited = true, true, progress.Begun, progress.Begun, true
-	j.cancelled, j.failed, j.completed = progress.Cancelled, progress.Failed, progress.Completed
-	j.visibleCancelled, j.visibleFailed, j.visibleCompleted = progress.Cancelled, progress.Failed, progress.Completed
-	j.acceptedAt = now - max(0, c.wallClock().Sub(j.def.Accepted))
-	j.offeredAt = j.acceptedAt
-	j.endedAt = now
-	j.restoreDone(&progress)
-	items, crashes := entry.items(j.groupOf)
-	for _, record := range items {
-		j.started = j.started || record.Run > 0
-		j.begun = j.begun || record.State == itemDone || record.Failures > 0 || record.Checkpoint != ""
-		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, record.State); i != nil {
-			c.restoreItem(i, record, now)
-		}
-	}
-	j.reserved = len(j.occurrences) > 0 || c.hasMemoryFor(definitionBytes(j.def)+occurrenceBytes(j.def))
-	c.addJob(j)
-	c.createOccurrences(j)
-	for _, record := range crashes {
-		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, itemWaiting); i != nil {
-			i.crashes, i.givenUp, i.waitingSince = crashCounts{known: record.Known, possible: record.Possible, late: record.Late}, record.GivenUp, now
-			c.suspects[i] = struct{}{}
-		}
-	}
-	j.restoreGroups(entry)
-	for _, step := range j.steps {
-		c.completeRestoredGang(step)
-	}
-	// The term may have ended after the records of the last work items and before that of the job.
-	c.completeJobIfDone(j, now)
-	if !j.finished() || j.placedCount > 0 {
-		c.activeJobs[j] = struct{}{}
-		c.addWaiting(j)
-	}
-}
-
-// completeRestoredGang completes a restored gang of which an item is done, which stands for all of them: the term may have
-// ended between the records of the items.
-func (c *Core) completeRestoredGang(step *stepInstance) {
-	if !step.def.Gang || step.def.Lasting || step.countInState(itemDone) == 0 || step.done() {
-		return
-	}
-	c.completeGang(step)
-	c.markDirty(step.job)
-}
-
-// restoreItem restores an item from its record. If the record's worker isn't known yet, it is added with the
-// longest lease that an earlier term may have granted.
-func (c *Core) restoreItem(i *item, record itemRecord, now time.Duration) {
-	i.failures, i.checkpoint, i.run, i.lastAccountedRun = record.Failures, record.Checkpoint, record.Run, record.Run
-	switch record.State {
-	case itemDone:
-		i.setState(itemDone)
-	case itemPlaced:
-		if record.Worker == "" {
-			// An item is placed on a worker: the record is one of another writer.
-			return
-		}
-		// The recorded run has no known end yet, so only the runs before it are accounted for.
-		i.inherited, i.placedAt, i.lastAccountedRun = true, now, record.Run-1
-		w := c.workers[record.Worker]
-		if w == nil {
-			w = newWorker(infra.WorkerEntry{ID: record.Worker})
-			w.leaseEnd, w.addedAt, w.lastReportAt = c.inheritedLeaseEnd(), now, now
-			c.addWorker(w)
-		}
-		c.place(i, w)
-	}
-}
-
-// inheritedLeaseEnd returns when every lease granted by earlier terms has certainly lapsed. The last confirmed
-// append of an earlier term, from which LeaderLease counts, may have been sent just before it was fenced. It is
-// never before the workers have had firstReportTime to report: they may have ends that nobody has acknowledged yet.
-func (c *Core) inheritedLeaseEnd() time.Duration {
-	lease := time.Duration(float64(c.options.Lease) / minClockRate)
-	return max(c.startedAt+LeaderLease+lease+2*leaseEndMargin, c.loadedAt+firstReportTime)
-}
-
 // place assigns the item to the worker and reserves its resources.
 func (c *Core) place(i *item, w *worker) {
 	i.setState(itemPlaced)
@@ -434,117 +300,6 @@
 	c.wakeUp()
 }
 
-// Collect drops expired state, plans, and returns the changes since the last call as a batch. The batch
-// is empty if nothing changed.
-func (c *Core) Collect() Batch {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock()
-	c.dropExpired(now)
-	c.maintainOccurrences(now)
-	c.plan(now)
-	c.observeSuspects(now)
-	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
-	c.pendingRecords = nil
-	// A job may have been submitted under an ID whose earlier records are deleted.
-	batch.Records = append(batch.Records, c.deletions...)
-	encoder := jobEncoder{maxValueBytes: c.maxValueBytes(), checkpointOmitted: c.noteOmittedCheckpoint}
-	for _, j := range c.sortedDirtyJobs() {
-		if j.definitionRejected {
-			continue
-		}
-		records, err := encoder.encodeJob(j, !j.definitionWritten)
-		if err != nil {
-			c.logger.WithFields(logrus.Fields{"event": "job_unencodable", "job": j.def.ID}).WithError(err).Error("can't encode the records of a job; this change isn't recorded")
-			continue
-		}
-		j.definitionWritten = true
-		for _, submitter := range j.submitters {
-			c.waiters = append(c.waiters, jobWaiter{j, submitter})
-		}
-		j.submitters = nil
-		batch.Records = append(batch.Records, records...)
-		batch.changedJobs = append(batch.changedJobs, j)
-	}
-	for w := range c.workersToAck {
-		if w.appliedEnd <= w.durableEnd || c.workers[w.entry.ID] != w {
-			delete(c.workersToAck, w)
-			continue
-		}
-		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
-	}
-	batch.Orders, batch.heldStarts, batch.waiters = c.pendingOrders, c.heldStarts, c.waiters
-	if len(batch.Records) > 0 {
-		c.appendStartedAt = now
-	}
-	clear(c.dirtyJobs)
-	c.pendingOrders, c.heldStarts, c.waiters, c.deletions = nil, nil, nil, nil
-	return batch
-}
-
-// sortedDirtyJobs returns the jobs that have changed since the last batch, sorted by ID.
-func (c *Core) sortedDirtyJobs() []*job {
-	return slices.SortedFunc(maps.Keys(c.dirtyJobs), func(a, b *job) int { return strings.Compare(a.def.ID, b.def.ID) })
-}
-
-// Empty reports whether the batch has neither records and orders nor effects to apply once it is durable.
-func (b *Batch) Empty() bool {
-	return len(b.Records) == 0 && len(b.Orders) == 0 && len(b.waiters) == 0 && len(b.durableEnds) == 0
-}
-
-// Committed applies the effects of a batch that is durable but for the rejected records, which the log never accepts: it
-// makes job states visible to callers, marks run ends for acknowledgement to workers, and sends the outcomes to waiters.
-// The caller of Collect sends the orders.
-func (c *Core) Committed(batch *Batch, rejected ...infra.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.appendStartedAt = 0
-	unrecorded := c.failUnrecordable(rejected)
-	for _, j := range batch.changedJobs {
-		j.durable = j.durable || !unrecorded[j]
-	}
-	for _, j := range batch.changedJobs {
-		// If the job changed again after this batch was collected, its state becomes visible with the
-		// batch that records the later change.
-		if _, pending := c.dirtyJobs[j]; !pending && !unrecorded[j] {
-			j.visibleCompleted, j.visibleFailed, j.visibleCancelled = j.completed, j.failed, j.cancelled
-		}
-	}
-	c.releaseStarts(batch.heldStarts)
-	for w, end := range batch.durableEnds {
-		// If a record was rejected, the ends wait for the next batch, which records that its job has failed.
-		if len(unrecorded) == 0 && end.process == w.restarts && end.number <= w.appliedEnd {
-			w.durableEnd = end.number
-			w.wakeRenewalLoop()
-		}
-	}
-	for _, waiter := range batch.waiters {
-		if unrecorded[waiter.job] {
-			waiter.outcomes <- waiter.job.unrecordedOutcome()
-		} else {
-			waiter.outcomes <- Outcome{Kind: OutcomeDone}
-		}
-	}
-}
-
-// Abandon closes the core when the batch may not have become durable. Callers that wait for this batch
-// get OutcomeUnknown. Jobs that no batch contains yet are lost with the core, so that their callers get
-// OutcomeTermOver.
-func (c *Core) Abandon(batch *Batch) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	c.metrics.unansweredRuns(0, 0)
-	waiting := append(batch.waiters, c.waiters...)
-	c.waiters = nil
-	for _, waiter := range waiting {
-		waiter.outcomes <- Outcome{Kind: OutcomeUnknown}
-	}
-	for j := range c.dirtyJobs {
-		c.answerSubmitters(j, Outcome{Kind: OutcomeTermOver})
-	}
-}
-
 // ObserveDelay records how late a periodic check of this process began. A process that has more to do than its
 // host can bear falls behind. Its submissions then reach their callers' time limits, so that callers can't tell
 // whether their jobs were accepted; jobs are rejected instead until it has caught up.
--- /dev/null
+++ b/internal/scheduler/load.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/infra"
+)
+
+// Load restores jobs of earlier terms from the newest records of the log.
+func (c *Core) Load(records []infra.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	jobs, unreadable := decodeJobs(records)
+	for _, key := range unreadable {
+		c.logger.WithFields(logrus.Fields{"event": "job_record_skipped", "key": key}).Error("can't decode the record of a job; skipping it")
+	}
+	now := c.clock()
+	c.loadedAt = now
+	for _, id := range loadOrder(jobs) {
+		switch entry := jobs[id]; {
+		case entry.def != nil:
+			c.restoreJob(entry, now)
+		case !entry.unreadable:
+			c.deleteRecords(id, slices.Collect(maps.Keys(entry.groups)))
+		}
+	}
+	c.logger.WithFields(logrus.Fields{"event": "state_loaded", "jobs": len(c.jobs), "active": len(c.activeJobs), "term": c.term}).Info("loaded jobs of earlier terms")
+}
+
+// restoreJob rebuilds a job from its records.
+func (c *Core) restoreJob(entry *storedJob, now time.Duration) {
+	j := newJobWithoutState(entry.def)
+	c.applyAdvicePolicy(j)
+	progress := entry.progress
+	j.durable, j.definitionWritten, j.started, j.begun, j.inherited = true, true, progress.Begun, progress.Begun, true
+	j.cancelled, j.failed, j.completed = progress.Cancelled, progress.Failed, progress.Completed
+	j.visibleCancelled, j.visibleFailed, j.visibleCompleted = progress.Cancelled, progress.Failed, progress.Completed
+	j.acceptedAt = now - max(0, c.wallClock().Sub(j.def.Accepted))
+	j.offeredAt = j.acceptedAt
+	j.endedAt = now
+	j.restoreDone(&progress)
+	items, crashes := entry.items(j.groupOf)
+	for _, record := range items {
+		j.started = j.started || record.Run > 0
+		j.begun = j.begun || record.State == itemDone || record.Failures > 0 || record.Checkpoint != ""
+		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, record.State); i != nil {
+			c.restoreItem(i, record, now)
+		}
+	}
+	j.reserved = len(j.occurrences) > 0 || c.hasMemoryFor(definitionBytes(j.def)+occurrenceBytes(j.def))
+	c.addJob(j)
+	c.createOccurrences(j)
+	for _, record := range crashes {
+		if i := j.recordedItem(record.Occurrence, record.Step, record.Index, itemWaiting); i != nil {
+			i.crashes, i.givenUp, i.waitingSince = crashCounts{known: record.Known, possible: record.Possible, late: record.Late}, record.GivenUp, now
+			c.suspects[i] = struct{}{}
+		}
+	}
+	j.restoreGroups(entry)
+	for _, step := range j.steps {
+		c.completeRestoredGang(step)
+	}
+	// The term may have ended after the records of the last work items and before that of the job.
+	c.completeJobIfDone(j, now)
+	if !j.finished() || j.placedCount > 0 {
+		c.activeJobs[j] = struct{}{}
+		c.addWaiting(j)
+	}
+}
+
+// completeRestoredGang completes a restored gang of which an item is done, which stands for all of them: the term may have
+// ended between the records of the items.
+func (c *Core) completeRestoredGang(step *stepInstance) {
+	if !step.def.Gang || step.def.Lasting || step.countInState(itemDone) == 0 || step.done() {
+		return
+	}
+	c.completeGang(step)
+	c.markDirty(step.job)
+}
+
+// restoreItem restores an item from its record. If the record's worker isn't known yet, it is added with the
+// longest lease that an earlier term may have granted.
+func (c *Core) restoreItem(i *item, record itemRecord, now time.Duration) {
+	i.failures, i.checkpoint, i.run, i.lastAccountedRun = record.Failures, record.Checkpoint, record.Run, record.Run
+	switch record.State {
+	case itemDone:
+		i.setState(itemDone)
+	case itemPlaced:
+		if record.Worker == "" {
+			// An item is placed on a worker: the record is one of another writer.
+			return
+		}
+		// The recorded run has no known end yet, so only the runs before it are accounted for.
+		i.inherited, i.placedAt, i.lastAccountedRun = true, now, record.Run-1
+		w := c.workers[record.Worker]
+		if w == nil {
+			w = newWorker(infra.WorkerEntry{ID: record.Worker})
+			w.leaseEnd, w.addedAt, w.lastReportAt = c.inheritedLeaseEnd(), now, now
+			c.addWorker(w)
+		}
+		c.place(i, w)
+	}
+}
+
+// inheritedLeaseEnd returns when every lease granted by earlier terms has certainly lapsed. The last confirmed
+// append of an earlier term, from which LeaderLease counts, may have been sent just before it was fenced. It is
+// never before the workers have had firstReportTime to report: they may have ends that nobody has acknowledged yet.
+func (c *Core) inheritedLeaseEnd() time.Duration {
+	lease := time.Duration(float64(c.options.Lease) / minClockRate)
+	return max(c.startedAt+LeaderLease+lease+2*leaseEndMargin, c.loadedAt+firstReportTime)
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -315,26 +315,6 @@
 	return scheduler
 }
 
-// tearAppend makes the first records of the append in progress durable, a random number of them.
-func (s *sim) tearAppend() {
-	if len(s.schedulers) == 0 || s.leader().ended || s.leader().batch == nil {
-		return
-	}
-	records := s.leader().batch.Records
-	for _, record := range records[:s.rng.IntN(len(records)+1)] {
-		s.store(record)
-	}
-}
-
-// store makes a record durable.
-func (s *sim) store(record infra.Record) {
-	if record.Value == nil {
-		delete(s.log, record.Key)
-		return
-	}
-	s.log[record.Key] = record.Value
-}
-
 func (s *sim) leader() *simScheduler { return s.schedulers[len(s.schedulers)-1] }
 
 func (s *sim) stepOf(id work.ItemID) *work.Step { return &s.jobs[id.Job].Steps[id.Step] }
@@ -489,34 +469,3 @@
 	}
 	scheduler.core.ApplyReport(w.entry.ID, report, s.now)
 }
-
-// commitBatch makes the current batch durable two ticks after it was collected, unless the log is down or a
-// later term has fenced the scheduler. It then collects the next batch, and sends its orders immediately.
-func (s *sim) commitBatch(scheduler *simScheduler) {
-	if scheduler.batch != nil {
-		if s.now < scheduler.commitDueAt || s.logDown {
-			return
-		}
-		if scheduler.term < s.term {
-			scheduler.core.Abandon(scheduler.batch)
-			scheduler.ended = true
-			return
-		}
-		for _, record := range scheduler.batch.Records {
-			s.store(record)
-		}
-		scheduler.confirmedAt = scheduler.sentAt
-		scheduler.core.Committed(scheduler.batch)
-		scheduler.batch = nil
-	}
-	if scheduler.core.Fenced() {
-		scheduler.ended = true
-		return
-	}
-	batch := scheduler.core.Collect()
-	for i := range batch.Orders {
-		s.sendOrder(scheduler, batch.Orders[i])
-	}
-	scheduler.batch, scheduler.sentAt, scheduler.commitDueAt = &batch, s.now, s.now+2*simTickTime
-	s.checkPlacedItems(scheduler)
-}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,187 @@
+package scheduler
+
+import (
+	"time"
+
+	"turmericyoke/internal/infra"
+	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/work"
+)
+
+// worker is what this term knows of a worker of the fleet.
+type worker struct {
+	entry infra.WorkerEntry
+	rack  string
+	// startedUnixMs is the start time of the worker process according to the last report or list entry,
+	// in Unix milliseconds; 0 if unknown.
+	startedUnixMs int64
+	// host is the host that last listed the worker; empty if none has.
+	host string
+	// listed is set while the platform lists the worker.
+	listed bool
+	// hasReported is set once the worker has reported to this term. From then on the worker
+	// refuses orders of earlier terms, so that all of its runs are known.
+	hasReported bool
+	// ended is set once the worker process is known to have ended. Another worker may then have its
+	// address.
+	ended bool
+	// crashCounted is set once the end of the present process has been counted. An outdated entry of the list of workers
+	// may show the worker again after that.
+	crashCounted bool
+	// mayReturn is set for an ended worker that may restart under its ID: neither its host nor its address is known to
+	// belong to another worker.
+	mayReturn bool
+	// restarts is the number of restarts under the same ID that this term has seen.
+	restarts int
+	// lateStarts are the starts without a response whose items have been released.
+	lateStarts []lateStart
+
+	items map[*item]struct{}
+	used  work.Resources
+	// strayNeed is what the runs need that the last report listed although their items aren't placed on the
+	// worker, and unknownRuns is the number of listed runs of which the item isn't known either.
+	strayNeed   work.Resources
+	unknownRuns int
+	// unreportedItems is the number of items that no report has listed since they were placed.
+	unreportedItems int
+	// lastStartJob and lastStartAt are the job and the time of the last start that was ordered.
+	lastStartJob *job
+	lastStartAt  time.Duration
+	// trial is the trial in progress on the worker, or nil.
+	trial *trial
+	// trialEndedAt is when the last trial on the worker ended that had begun; 0 if there was none.
+	trialEndedAt time.Duration
+	// reserved workers get no starts but those of trials; wasReserved is set if the worker was reserved in the cycle
+	// before.
+	reserved, wasReserved bool
+	// lapsedItems are the items that were released because the lease lapsed while nothing was known of the worker,
+	// without those that had survived a trial.
+	lapsedItems []*item
+	// lastingItems is the number of lasting items on the worker, and lastingCPUMilli the processor capacity that
+	// they reserve, in thousandths of a core.
+	lastingItems    int
+	lastingCPUMilli int64
+
+	// clockMs is the worker's clock in its last report, and clockReadAt is when that report arrived.
+	clockMs     int64
+	clockReadAt time.Duration
+	// leaseEnd is when every lease granted to the worker has certainly lapsed, on the scheduler's clock.
+	leaseEnd time.Duration
+	// appliedEnd is the highest number of a reported run end that was applied to the state; durableEnd is
+	// the highest one whose effect is durable.
+	appliedEnd int64
+	durableEnd int64
+	// ackedEnd is the highest end that the process has confirmed to have forgotten, and sentAck the acknowledgement
+	// that the renewal in progress carries; 0 if it carries none.
+	ackedEnd, sentAck int64
+	// ackUnansweredUntil is until when an acknowledgement without a response may still be carried out.
+	ackUnansweredUntil time.Duration
+	// restartSeenAt is when this term last found that the worker had restarted under the same ID; 0 if it didn't.
+	restartSeenAt time.Duration
+	// lastReportAt is when the last report arrived, or when the worker was added if there was none.
+	lastReportAt time.Duration
+	// reportSentAt is when the lease renewal was sent to which the last report is the response.
+	reportSentAt time.Duration
+	// unansweredAt is when a call to the worker last had no response; 0 if all had.
+	unansweredAt time.Duration
+	// unconfirmedPause is the length of the last pause for a start that wasn't confirmed; 0 after a confirmed one.
+	unconfirmedPause time.Duration
+	// failedRenewals is the number of lease renewals that failed since the last report.
+	failedRenewals int
+	// pausedUntil is when the worker may get new work again. Until probeUntil a suspect may start there on trial: a start
+	// that wasn't confirmed is the only reason for the pause.
+	pausedUntil, probeUntil time.Duration
+	// lastStragglerPause is the length of the last pause for stragglers; 0 after a successful run.
+	lastStragglerPause time.Duration
+	// consecutiveFailures is the number of failed runs since the last successful one.
+	consecutiveFailures int
+	// cordoned workers get no new work because their host is about to go down or to move.
+	cordoned bool
+	// vacating workers get no new work because their host is needed in another pool.
+	vacating bool
+	// lowLatencySince is since when the tail latencies of the serving items have been below raiseThreshold, or
+	// when the pace was last raised during that time; 0 if they aren't.
+	lowLatencySince time.Duration
+	// addedAt is when this term first learned of the worker.
+	addedAt time.Duration
+	// renewalAddress is the address to which the last lease renewal was sent.
+	renewalAddress string
+	// wake ends the pause before the worker's next lease renewal.
+	wake chan struct{}
+}
+
+func newWorker(entry infra.WorkerEntry) *worker {
+	return &worker{entry: entry, renewalAddress: entry.Address, startedUnixMs: entry.StartUnixMs, rack: rackOf(entry.Labels), items: map[*item]struct{}{}, wake: make(chan struct{}, 1)}
+}
+
+// rackOf returns the last label, which is the rack: a worker's labels are its kind and its rack.
+func rackOf(labels []string) string {
+	if len(labels) == 0 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+func (w *worker) ref() infra.WorkerRef {
+	return infra.WorkerRef{ID: w.entry.ID, Address: w.entry.Address}
+}
+
+// freeCapacity returns the capacity that neither placed items nor stray runs reserve. It is negative if the
+// capacity shrank below that.
+func (w *worker) freeCapacity() work.Resources {
+	return w.entry.Capacity.Minus(w.used).Minus(w.strayNeed)
+}
+
+// addStrayRun counts a listed run of an item that isn't placed on the worker; the item is nil if it isn't known.
+func (w *worker) addStrayRun(i *item) {
+	if i == nil {
+		w.unknownRuns++
+		return
+	}
+	w.strayNeed = w.strayNeed.Plus(i.step.reservation())
+}
+
+// hasStrayRuns reports whether the last report listed runs of items that aren't placed on the worker.
+func (w *worker) hasStrayRuns() bool { return w.unknownRuns > 0 || w.strayNeed != (work.Resources{}) }
+
+// hasLasting reports whether a lasting item is placed on the worker.
+func (w *worker) hasLasting() bool { return w.lastingItems > 0 }
+
+// add adds a placed item and reserves its resources.
+func (w *worker) add(i *item) {
+	w.items[i] = struct{}{}
+	w.used = w.used.Plus(i.step.reservation())
+	w.unreportedItems++
+	if i.step.def.Lasting {
+		w.lastingItems++
+		w.lastingCPUMilli += i.step.reservation().CPUMilli
+	}
+}
+
+// remove removes an item and frees its resources.
+func (w *worker) remove(i *item, now time.Duration) {
+	delete(w.items, i)
+	w.used = w.used.Minus(i.step.reservation())
+	if !i.reported {
+		w.unreportedItems--
+	}
+	w.endTrial(i, now)
+	if i.step.def.Lasting {
+		w.lastingItems--
+		w.lastingCPUMilli -= i.step.reservation().CPUMilli
+	}
+}
+
+// reservation returns the resources that each item of the step reserves on its worker. Filling items use
+// idle processor time and reserve none.
+func (s *stepInstance) reservation() work.Resources {
+	reserved := s.def.Need
+	if s.def.Filling {
+		reserved.CPUMilli = 0
+	}
+	return reserved
+}
+
+func (w *worker) wakeRenewalLoop() {
+	periodic.Wake(w.wake)
+}
