--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -60,6 +60,7 @@
 			c.suspects[i] = struct{}{}
 		}
 	}
+	c.updateMemory(j)
 	j.restoreGroups(entry)
 	for _, step := range j.steps {
 		c.completeRestoredGang(step)
