--- a/internal/session/largejob_test.go
+++ b/internal/session/largejob_test.go
@@ -90,7 +90,7 @@
 				step := work.Step{Count: 4000, Need: work.Resources{CPUMilli: 10}, Estimate: 3 * time.Second, Checkpointing: true}
 				last := work.Step{Count: 10, Need: work.Resources{CPUMilli: 10}, Estimate: 3 * time.Second, After: []int{0}}
 				small, large := make(chan scheduler.Outcome, 1), make(chan scheduler.Outcome, 1)
-				var states []scheduler.JobState
+				states := make(chan []scheduler.JobState, 1)
 				limits := journal.Limits{Record: 64 << 10, Call: 128 << 10}
 				config := Config{Log: &infratest.Log{MaxRecordBytes: limits.Record, MaxCallBytes: limits.Call}, LogLimits: limits, Workers: fleet, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return fleet },
 					Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
@@ -105,10 +105,9 @@
 							core.Submit(&work.Job{ID: "small", Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 10}, Estimate: time.Second}}}, small)
 						})
 						time.AfterFunc(19*time.Second, func() {
-							for _, id := range []string{"small", "large"} {
-								state, _ := core.State(id)
-								states = append(states, state)
-							}
+							smallState, _ := core.State("small")
+							largeState, _ := core.State("large")
+							states <- []scheduler.JobState{smallState, largeState}
 						})
 					}}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
@@ -122,7 +121,7 @@
 						t.Fatal("a job got no outcome")
 					}
 				}
-				assert.DeepEqual(t, states, []scheduler.JobState{scheduler.JobCompleted, scheduler.JobCompleted})
+				assert.DeepEqual(t, <-states, []scheduler.JobState{scheduler.JobCompleted, scheduler.JobCompleted})
 			})
 		})
 	}
