--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -110,15 +110,22 @@
 	if _, changed := c.dirtyJobs[j]; changed || j.trimmed || !j.durable || now-j.endedAt < endedStateTime || slices.ContainsFunc(j.occurrences, func(o occurrenceState) bool { return !o.isDetached() }) {
 		return
 	}
-	for _, i := range j.allItems() {
-		delete(c.suspects, i)
-	}
+	c.forgetSuspects(j.steps)
 	j.trimmed = true
 	j.def = &work.Job{ID: j.def.ID, Queue: j.def.Queue, Customer: j.def.Customer}
 	j.occurrences, j.steps, j.keptOpenSteps, j.total, j.remaining, j.supply = nil, nil, nil, nil, nil, nil
 	c.updateMemory(j)
 }
 
+// forgetSuspects removes the items of steps whose state is dropped from the suspects.
+func (c *Core) forgetSuspects(steps []*stepInstance) {
+	for _, step := range steps {
+		for _, i := range step.items {
+			delete(c.suspects, i)
+		}
+	}
+}
+
 // loadOrder returns the stored jobs in the order in which they get room in memory: those that have started, and then the
 // others by the time of their acceptance.
 func loadOrder(jobs map[string]*storedJob) []string {
--- a/internal/scheduler/occurrence.go
+++ b/internal/scheduler/occurrence.go
@@ -160,11 +160,7 @@
 		if !o.isDone() || !o.isDetached() {
 			continue
 		}
-		for _, step := range o.steps {
-			for _, i := range step.items {
-				delete(c.suspects, i)
-			}
-		}
+		c.forgetSuspects(o.steps)
 		j.done.add(o.number)
 		j.dropOccurrence(o.number)
 		c.updateMemory(j)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -92,8 +92,12 @@
 
 // group returns the number of the item's group.
 func (i *item) group() int {
-	step := i.step
-	return (step.occurrence*step.job.occurrenceItems + step.firstItem + i.index) / groupItems
+	return i.step.job.groupNumber(i.step.occurrence, i.step.firstItem+i.index)
+}
+
+// groupNumber returns the number of the group of an item, given its position in its occurrence.
+func (j *job) groupNumber(occurrence, position int) int {
+	return (occurrence*j.occurrenceItems + position) / groupItems
 }
 
 // addItem adds the records of the item, unless nothing has happened to it since the job was accepted. maxCheckpoint is the
--- a/internal/scheduler/recordlimit.go
+++ b/internal/scheduler/recordlimit.go
@@ -98,7 +98,7 @@
 	for n := range record.Step {
 		firstItem += j.def.Steps[n].Count
 	}
-	return (record.Occurrence*j.occurrenceItems + firstItem + record.Index) / groupItems
+	return j.groupNumber(record.Occurrence, firstItem+record.Index)
 }
 
 // recordedItem returns the item to which a record belongs, or nil if the job has no such item or doesn't need it. It creates
