Send calls to workers through relays

Callers saw jobs of one kind served below the floor on the large site: the scheduling process took all of its processor at the peaks, 0.11 to 0.16 ms for each call to a worker, and starts, reports and plans then waited for each other. While its calls would take a fifth of its processor, it now sends them in batches over one connection to an entry process in each availability zone, which calls the workers and returns the outcomes. Decisions stay where they are.

- An order carries how long it may still be sent.
The relay counts its age from the newest of its own time stamps that the scheduling process had seen, on a clock that runs while a host is suspended, so that neither a frozen relay nor a suspended scheduler sends old orders.
- A relay refuses superseded terms, and calls only workers of its own list.
- A relay that is silent, stops or is behind loses its calls at once; those that weren't sent are made directly, the others count as unknown and are repeated like any start without a response.
RelayFailed isn't the silence of the worker: no lease, start or renewal is counted against it.

Ruled out: a batch for each call (as many batches as calls cost as much as before; 12 relays by a mistake in counting links that are being opened did the same), gob (60 us to decode ten reports, 32 with varints).

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -25,6 +25,7 @@
 	"turmericyoke/internal/entry/peer"
 	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/relay"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/session"
 	"turmericyoke/internal/structs"
@@ -80,6 +81,10 @@
 	elector  *election.Elector
 	group    *leavableGroup
 	callers  *platform.CallerAPI
+	// relay calls workers for the scheduling process.
+	relay *relay.Server
+	// peerCalls measures the calls of other entry processes.
+	peerCalls *telemetry.Stage
 	// signals receives the signals of catchSignals.
 	signals  <-chan os.Signal
 	draining atomic.Bool
@@ -105,10 +110,12 @@
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
 	p := &process{settings: settings, logger: logger, signals: signals, group: &leavableGroup{Group: services.Group}}
+	p.peerCalls = usage.Stage("peer")
 	p.terms, p.endTerms = context.WithCancel(context.Background())
 	defer p.endTerms()
 	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: p.group, Logger: logger, Clock: boottime.Now}
 	p.entry = &entry.Entry{Self: self, Election: p.elector, PeerClients: peer.NewClients(), ConfigSource: services.ConfigSource, DecodeConfig: platform.DecodeConfig, Logger: logger}
+	p.relay = &relay.Server{Workers: services.Workers, NewDirectory: services.Directory, NewestTerm: func() int64 { return p.elector.Current().Term }, Clock: boottime.Now, Logger: logger}
 	config := session.Config{
 		Log: services.Log, LogLimits: journal.Limits{Record: settings.Platform.RecordBytes, Call: settings.Platform.CallBytes}, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
 		Clock: boottime.Now, WallClock: time.Now, Logger: logger, Metrics: scheduler.NewMetrics(registry),
@@ -126,6 +133,11 @@
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(p.terms, cancel)()
+		router := relay.NewRouter(services.Workers, self, p.elector.Peers, boottime.Now, logger.WithField("term", term))
+		config := config
+		config.Workers = router
+		go router.Run(ctx)
+		go router.Log(ctx)
 		go services.Traffic.Log(ctx, logger.WithField("term", term))
 		go usage.Log(ctx, logger.WithField("term", term))
 		session.Run(ctx, config, term)
@@ -143,7 +155,7 @@
 	p.callers = platform.NewCallerAPI(p.entry, p.logger, registry)
 	callerServer := newCallerServer(p.callers.Handle)
 	readinessServer := &fasthttp.Server{Handler: p.handleReadiness, NoDefaultServerHeader: true, Logger: discardLogger{}, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	peerServer := &http.Server{Handler: peer.NewHandler(p.entry.PeerService()), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: p.peerHandler(), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: metricsHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: headerTimeout}
 
 	group, ctx := errgroup.WithContext(context.Background())
@@ -183,6 +195,18 @@
 	return nil
 }
 
+// peerHandler returns the handler for calls of other entry processes.
+func (p *process) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	calls := peer.NewHandler(p.entry.PeerService())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		defer p.peerCalls.Since(time.Now())
+		calls.ServeHTTP(w, r)
+	})
+	mux.Handle(relay.Path, p.relay)
+	return mux
+}
+
 // awaitComponents waits until all components of the group have ended, but once ctx, the context of the group, has
 // ended, no longer than componentsTimeout. Calls to the platform don't end with ctx, and a term that is loading its
 // state makes many in a row.
@@ -252,6 +276,7 @@
 	p.logger.WithField("event", "stopping").Info("stopping gracefully")
 	p.resign()
 	p.endTerms()
+	p.relay.Stop()
 	p.leaveGroup()
 	_ = periodic.Pause(ctx, time.Until(closeListenersAt))
 }
--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -28,6 +28,7 @@
 	"turmericyoke/internal/entry/peer"
 	"turmericyoke/internal/infra"
 	"turmericyoke/internal/infra/infratest"
+	"turmericyoke/internal/relay"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 	"turmericyoke/platform"
@@ -45,7 +46,7 @@
 func newIdleProcess(t *testing.T, log infra.Log, output io.Writer) *process {
 	logger := logrus.New()
 	logger.SetOutput(output)
-	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger), group: &leavableGroup{Group: &infratest.Group{}}}
+	p := &process{settings: &platform.Settings{}, logger: logrus.NewEntry(logger), group: &leavableGroup{Group: &infratest.Group{}}, relay: &relay.Server{}}
 	p.terms, p.endTerms = context.WithCancel(t.Context())
 	p.settings.Bounds.GraceS = graceTime.Seconds()
 	p.elector = &election.Elector{Self: infra.Member{Name: "n"}, Log: log, Group: p.group, Logger: p.logger, Clock: clockFrom(time.Now())}
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -46,6 +46,9 @@
 	Busy ErrorKind = "busy"
 	// Invalid means that the call or its response is malformed.
 	Invalid ErrorKind = "invalid"
+	// RelayFailed means that the process through which the call was to be sent doesn't respond. The call may have taken
+	// effect or may take effect later. It says nothing about the addressed worker.
+	RelayFailed ErrorKind = "relay_failed"
 )
 
 // Error is an error of a call, with its kind.
@@ -226,6 +229,8 @@
 type WorkerRef struct {
 	ID      string
 	Address string
+	// Zone is the availability zone of the worker, as far as it is known.
+	Zone string
 }
 
 // StartOrder is an order to a worker to start a run of a work item.
@@ -306,6 +311,21 @@
 	Partial bool
 }
 
+// sendLimitKey is the key of the send limit in a context.
+type sendLimitKey struct{}
+
+// WithSendLimit returns a context in which a call may wait for at most this long before it is sent to its worker. It
+// doesn't limit the time until the response.
+func WithSendLimit(ctx context.Context, limit time.Duration) context.Context {
+	return context.WithValue(ctx, sendLimitKey{}, limit)
+}
+
+// SendLimit returns the limit that WithSendLimit has set, and false if there is none.
+func SendLimit(ctx context.Context) (time.Duration, bool) {
+	limit, limited := ctx.Value(sendLimitKey{}).(time.Duration)
+	return limit, limited
+}
+
 // Workers calls workers. Errors are of type *Error.
 type Workers interface {
 	Start(ctx context.Context, worker WorkerRef, order StartOrder) (clockMs int64, err error)
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -94,7 +94,7 @@
 	now := c.clock()
 	request := infra.LeaseRenewal{Token: c.term}
 	w.sentAck = 0
-	if w.failedRenewals == 0 && w.hasReported {
+	if w.failedRenewals == 0 && !w.renewalInterrupted && w.hasReported {
 		// After a failed renewal the worker may have restarted and may number its ends from 1 again, so that
 		// acknowledging ends by number isn't safe. For the same reason each end is acknowledged once only.
 		if w.durableEnd > w.ackedEnd {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -52,6 +52,17 @@
 	c.wakeUp()
 }
 
+// RenewalInterrupted notes that the process through which a lease renewal was sent stopped responding. The worker may have
+// got the renewal, and isn't blamed for the missing response.
+func (c *Core) RenewalInterrupted(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		w.loseAck(c.clock())
+		w.sentAck, w.renewalInterrupted = 0, true
+	}
+}
+
 // markFenced records that the worker or host with the ID refused the call op because it has seen a higher
 // fencing token, so that this term ends.
 func (c *Core) markFenced(op, id string) {
@@ -91,7 +102,7 @@
 		c.wakeUp()
 	}
 	unwatched, knownEnd := sentAt-w.lastReportAt, w.appliedEnd
-	w.failedRenewals, w.lastReportAt, w.reportSentAt, w.hasReported = 0, now, sentAt, true
+	w.failedRenewals, w.renewalInterrupted, w.lastReportAt, w.reportSentAt, w.hasReported = 0, false, now, sentAt, true
 	w.ended, w.crashCounted, w.mayReturn = false, false, false
 	w.clockMs, w.clockReadAt = report.ClockMs, now
 	w.strayNeed, w.unknownRuns = work.Resources{}, 0
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -88,6 +88,9 @@
 	unconfirmedPause time.Duration
 	// failedRenewals is the number of lease renewals that failed since the last report.
 	failedRenewals int
+	// renewalInterrupted is set if a lease renewal since the last report may or may not have reached the worker, which
+	// isn't to blame.
+	renewalInterrupted bool
 	// pausedUntil is when the worker may get new work again. Until probeUntil a suspect may start there on trial: a start
 	// that wasn't confirmed is the only reason for the pause.
 	pausedUntil, probeUntil time.Duration
@@ -123,7 +126,7 @@
 }
 
 func (w *worker) ref() infra.WorkerRef {
-	return infra.WorkerRef{ID: w.entry.ID, Address: w.entry.Address}
+	return infra.WorkerRef{ID: w.entry.ID, Address: w.entry.Address, Zone: w.entry.Zone}
 }
 
 // freeCapacity returns the capacity that neither placed items nor stray runs reserve. It is negative if the
--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -49,22 +49,35 @@
 	took := s.Clock() - sentAt
 	a.inProgress += took
 	kind := infra.KindOf(err)
-	if kind != infra.Unknown && kind != infra.Refused {
+	if isResponse(kind) {
 		s.roundTrips.observe(took)
 	}
 	if kind == infra.Unknown {
 		s.core.CallUnanswered(worker)
 	}
-	if kind != infra.Unknown && kind != infra.Refused || a.sent == maxOrderAttempts || a.inProgress > orderRepeatTime {
+	if isResponse(kind) || a.sent == maxOrderAttempts || a.inProgress > orderRepeatTime {
+		if kind == infra.RelayFailed {
+			err = &infra.Error{Kind: infra.Unknown, Op: "order", Cause: err}
+		}
 		return false, err
 	}
-	a.uncertain = a.uncertain || kind == infra.Unknown
+	a.uncertain = a.uncertain || kind == infra.Unknown || kind == infra.RelayFailed
 	if kind == infra.Refused {
 		_ = periodic.Pause(ctx, refusedOrderPause)
 	}
 	return true, err
 }
 
+// isResponse reports whether an error of the kind, or success, is the response of the worker.
+func isResponse(kind infra.ErrorKind) bool {
+	return kind != infra.Unknown && kind != infra.Refused && kind != infra.RelayFailed
+}
+
+// limited returns a context in which a call isn't sent to its worker once this term may no longer act.
+func (s *session) limited(ctx context.Context) context.Context {
+	return infra.WithSendLimit(ctx, s.writer.ConfirmedAt()+scheduler.LeaderLease-s.Clock())
+}
+
 // mayAct reports whether the last confirmed append is recent enough for orders to workers. A process that was suspended,
 // or is far behind, may find that a later term has begun meanwhile. Starts are checked with their leases.
 func (s *session) mayAct() bool { return s.Clock()-s.writer.ConfirmedAt() <= scheduler.LeaderLease }
@@ -82,7 +95,7 @@
 			return
 		}
 		again, err := s.attempt(ctx, &a, order.Worker.ID, func(ctx context.Context) error {
-			_, err := s.Workers.Stop(ctx, order.Worker, order.Item, order.Run, s.term)
+			_, err := s.Workers.Stop(s.limited(ctx), order.Worker, order.Item, order.Run, s.term)
 			return err
 		})
 		if !again {
@@ -144,7 +157,7 @@
 	unresponsive := s.core.Unresponsive(order.Worker.ID)
 	sentAt := s.Clock()
 	again, err = s.attempt(ctx, a, order.Worker.ID, func(ctx context.Context) error {
-		_, err := s.Workers.Start(ctx, order.Worker, start)
+		_, err := s.Workers.Start(s.limited(ctx), order.Worker, start)
 		return err
 	})
 	kind := infra.KindOf(err)
@@ -152,7 +165,8 @@
 		s.core.StartUnanswered(order)
 	}
 	// A worker that has left other calls unanswered says nothing about a link on which the answered ones are fast.
-	if responded := kind != infra.Unknown && kind != infra.Refused; responded || !unresponsive || s.roundTrips.congested() {
+	// The failure of a relay says nothing about the link to the workers either.
+	if responded := isResponse(kind); kind != infra.RelayFailed && (responded || !unresponsive || s.roundTrips.congested()) {
 		window.observe(sentAt, s.Clock(), responded)
 	}
 	return true, again, err
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -266,7 +266,7 @@
 		if !s.mayAct() {
 			return
 		}
-		if _, err := s.Workers.SetPace(ctx, order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
+		if _, err := s.Workers.SetPace(s.limited(ctx), order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
 			s.Logger.WithFields(logrus.Fields{"event": "pace_failed", "item": order.Item.String(), "worker": order.Worker.ID}).WithError(err).Info("can't set the pace of a work item; the worker's next report may change the pace again")
 		}
 	}
@@ -332,7 +332,16 @@
 			continue
 		}
 		sentAt := s.Clock()
-		report, err := s.Workers.RenewLease(ctx, plan.Worker, s.core.BuildRenewal(id, s.writer.ConfirmedAt()))
+		request := s.core.BuildRenewal(id, s.writer.ConfirmedAt())
+		callCtx := ctx
+		if request.LeaseEndMs > 0 {
+			callCtx = s.limited(ctx)
+		}
+		report, err := s.Workers.RenewLease(callCtx, plan.Worker, request)
+		if infra.KindOf(err) == infra.RelayFailed {
+			s.core.RenewalInterrupted(id)
+			continue
+		}
 		if err != nil {
 			s.core.RenewalFailed(id, err)
 			continue
