Write log lines in batches

A busy scheduling process logs 1,500 lines a second, and its writer took those that were queued at that moment: often a system call for one line, which blocks a thread. Lines now wait for 20 ms. Close still writes all that are queued, and Write never blocks.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -5,11 +5,17 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// maxQueuedLines is the maximum number of lines waiting to be written. At about 200 bytes a line, they
-// take about 1 MB.
-const maxQueuedLines = 4096
+const (
+	// maxQueuedLines is the maximum number of lines waiting to be written. At about 200 bytes a line, they
+	// take about 1 MB.
+	maxQueuedLines = 4096
+	// writePause is how long a line waits for others that are written with it. A busy process logs more than a thousand
+	// lines a second, and each write is a system call that blocks a thread.
+	writePause = 20 * time.Millisecond
+)
 
 // AsyncWriter writes log lines in the background. Its Write never blocks: if the underlying writer is
 // too slow, lines are dropped and their number is logged.
@@ -47,6 +53,7 @@
 		select {
 		case line := <-w.queue:
 			buffer = append(buffer, line...)
+			open = w.awaitMore()
 		case <-w.closing:
 			open = false
 		}
@@ -59,6 +66,18 @@
 	}
 }
 
+// awaitMore waits for writePause. It returns false if Close was called.
+func (w *AsyncWriter) awaitMore() bool {
+	timer := time.NewTimer(writePause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-w.closing:
+		return false
+	}
+}
+
 // appendQueued appends all queued lines to the buffer.
 func (w *AsyncWriter) appendQueued(buffer []byte) []byte {
 	for {
