Don't blame a relay for calls that this process gave up itself

A call that expired in the scheduling process before it was written counted as one that the relay couldn't send in time, so that the relay got no calls for half a second, and this process made them all directly: the wrong answer to its own delay. Such calls have a reason of their own now. TestSendLimitHoldsOnBothPaths checks that the relay stays in use.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -175,7 +175,7 @@
 		p.done <- resolved{fate: fateUnknown, cause: l.cause}
 		return
 	}
-	p.done <- resolved{fate: fateNotSent, reason: reasonStopping}
+	p.done <- resolved{fate: fateNotSent, reason: reasonNotWritten}
 }
 
 // usable reports whether the relay may get calls now.
@@ -222,7 +222,7 @@
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
-		return resolved{fate: fateNotSent, reason: reasonStopping}
+		return resolved{fate: fateNotSent, reason: reasonNotWritten}
 	}
 	l.nextID++
 	m.ID = l.nextID
@@ -256,7 +256,7 @@
 		return resolved{fate: fateUnknown, cause: cause}
 	}
 	p.sendBy = 0
-	return resolved{fate: fateNotSent, reason: reasonExpired}
+	return resolved{fate: fateNotSent, reason: reasonNotWritten}
 }
 
 // writeCalls writes the queued calls in batches.
@@ -290,7 +290,7 @@
 			batch.Calls = append(batch.Calls, *p.call)
 		} else if l.pending[p.call.ID] == p {
 			delete(l.pending, p.call.ID)
-			p.done <- resolved{fate: fateNotSent, reason: reasonExpired}
+			p.done <- resolved{fate: fateNotSent, reason: reasonNotWritten}
 		}
 	}
 	l.queue = nil
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -83,11 +83,13 @@
 
 // Reasons why a call wasn't sent.
 const (
-	reasonExpired  reason = "expired"
-	reasonUnlisted reason = "unlisted"
-	reasonStopping reason = "stopping"
-	reasonBusy     reason = "busy"
-	reasonInvalid  reason = "invalid"
+	reasonExpired reason = "expired"
+	// reasonNotWritten means that this process has given the call up before it was written.
+	reasonNotWritten reason = "not_written"
+	reasonUnlisted   reason = "unlisted"
+	reasonStopping   reason = "stopping"
+	reasonBusy       reason = "busy"
+	reasonInvalid    reason = "invalid"
 )
 
 // outcome is the outcome of a call.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,8 +105,8 @@
 		for _, limit := range []time.Duration{-time.Second, 0, time.Millisecond} {
 			_, err := f.router.Start(infra.WithSendLimit(t.Context(), limit), testWorker(1), infra.StartOrder{Item: testItem, Run: 1, Token: 5})
 			assertKind(t, err, infra.Refused)
-			// A relay that is behind isn't the reason.
-			(*f.router.links.Load())[0].behindUntil.Store(0)
+			// The relay isn't to blame.
+			assert.Assert(t, (*f.router.links.Load())[0].usable(f.clock()))
 		}
 		assert.Check(t, is.Len(relay.workers.calls(), 0))
 		assert.Check(t, is.Len(f.direct.calls(), 0))
