Forget the paths of workers that have left

The choice of the other path after a call without a response was removed only when the worker was called again, so that workers that have left kept theirs until the end of the term.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -38,7 +38,7 @@
 	var chosen []infra.Member
 	for _, candidates := range byZone {
 		slices.SortFunc(candidates, func(a, b infra.Member) int {
-			return cmp.Or(compareBool(linked[b.Name], linked[a.Name]), cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(hashOf(a.Name), hashOf(b.Name)))
+			return cmp.Or(cmp.Compare(preference(linked[a.Name]), preference(linked[b.Name])), cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(hashOf(a.Name), hashOf(b.Name)))
 		})
 		power := 0.0
 		for _, candidate := range candidates {
@@ -52,14 +52,12 @@
 	return chosen
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
+// preference sorts relays with a link before those without.
+func preference(linked bool) int {
+	if linked {
 		return 0
-	case a:
-		return 1
 	}
-	return -1
+	return 1
 }
 
 // maintain opens and closes links as the load and the members require.
@@ -67,6 +65,7 @@
 	now := r.Clock()
 	relaying := r.load.observe(r.counters.offered.Swap(0), now-r.observedAt, now)
 	r.observedAt = now
+	r.forgetPaths(now)
 	var open []*link
 	for _, l := range append(r.takeOpened(), *r.links.Load()...) {
 		switch {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -126,16 +127,19 @@
 	return best
 }
 
+// forgetPaths forgets the choices that have run out, for example of workers that have left.
+func (r *Router) forgetPaths(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.otherPath, func(_ string, choice pathChoice) bool { return now >= choice.until })
+}
+
 // prefersDirect reports whether the calls to the worker are direct for the time being.
 func (r *Router) prefersDirect(worker string, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	choice, chosen := r.otherPath[worker]
-	if chosen && now >= choice.until {
-		delete(r.otherPath, worker)
-		return false
-	}
-	return chosen && choice.direct
+	return chosen && choice.direct && now < choice.until
 }
 
 // noteOutcome makes the next calls to a worker take the other path after one that the worker hasn't answered. via is the
