--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -297,6 +297,28 @@
 	assert.Equal(t, rc.BuildRenewal(id, rc.now).AckedEnd, int64(0))
 }
 
+// Guards against a worker whose lease isn't renewed, or that counts as unresponsive, because a relay failed, and against an
+// acknowledgement that is repeated before the next report: the worker may have got it and restarted.
+func TestInterruptedRenewalIsRenewedAtOnce(t *testing.T) {
+	tc := newCrashCore(1)
+	first, second := tc.submitItems(t, "first", 1)[0], tc.submitItems(t, "second", 1)[0]
+	w := first.worker
+	id, running := w.entry.ID, []infra.ActiveRun{{Item: second.id(), Run: second.run}}
+	tc.ApplyReport(id, infra.WorkerReport{ClockMs: w.clockMs + 1, Running: running,
+		Ended: []infra.EndedRun{{Sequence: w.appliedEnd + 1, Item: first.id(), Run: first.run, Cause: infra.EndDone}}}, tc.now)
+	tc.commit()
+	acked := tc.BuildRenewal(id, tc.now).AckedEnd
+	assert.Equal(t, acked, w.durableEnd)
+	tc.RenewalInterrupted(id)
+	assert.Equal(t, tc.NextRenewal(id).Pause, time.Duration(0))
+	renewal := tc.BuildRenewal(id, tc.now)
+	assert.Equal(t, renewal.AckedEnd, int64(0))
+	assert.Assert(t, renewal.LeaseEndMs > 0)
+	assert.Assert(t, !tc.Unresponsive(id))
+	tc.ApplyReport(id, infra.WorkerReport{ClockMs: w.clockMs + 1, Running: running}, tc.now)
+	assert.Equal(t, tc.BuildRenewal(id, tc.now).AckedEnd, acked)
+}
+
 // Guards against acknowledging ends of a restarted worker that aren't durable yet: a batch from before the restart names
 // an end of the earlier process.
 func TestBatchFromBeforeARestartAcknowledgesNothing(t *testing.T) {
