--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -101,7 +101,8 @@
 // guarded runs a part of the connection. An error or a panic, for example in a decoder, ends this connection only.
 func (c *servedConn) guarded(run func() error) {
 	defer c.cancel()
-	defer c.conn.SetDeadline(time.Unix(1, 0)) //nolint:errcheck // Wakes the other part; a closed connection does so too.
+	// Wakes the other part. It fails only on a closed connection, which does so too.
+	defer func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }()
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.server.Logger.WithFields(logrus.Fields{"event": "relay_panicked", "cause": cause, "stack": string(debug.Stack())}).Error("a connection for calls to workers panicked; closing it")
