--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,7 +31,7 @@
 		assert.DeepEqual(t, report, want)
 		assert.Check(t, is.Len(relay.workers.calls(), 4))
 		for _, kind := range []infra.ErrorKind{infra.Superseded, infra.NoCapacity, infra.Unavailable, infra.WorkerReplaced, infra.LeaseExpired, infra.NotGranted, infra.Fenced} {
-			relay.workers.err = &infra.Error{Kind: kind, Op: "run-start"}
+			relay.workers.err = &infra.Error{Kind: kind, Op: "start"}
 			assertKind(t, f.start(1, 4), kind)
 		}
 		assert.Check(t, is.Len(f.direct.calls(), 0))
