Make relayed and direct calls with one function, and simplify the encoding

The router had four closures that repeated the relay's choice of the call by its kind; both now use call.send. Booleans and malformed fields are written and noted in one place each. The number of calls since the load was last observed follows from their total. A relayed call with a response no longer takes the lock of the paths, which it never changes.

--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -10,7 +10,7 @@
 	"turmericyoke/internal/work"
 )
 
-// BenchmarkBatchOfReports encodes and decodes batches of ten reports with eight runs and an end each, per report.
+// BenchmarkBatchOfReports encodes and decodes batches of ten reports with eight runs and an end each.
 func BenchmarkBatchOfReports(b *testing.B) {
 	batch := outcomeBatch{Stamp: 12345678901234}
 	for n := range 10 {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -63,8 +63,9 @@
 // maintain opens and closes links as the load and the members require.
 func (r *Router) maintain(ctx context.Context) {
 	now := r.Clock()
-	relaying := r.load.observe(r.counters.offered.Swap(0), now-r.observedAt, now)
-	r.observedAt = now
+	calls := r.counters.calls.Load()
+	relaying := r.load.observe(calls-r.observedCalls, now-r.observedAt, now)
+	r.observedCalls, r.observedAt = calls, now
 	r.forgetPaths(now)
 	var open []*link
 	for _, l := range append(r.takeOpened(), *r.links.Load()...) {
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -10,19 +10,11 @@
 // usageLogInterval is the interval at which the use of relays is logged.
 const usageLogInterval = 5 * time.Second
 
-// counters count calls to workers.
+// counters are the totals of Usage.
 type counters struct {
-	// offered are the calls since the load was last observed.
-	offered atomic.Int64
-	// The others are the totals of Usage.
 	calls, direct, batches, batched, notSent, unlisted, unknown atomic.Int64
 }
 
-func (c *counters) call() {
-	c.offered.Add(1)
-	c.calls.Add(1)
-}
-
 func (c *counters) batch(calls int) {
 	c.batches.Add(1)
 	c.batched.Add(int64(calls))
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -313,7 +313,7 @@
 	time.Sleep(maintainInterval / 2)
 	// On so small a processor a few calls a second are worth relays.
 	for range 10 {
-		f.router.counters.call()
+		f.router.counters.calls.Add(1)
 	}
 	f.settle()
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -78,6 +78,21 @@
 	return c.Order.Token
 }
 
+// send makes the call through workers.
+func (c *call) send(ctx context.Context, workers infra.Workers) (result outcome, err error) {
+	switch c.Kind {
+	case callStart:
+		result.ClockMs, err = workers.Start(ctx, c.Worker, c.Order)
+	case callStop:
+		result.ClockMs, err = workers.Stop(ctx, c.Worker, c.Order.Item, c.Order.Run, c.Order.Token)
+	case callPace:
+		result.ClockMs, err = workers.SetPace(ctx, c.Worker, c.Order.Item, c.Order.Run, c.Percent, c.Order.Token)
+	case callRenewal:
+		result.Report, err = workers.RenewLease(ctx, c.Worker, c.Renewal)
+	}
+	return result, err
+}
+
 // reason tells why a relay didn't send a call. The list is closed.
 type reason string
 
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -50,9 +50,10 @@
 	links        atomic.Pointer[[]*link]
 	linksChanged chan struct{}
 
-	// load and observedAt belong to maintain.
-	load       load
-	observedAt time.Duration
+	// load, and the calls that it has observed until observedAt, belong to maintain.
+	load          load
+	observedCalls int64
+	observedAt    time.Duration
 	// opening are the attempts to open links.
 	opening sync.WaitGroup
 
@@ -146,13 +147,16 @@
 // link of the call, or nil if it was direct.
 func (r *Router) noteOutcome(worker string, via *link, kind infra.ErrorKind, now time.Duration) {
 	unanswered := kind == infra.Unknown || kind == infra.Refused
+	if via != nil && !unanswered {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	choice, chosen := r.otherPath[worker]
 	switch {
 	case unanswered:
 		r.otherPath[worker] = pathChoice{direct: via != nil, until: now + otherPathTime, blamed: via}
-	case via == nil && chosen && choice.blamed != nil:
+	case chosen && choice.blamed != nil:
 		choice.blamed.blame(now)
 		choice.blamed = nil
 		r.otherPath[worker] = choice
@@ -172,14 +176,13 @@
 }
 
 // relayed makes a call through a relay. It returns false if the call wasn't sent and this process is to make it.
-func (r *Router) relayed(ctx context.Context, worker infra.WorkerRef, m *call, timeLimit time.Duration) (outcome, error, bool) {
+func (r *Router) relayed(ctx context.Context, m *call, timeLimit time.Duration) (outcome, error, bool) {
 	now := r.Clock()
-	r.counters.call()
-	l := r.linkFor(worker, now)
+	r.counters.calls.Add(1)
+	l := r.linkFor(m.Worker, now)
 	if l == nil {
 		return outcome{}, nil, false
 	}
-	m.Worker = worker
 	sendWithin := maxRelayDelay
 	if limit, limited := infra.SendLimit(ctx); limited {
 		sendWithin = min(sendWithin, limit)
@@ -193,27 +196,28 @@
 	r.counters.resolved(&result)
 	switch result.fate {
 	case fateKnown:
-		r.noteOutcome(worker.ID, l, result.outcome.Kind, now)
+		r.noteOutcome(m.Worker.ID, l, result.outcome.Kind, now)
 		return result.outcome, result.outcome.err(), true
 	case fateUnknown:
 		if ctx.Err() != nil {
 			// The caller's time limit has passed, as it may in a direct call.
-			r.noteOutcome(worker.ID, l, infra.Unknown, now)
+			r.noteOutcome(m.Worker.ID, l, infra.Unknown, now)
 			return outcome{}, &infra.Error{Kind: infra.Unknown, Op: "relay", Cause: result.cause}, true
 		}
 		return outcome{}, &infra.Error{Kind: infra.RelayFailed, Op: "relay", Detail: l.relay.Name, Cause: result.cause}, true
 	}
-	r.noteNotSent(l, worker.ID, result.reason, now)
+	r.noteNotSent(l, m.Worker.ID, result.reason, now)
 	return outcome{}, nil, false
 }
 
 // errTooLate is the outcome of a call that a relay didn't send, and that must not be sent any more.
 var errTooLate = &infra.Error{Kind: infra.Refused, Op: "relay", Detail: "the relay didn't send the call, and it must not be sent any more"}
 
-// do makes a call through a relay or, if it wasn't sent there, with direct.
-func (r *Router) do(ctx context.Context, worker infra.WorkerRef, m *call, timeLimit time.Duration, direct func(ctx context.Context) (outcome, error)) (outcome, error) {
+// do makes a call through a relay or, if it wasn't sent there, directly.
+func (r *Router) do(ctx context.Context, worker infra.WorkerRef, m call, timeLimit time.Duration) (outcome, error) {
+	m.Worker = worker
 	begunAt := r.Clock()
-	result, err, made := r.relayed(ctx, worker, m, timeLimit)
+	result, err, made := r.relayed(ctx, &m, timeLimit)
 	if made {
 		return result, err
 	}
@@ -221,7 +225,7 @@
 		return outcome{}, errTooLate
 	}
 	r.counters.direct.Add(1)
-	result, err = direct(ctx)
+	result, err = m.send(ctx, r.Direct)
 	if len(*r.links.Load()) > 0 {
 		r.noteOutcome(worker.ID, nil, infra.KindOf(err), r.Clock())
 	}
@@ -230,40 +234,25 @@
 
 // Start implements infra.Workers.
 func (r *Router) Start(ctx context.Context, worker infra.WorkerRef, order infra.StartOrder) (int64, error) {
-	result, err := r.do(ctx, worker, &call{Kind: callStart, Order: order}, orderTimeLimit, func(ctx context.Context) (result outcome, err error) {
-		result.ClockMs, err = r.Direct.Start(ctx, worker, order)
-		return result, err
-	})
+	result, err := r.do(ctx, worker, call{Kind: callStart, Order: order}, orderTimeLimit)
 	return result.ClockMs, err
 }
 
 // Stop implements infra.Workers.
 func (r *Router) Stop(ctx context.Context, worker infra.WorkerRef, item work.ItemID, run, token int64) (int64, error) {
-	m := &call{Kind: callStop, Order: infra.StartOrder{Item: item, Run: run, Token: token}}
-	result, err := r.do(ctx, worker, m, orderTimeLimit, func(ctx context.Context) (result outcome, err error) {
-		result.ClockMs, err = r.Direct.Stop(ctx, worker, item, run, token)
-		return result, err
-	})
+	result, err := r.do(ctx, worker, call{Kind: callStop, Order: infra.StartOrder{Item: item, Run: run, Token: token}}, orderTimeLimit)
 	return result.ClockMs, err
 }
 
 // SetPace implements infra.Workers.
 func (r *Router) SetPace(ctx context.Context, worker infra.WorkerRef, item work.ItemID, run int64, percent int, token int64) (int64, error) {
-	m := &call{Kind: callPace, Order: infra.StartOrder{Item: item, Run: run, Token: token}, Percent: percent}
-	result, err := r.do(ctx, worker, m, orderTimeLimit, func(ctx context.Context) (result outcome, err error) {
-		result.ClockMs, err = r.Direct.SetPace(ctx, worker, item, run, percent, token)
-		return result, err
-	})
+	result, err := r.do(ctx, worker, call{Kind: callPace, Order: infra.StartOrder{Item: item, Run: run, Token: token}, Percent: percent}, orderTimeLimit)
 	return result.ClockMs, err
 }
 
 // RenewLease implements infra.Workers.
 func (r *Router) RenewLease(ctx context.Context, worker infra.WorkerRef, request infra.LeaseRenewal) (infra.WorkerReport, error) {
-	timeLimit := request.Wait + max(renewalTimeLimit, request.ResponseTime)
-	result, err := r.do(ctx, worker, &call{Kind: callRenewal, Renewal: request}, timeLimit, func(ctx context.Context) (result outcome, err error) {
-		result.Report, err = r.Direct.RenewLease(ctx, worker, request)
-		return result, err
-	})
+	result, err := r.do(ctx, worker, call{Kind: callRenewal, Renewal: request}, request.Wait+max(renewalTimeLimit, request.ResponseTime))
 	return result.Report, err
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -158,7 +158,7 @@
 		case c.ctx.Err() != nil:
 			result.NotSent = reasonStopping
 		default:
-			c.server.send(c.ctx, m, &result)
+			result = c.server.send(c.ctx, m)
 		}
 	}()
 }
@@ -226,23 +226,15 @@
 	}
 }
 
-// send makes the call and sets its outcome.
-func (s *Server) send(ctx context.Context, m *call, result *outcome) {
+// send makes the call and returns its outcome.
+func (s *Server) send(ctx context.Context, m *call) outcome {
 	if m.TimeLimit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, m.TimeLimit)
 		defer cancel()
 	}
-	var err error
-	switch m.Kind {
-	case callStart:
-		result.ClockMs, err = s.Workers.Start(ctx, m.Worker, m.Order)
-	case callStop:
-		result.ClockMs, err = s.Workers.Stop(ctx, m.Worker, m.Order.Item, m.Order.Run, m.Order.Token)
-	case callPace:
-		result.ClockMs, err = s.Workers.SetPace(ctx, m.Worker, m.Order.Item, m.Order.Run, m.Percent, m.Order.Token)
-	case callRenewal:
-		result.Report, err = s.Workers.RenewLease(ctx, m.Worker, m.Renewal)
-	}
+	result, err := m.send(ctx, s.Workers)
+	result.ID = m.ID
 	result.setErr(err)
+	return result
 }
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -24,6 +24,14 @@
 	w.bytes = protowire.AppendVarint(w.bytes, protowire.EncodeZigZag(n))
 }
 
+func (w *writer) boolean(b bool) {
+	n := int64(0)
+	if b {
+		n = 1
+	}
+	w.integer(n)
+}
+
 func (w *writer) text(s string) {
 	w.integer(int64(len(s)))
 	w.bytes = append(w.bytes, s...)
@@ -94,11 +102,7 @@
 func (w *writer) report(r *infra.WorkerReport) {
 	w.integer(r.ClockMs)
 	w.integer(r.StartUnixMs)
-	partial := int64(0)
-	if r.Partial {
-		partial = 1
-	}
-	w.integer(partial)
+	w.boolean(r.Partial)
 	w.integer(int64(len(r.Running)))
 	for n := range r.Running {
 		run := &r.Running[n]
@@ -132,20 +136,25 @@
 	err   error
 }
 
+// fail ends the decoding.
+func (r *reader) fail() { r.bytes, r.err = nil, errMalformed }
+
 func (r *reader) integer() int64 {
 	value, n := protowire.ConsumeVarint(r.bytes)
 	if n < 0 || r.err != nil {
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 		return 0
 	}
 	r.bytes = r.bytes[n:]
 	return protowire.DecodeZigZag(value)
 }
 
+func (r *reader) boolean() bool { return r.integer() != 0 }
+
 func (r *reader) text() string {
 	length := r.integer()
 	if length < 0 || length > int64(len(r.bytes)) {
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 		return ""
 	}
 	text := string(r.bytes[:length])
@@ -157,7 +166,7 @@
 func (r *reader) count() int {
 	count := r.integer()
 	if count < 0 || count > int64(len(r.bytes)) {
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 		return 0
 	}
 	return int(count)
@@ -169,7 +178,7 @@
 	case position >= 0 && position < int64(len(r.specs)):
 		return r.specs[position]
 	case position != int64(len(r.specs)):
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 		return ""
 	}
 	r.specs = append(r.specs, r.text())
@@ -179,7 +188,7 @@
 func (r *reader) item() work.ItemID {
 	id := work.ItemID{Job: r.text(), Occurrence: int(r.integer()), Step: int(r.integer()), Index: int(r.integer())}
 	if id.Occurrence < 0 || id.Step < 0 || id.Index < 0 {
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 	}
 	return id
 }
@@ -198,7 +207,7 @@
 		m.Percent = int(r.integer())
 	case callStop:
 	default:
-		r.bytes, r.err = nil, errMalformed
+		r.fail()
 	}
 	return m
 }
@@ -209,7 +218,7 @@
 		o.Op, o.Detail = r.text(), r.text()
 	}
 	o.ClockMs = r.integer()
-	o.Report = infra.WorkerReport{ClockMs: r.integer(), StartUnixMs: r.integer(), Partial: r.integer() != 0}
+	o.Report = infra.WorkerReport{ClockMs: r.integer(), StartUnixMs: r.integer(), Partial: r.boolean()}
 	if count := r.count(); count > 0 {
 		o.Report.Running = make([]infra.ActiveRun, 0, min(count, maxPreallocated))
 		for n := 0; n < count && r.err == nil; n++ {
@@ -244,13 +253,9 @@
 
 // appendTo appends the encoded batch.
 func (b *outcomeBatch) appendTo(w *writer) {
-	stopping := int64(0)
-	if b.Stopping {
-		stopping = 1
-	}
 	w.integer(b.Stamp)
 	w.integer(b.Received)
-	w.integer(stopping)
+	w.boolean(b.Stopping)
 	w.integer(int64(len(b.Outcomes)))
 	for n := range b.Outcomes {
 		w.outcome(&b.Outcomes[n])
@@ -258,7 +263,7 @@
 }
 
 func (b *outcomeBatch) decode(r *reader) {
-	b.Stamp, b.Received, b.Stopping = r.integer(), r.integer(), r.integer() != 0
+	b.Stamp, b.Received, b.Stopping = r.integer(), r.integer(), r.boolean()
 	count := r.count()
 	for n := 0; n < count && r.err == nil; n++ {
 		b.Outcomes = append(b.Outcomes, r.outcome())
