Handle a renewal whose relay failed with the other failed renewals

RenewalFailed decides by the kind of the error already, so that the session needs no special case and the core no second method. No change of behaviour: the tests keep their assertions.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -31,6 +31,12 @@
 	if w == nil {
 		return
 	}
+	if infra.KindOf(err) == infra.RelayFailed {
+		// The worker may have got the renewal, and isn't blamed for the missing response.
+		w.loseAck(c.clock())
+		w.sentAck, w.renewalInterrupted = 0, true
+		return
+	}
 	w.failedRenewals++
 	if infra.KindOf(err) == infra.Unknown {
 		w.loseAck(c.clock())
@@ -52,17 +58,6 @@
 	c.wakeUp()
 }
 
-// RenewalInterrupted notes that the process through which a lease renewal was sent stopped responding. The worker may have
-// got the renewal, and isn't blamed for the missing response.
-func (c *Core) RenewalInterrupted(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w := c.workers[id]; w != nil {
-		w.loseAck(c.clock())
-		w.sentAck, w.renewalInterrupted = 0, true
-	}
-}
-
 // markFenced records that the worker or host with the ID refused the call op because it has seen a higher
 // fencing token, so that this term ends.
 func (c *Core) markFenced(op, id string) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -309,7 +309,7 @@
 	tc.commit()
 	acked := tc.BuildRenewal(id, tc.now).AckedEnd
 	assert.Equal(t, acked, w.durableEnd)
-	tc.RenewalInterrupted(id)
+	tc.RenewalFailed(id, &infra.Error{Kind: infra.RelayFailed, Op: "hold"})
 	assert.Equal(t, tc.NextRenewal(id).Pause, time.Duration(0))
 	renewal := tc.BuildRenewal(id, tc.now)
 	assert.Equal(t, renewal.AckedEnd, int64(0))
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -338,10 +338,6 @@
 			callCtx = s.limited(ctx)
 		}
 		report, err := s.Workers.RenewLease(callCtx, plan.Worker, request)
-		if infra.KindOf(err) == infra.RelayFailed {
-			s.core.RenewalInterrupted(id)
-			continue
-		}
 		if err != nil {
 			s.core.RenewalFailed(id, err)
 			continue
