--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -67,7 +67,15 @@
 	relaying := r.load.observe(calls-r.observedCalls, now-r.observedAt, now)
 	r.observedCalls, r.observedAt = calls, now
 	r.forgetPaths(now)
-	var open []*link
+	open := r.keepLinks(relaying, now)
+	r.links.Store(&open)
+	if relaying {
+		r.openLinks(ctx, open, now)
+	}
+}
+
+// keepLinks returns the links that stay open, and lets the others end.
+func (r *Router) keepLinks(relaying bool, now time.Duration) (open []*link) {
 	for _, l := range append(r.takeOpened(), *r.links.Load()...) {
 		switch {
 		case l.refusesCalls.Load():
@@ -79,10 +87,11 @@
 			open = append(open, l)
 		}
 	}
-	r.links.Store(&open)
-	if !relaying {
-		return
-	}
+	return open
+}
+
+// openLinks opens the links that are missing beside those that are open.
+func (r *Router) openLinks(ctx context.Context, open []*link, now time.Duration) {
 	members := r.Peers()
 	linked := map[string]bool{}
 	for _, l := range open {
