Freeze the process at the network in the test of probes

Cause: the stand-in froze in its handlers, which differs from a frozen process in two ways. (1) A request that reached it while frozen stayed unanswered after the thaw, so the last call, which shares the probe of a caller that had left, failed with it. A frozen process answers its buffered requests when it thaws. (2) Connect sends the deadline of a call along, and the handler answered a probe with deadline_exceeded at just that time: now and then the answer overtook the client's own timer, the process counted as responsive, and the test hung.

Ruled out: a fault of the client. In both cases it did what it should for what the stand-in sent.

The test now runs in simulated time on the network of the tests of relays, moved to internal/nettest, where a frozen process takes connections and reads nothing.

--- a/internal/entry/peer/peer_test.go
+++ b/internal/entry/peer/peer_test.go
@@ -5,23 +5,27 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericyoke/internal/nettest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
 
-// submitAsync submits a job to the process at address and returns the channel for the error. The context ends when
+// submitAsync submits the job to the process at address and returns the channel for the error. The context ends when
 // cancel is called.
-func submitAsync(t *testing.T, clients *Clients, address string) (cancel func(), result <-chan error) {
+func submitAsync(t *testing.T, clients *Clients, address, job string) (cancel func(), result <-chan error) {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	errs := make(chan error, 1)
 	go func() {
-		_, err := clients.At(address).Submit(ctx, &SubmitRequest{Job: &work.Job{ID: "j"}})
+		_, err := clients.At(address).Submit(ctx, &SubmitRequest{Job: &work.Job{ID: job}})
 		errs <- err
 	}()
 	return cancel, errs
@@ -38,7 +42,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	cancel, result := submitAsync(t, clients, "10.0.0.1:1")
+	cancel, result := submitAsync(t, clients, "10.0.0.1:1", "j")
 	<-dialing
 	cancel()
 	assert.Assert(t, HadNoEffect(<-result))
@@ -67,13 +71,13 @@
 	server := httptest.NewServer(NewHandler(service))
 	defer server.Close()
 	clients, address := NewClients(), server.Listener.Addr().String()
-	cancel, result := submitAsync(t, clients, address)
+	cancel, result := submitAsync(t, clients, address, "result")
 	assert.NilError(t, <-result)
 	defer cancel()
 	idleClosed := make(chan struct{})
 	client := clients.At(address)
 	client.http.Transport = &closeRecorder{Transport: client.http.Transport.(*http.Transport), closed: idleClosed}
-	cancelLost, lost := submitAsync(t, clients, address)
+	cancelLost, lost := submitAsync(t, clients, address, "lost")
 	<-service.reached
 	cancelLost()
 	assert.Assert(t, !HadNoEffect(<-lost))
@@ -91,53 +95,62 @@
 	close(r.closed)
 }
 
-// frozenService responds to nothing while it is frozen, and counts the submissions that reach it.
-type frozenService struct {
+// recordingService accepts jobs, and records which ones reach it.
+type recordingService struct {
 	Service
-	frozen      atomic.Bool
-	submissions atomic.Int64
-	reached     chan struct{}
+	jobs sync.Map
 }
 
-func (s *frozenService) Submit(ctx context.Context, _ *SubmitRequest) (*OutcomeResponse, error) {
-	s.submissions.Add(1)
-	s.reached <- struct{}{}
-	if s.frozen.Load() {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
+func (s *recordingService) Submit(_ context.Context, request *SubmitRequest) (*OutcomeResponse, error) {
+	s.jobs.Store(request.Job.ID, true)
 	return &OutcomeResponse{Kind: scheduler.OutcomeDone}, nil
 }
 
-func (s *frozenService) Config(ctx context.Context, _ *ConfigRequest) (*ConfigResponse, error) {
-	if s.frozen.Load() {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
+func (s *recordingService) Config(context.Context, *ConfigRequest) (*ConfigResponse, error) {
 	return &ConfigResponse{}, nil
 }
 
 // Guards against submissions to a process that is frozen and still takes connections: the outcome of each of them is
 // unknown to its caller.
 func TestSuspectProcessIsProbedBeforeCalls(t *testing.T) {
-	service := &frozenService{reached: make(chan struct{}, 8)}
-	server := httptest.NewServer(NewHandler(service))
-	defer server.Close()
-	clients, address := NewClients(), server.Listener.Addr().String()
-	service.frozen.Store(true)
-	cancel, lost := submitAsync(t, clients, address)
-	<-service.reached
-	cancel()
-	assert.Assert(t, !HadNoEffect(<-lost))
-	_, unsent := submitAsync(t, clients, address)
-	assert.Assert(t, HadNoEffect(<-unsent))
-	// A caller that leaves isn't held until the end of the probe.
-	left, cancelLeft := context.WithCancel(t.Context())
-	cancelLeft()
-	_, err := clients.At(address).Submit(left, &SubmitRequest{Job: &work.Job{ID: "j"}})
-	assert.Assert(t, HadNoEffect(err))
-	assert.Equal(t, service.submissions.Load(), int64(1), "a submission was sent to a process that doesn't respond")
-	service.frozen.Store(false)
-	_, answered := submitAsync(t, clients, address)
-	assert.NilError(t, <-answered)
+	synctest.Test(t, func(t *testing.T) {
+		const address, frozen = "10.0.0.1:1", 2 * time.Second
+		network, service, clients := nettest.NewNetwork(), &recordingService{}, NewClients()
+		listener := network.Listen(address)
+		server := &http.Server{Handler: NewHandler(service)}
+		go func() { _ = server.Serve(listener) }()
+		defer time.Sleep(time.Minute) // Until idle connections are closed.
+		defer network.Close()
+		client := clients.At(address)
+		client.http.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		}
+
+		begin := time.Now()
+		listener.Freeze(frozen)
+		cancel, lost := submitAsync(t, clients, address, "lost")
+		synctest.Wait()
+		cancel()
+		assert.Assert(t, !HadNoEffect(<-lost))
+		_, unsent := submitAsync(t, clients, address, "unsent")
+		assert.Assert(t, HadNoEffect(<-unsent))
+		assert.Equal(t, time.Since(begin), probeTimeout)
+		// A caller that leaves isn't held until the end of the probe.
+		cancelLeft, left := submitAsync(t, clients, address, "left")
+		synctest.Wait()
+		cancelLeft()
+		assert.Assert(t, HadNoEffect(<-left))
+		assert.Equal(t, time.Since(begin), probeTimeout)
+
+		// A probe that waits for the process while it thaws lets calls pass.
+		time.Sleep(frozen - probeTimeout - probeTimeout/2)
+		_, answered := submitAsync(t, clients, address, "answered")
+		assert.NilError(t, <-answered)
+		assert.Equal(t, time.Since(begin), frozen)
+		synctest.Wait()
+		for job, reached := range map[string]bool{"unsent": false, "left": false, "answered": true} {
+			_, ok := service.jobs.Load(job)
+			assert.Equal(t, ok, reached, job)
+		}
+	})
 }
--- a/internal/relay/faults_test.go
+++ b/internal/relay/faults_test.go
@@ -42,7 +42,7 @@
 		relay := f.addRelay("r1", "z")
 		f.run()
 		// Shorter than the silence after which the connection is given up.
-		relay.listener.gate.freeze(150 * time.Millisecond)
+		relay.listener.Freeze(150 * time.Millisecond)
 		_, err := f.router.Start(infra.WithSendLimit(t.Context(), 100*time.Millisecond), testWorker(1), infra.StartOrder{Item: testItem, Run: 1, Token: 5})
 		assertKind(t, err, infra.Refused)
 		assert.Equal(t, len(relay.workers.calls())+len(f.direct.calls()), 0)
@@ -77,13 +77,13 @@
 func (f *fixture) fault(rng *rand.Rand, relay *testRelay) {
 	switch rng.IntN(6) {
 	case 0:
-		relay.listener.gate.freeze(time.Duration(rng.IntN(5000)) * time.Millisecond)
+		relay.listener.Freeze(time.Duration(rng.IntN(5000)) * time.Millisecond)
 	case 1:
-		relay.listener.gate.freeze(time.Duration(100+rng.IntN(200)) * time.Millisecond)
+		relay.listener.Freeze(time.Duration(100+rng.IntN(200)) * time.Millisecond)
 	case 2:
-		relay.listener.dropsRequests.Store(rng.IntN(2) == 0)
+		relay.listener.DropsRequests.Store(rng.IntN(2) == 0)
 	case 3:
-		relay.listener.dropsResponses.Store(rng.IntN(2) == 0)
+		relay.listener.DropsResponses.Store(rng.IntN(2) == 0)
 	case 4:
 		for _, l := range *f.router.links.Load() {
 			if l.relay.Name == relay.member.Name {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +16,7 @@
 
 	_ "turmericyoke/internal/fixedseed"
 	"turmericyoke/internal/infra"
+	"turmericyoke/internal/nettest"
 	"turmericyoke/internal/work"
 )
 
@@ -113,119 +112,12 @@
 	return infra.WorkerRef{ID: fmt.Sprint("w-", n), Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: "z"}
 }
 
-// testNetwork connects processes in memory. Data that a process doesn't read is buffered, as by a kernel.
-type testNetwork struct {
-	mu        sync.Mutex
-	listeners map[string]*testListener
-}
-
-func (n *testNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
-	n.mu.Lock()
-	listener := n.listeners[address]
-	n.mu.Unlock()
-	if listener == nil {
-		return nil, errors.New("connection refused")
-	}
-	client, clientEnd := net.Pipe()
-	serverEnd, server := net.Pipe()
-	go carry(serverEnd, clientEnd, &listener.dropsRequests)
-	go carry(clientEnd, serverEnd, &listener.dropsResponses)
-	select {
-	case listener.conns <- &gatedConn{Conn: server, gate: listener.gate}:
-		return client, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// carry copies data from one connection to another through an unbounded buffer. Data is lost while drops is set.
-func carry(to, from net.Conn, drops *atomic.Bool) {
-	chunks := make(chan []byte, 1<<16)
-	go func() {
-		defer to.Close()
-		for chunk := range chunks {
-			if _, err := to.Write(chunk); err != nil {
-				return
-			}
-		}
-	}()
-	defer close(chunks)
-	defer from.Close()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 && !drops.Load() {
-			chunks <- append([]byte(nil), buffer[:n]...)
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// testListener takes the connections to one address.
-type testListener struct {
-	conns                         chan net.Conn
-	closed                        chan struct{}
-	gate                          *gate
-	dropsRequests, dropsResponses atomic.Bool
-}
-
-func (l *testListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *testListener) Close() error   { return nil }
-func (l *testListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// gate holds up a frozen process.
-type gate struct {
-	mu    sync.Mutex
-	until time.Time
-}
-
-func (g *gate) freeze(duration time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.until = time.Now().Add(duration)
-}
-
-func (g *gate) pass() {
-	g.mu.Lock()
-	until := g.until
-	g.mu.Unlock()
-	time.Sleep(time.Until(until))
-}
-
-// gatedConn is a connection of a process that may be frozen.
-type gatedConn struct {
-	net.Conn
-	gate *gate
-}
-
-func (c *gatedConn) Read(p []byte) (int, error) {
-	c.gate.pass()
-	n, err := c.Conn.Read(p)
-	c.gate.pass()
-	return n, err
-}
-
-func (c *gatedConn) Write(p []byte) (int, error) {
-	c.gate.pass()
-	return c.Conn.Write(p)
-}
-
 // testRelay is an entry process that relays.
 type testRelay struct {
 	member   infra.Member
 	server   *Server
 	workers  *fakeWorkers
-	listener *testListener
+	listener *nettest.Listener
 	http     *http.Server
 	term     atomic.Int64
 }
@@ -234,7 +126,7 @@
 type fixture struct {
 	t       *testing.T
 	clock   func() time.Duration
-	network *testNetwork
+	network *nettest.Network
 	direct  *fakeWorkers
 	router  *Router
 	mu      sync.Mutex
@@ -251,10 +143,10 @@
 
 func newFixture(t *testing.T) *fixture {
 	begin := time.Now()
-	f := &fixture{t: t, clock: func() time.Duration { return time.Hour + time.Since(begin) }, network: &testNetwork{listeners: map[string]*testListener{}}, ended: make(chan struct{})}
+	f := &fixture{t: t, clock: func() time.Duration { return time.Hour + time.Since(begin) }, network: nettest.NewNetwork(), ended: make(chan struct{})}
 	f.direct = f.newWorkers()
 	f.router = NewRouter(f.direct, infra.Member{Name: "leader", Zone: "z", CPUMilli: 1}, f.peers, f.clock, quietLogger())
-	f.router.Dial = f.network.dial
+	f.router.Dial = f.network.Dial
 	return f
 }
 
@@ -280,28 +172,15 @@
 // startRelay starts a relay whose address is its name.
 func (f *fixture) startRelay(name, zone string) *testRelay {
 	relay := &testRelay{member: infra.Member{Name: name, Zone: zone, Address: name, CPUMilli: 800}, workers: f.newWorkers(),
-		listener: &testListener{conns: make(chan net.Conn), closed: make(chan struct{}), gate: &gate{}}}
+		listener: f.network.Listen(name)}
 	relay.server = &Server{Workers: relay.workers, NewDirectory: func() infra.Directory { return &testDirectory{} }, NewestTerm: relay.term.Load, Clock: f.clock, Logger: quietLogger()}
 	mux := http.NewServeMux()
 	mux.Handle(Path, relay.server)
 	relay.http = &http.Server{Handler: mux}
-	f.network.mu.Lock()
-	f.network.listeners[name] = relay.listener
-	f.network.mu.Unlock()
 	go func() { _ = relay.http.Serve(relay.listener) }()
 	return relay
 }
 
-// stopListening makes the relay refuse connections.
-func (f *fixture) stopListening(relay *testRelay) {
-	f.network.mu.Lock()
-	defer f.network.mu.Unlock()
-	if f.network.listeners[relay.member.Name] == relay.listener {
-		delete(f.network.listeners, relay.member.Name)
-	}
-	close(relay.listener.closed)
-}
-
 // run runs the router and makes it use relays.
 func (f *fixture) run() {
 	ctx, cancel := context.WithCancel(f.t.Context())
@@ -330,11 +209,7 @@
 		f.cancel()
 		<-f.ended
 	}
-	f.network.mu.Lock()
-	for _, listener := range f.network.listeners {
-		close(listener.closed)
-	}
-	f.network.mu.Unlock()
+	f.network.Close()
 	time.Sleep(time.Minute)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -46,7 +46,7 @@
 			inFixture(t, func(t *testing.T, f *fixture) {
 				relay := f.addRelay("r1", "z")
 				f.run()
-				relay.listener.gate.freeze(frozen)
+				relay.listener.Freeze(frozen)
 				frozenAt := time.Now()
 				err := f.start(1, 1)
 				assertKind(t, err, infra.RelayFailed)
@@ -178,7 +178,7 @@
 		go func() { result <- f.start(1, 1) }()
 		time.Sleep(100 * time.Millisecond)
 		l := (*f.router.links.Load())[0]
-		f.stopListening(killed)
+		killed.listener.Stop()
 		assert.NilError(t, l.conn.Close())
 		assertKind(t, <-result, infra.RelayFailed)
 		assert.NilError(t, f.start(1, 1))
@@ -193,8 +193,8 @@
 // Guards against calls that go on waiting for a relay that is cut off in one direction only.
 func TestRelayCutOffOneWay(t *testing.T) {
 	for name, cut := range map[string]func(*testRelay) interface{ Store(bool) }{
-		"requests":  func(r *testRelay) interface{ Store(bool) } { return &r.listener.dropsRequests },
-		"responses": func(r *testRelay) interface{ Store(bool) } { return &r.listener.dropsResponses },
+		"requests":  func(r *testRelay) interface{ Store(bool) } { return &r.listener.DropsRequests },
+		"responses": func(r *testRelay) interface{ Store(bool) } { return &r.listener.DropsResponses },
 	} {
 		t.Run(name, func(t *testing.T) {
 			inFixture(t, func(t *testing.T, f *fixture) {
@@ -256,7 +256,7 @@
 		relay := f.addRelay("r1", "z")
 		f.run()
 		for _, message := range []string{"", "\x00", "\xff\xff\xff\xff\xff\xff", "\x00\x00\x00\x05hello", "\x00\x00\x00\x00", "\x00\x00\x00\x03\x00\xfe\x7f", "\x00\x00\x00\x0b\x00\x02\xff\xff\xff\xff\xff\xff\xff\xff\x01"} {
-			conn, err := f.network.dial(t.Context(), "r1")
+			conn, err := f.network.Dial(t.Context(), "r1")
 			assert.NilError(t, err)
 			_, err = upgrade(conn, "r1")
 			assert.NilError(t, err)
