Keep relays while the link of the scheduling host is full

The calls of a lost relay are sent once more as direct calls, which take more bytes of the same link. Class: the delay of one's own host taken for the failure of others.

A relay is now given that limit only while most of the others read in time. Otherwise it has 1.2 s, as direct calls wouldn't arrive earlier. One other relay decides nothing, so that sites with two relays keep the old rule.

--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -39,8 +39,8 @@
 	}
 	client, clientEnd := net.Pipe()
 	serverEnd, server := net.Pipe()
-	go carry(serverEnd, clientEnd, &listener.DropsRequests)
-	go carry(clientEnd, serverEnd, &listener.DropsResponses)
+	go carry(serverEnd, clientEnd, &listener.DropsRequests, &listener.requestDelay)
+	go carry(clientEnd, serverEnd, &listener.DropsResponses, &atomic.Int64{})
 	select {
 	case listener.conns <- &freezableConn{Conn: server, listener: listener}:
 		return client, nil
@@ -59,12 +59,14 @@
 	}
 }
 
-// carry copies data from one connection to another through an unbounded buffer. Data is lost while drops is set.
-func carry(to, from net.Conn, drops *atomic.Bool) {
+// carry copies data from one connection to another through an unbounded buffer, with a delay. Data is lost while drops is
+// set.
+func carry(to, from net.Conn, drops *atomic.Bool, delay *atomic.Int64) {
 	chunks := make(chan []byte, 1<<16)
 	go func() {
 		defer to.Close()
 		for chunk := range chunks {
+			time.Sleep(time.Duration(delay.Load()))
 			if _, err := to.Write(chunk); err != nil {
 				return
 			}
@@ -94,10 +96,15 @@
 	// DropsRequests and DropsResponses make data to and from the process get lost, without an error.
 	DropsRequests, DropsResponses atomic.Bool
 
+	requestDelay atomic.Int64
+
 	mu          sync.Mutex
 	frozenUntil time.Time
 }
 
+// DelayRequests delays data to the process.
+func (l *Listener) DelayRequests(delay time.Duration) { l.requestDelay.Store(int64(delay)) }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -87,6 +87,9 @@
 	// unread are the batches that the relay hasn't read yet, and read is the number of those that it has.
 	unread []writtenBatch
 	read   int64
+	// unreadSince is the time of the first of the unread batches, 0 if there is none, and slowReadAt when the relay last
+	// had read one that took longer than one that is well takes.
+	unreadSince, slowReadAt atomic.Int64
 	// closed is set once no call is accepted any more, because of the cause.
 	closed bool
 	cause  error
@@ -295,6 +298,7 @@
 	}
 	l.queue = nil
 	l.unread = append(l.unread, writtenBatch{now, batch.Echo})
+	l.unreadSince.Store(int64(l.unread[0].at))
 	return batch
 }
 
@@ -314,18 +318,34 @@
 // checkRead notes how many batches the relay has read, and returns an error if one has waited for too long, by the clocks
 // of both processes: either may be behind with what it has received. l.mu must be held.
 func (l *link) checkRead(batch *outcomeBatch) error {
+	now := l.router.Clock()
 	newlyRead := min(max(batch.Received-l.read, 0), int64(len(l.unread)))
+	if newlyRead > 0 && now-l.unread[0].at > slowReadTime {
+		l.slowReadAt.Store(int64(now))
+	}
 	l.unread, l.read = l.unread[newlyRead:], l.read+newlyRead
 	if len(l.unread) == 0 {
+		l.unreadSince.Store(0)
 		return nil
 	}
 	oldest := l.unread[0]
-	if l.router.Clock()-oldest.at > silenceLimit && time.Duration(batch.Stamp-oldest.echo) > silenceLimit+heartbeatInterval {
+	l.unreadSince.Store(int64(oldest.at))
+	limit := silenceLimit
+	if l.router.othersBehind(l, now) {
+		limit = congestedLimit
+	}
+	if now-oldest.at > limit && time.Duration(batch.Stamp-oldest.echo) > limit+heartbeatInterval {
 		return errNotRead
 	}
 	return nil
 }
 
+// isBehind reports whether batches wait longer to be read than at a relay that is well, or have done so recently.
+func (l *link) isBehind(now time.Duration) bool {
+	since, slowAt := time.Duration(l.unreadSince.Load()), time.Duration(l.slowReadAt.Load())
+	return since > 0 && now-since > slowReadTime || slowAt > 0 && now-slowAt < congestedLimit
+}
+
 // errStopping is the cause if the relay accepts no more calls and has returned all outcomes.
 var errStopping = errors.New("the relay is stopping")
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,11 @@
 	heartbeatInterval = 50 * time.Millisecond
 	// silenceLimit is how long a relay may send nothing before its connection is given up: a few heartbeats.
 	silenceLimit = 200 * time.Millisecond
+	// slowReadTime is how long a batch may wait to be read at a relay that is well.
+	slowReadTime = silenceLimit / 2
+	// congestedLimit is how long a batch may wait to be read while those to other relays wait as well. The link of this
+	// host is full then, and direct calls, which take more bytes, would wait longer.
+	congestedLimit = 6 * silenceLimit
 	// idleInterval is the longest time between the batches of the scheduling process, and idleLimit how long it may send
 	// nothing before the relay closes the connection.
 	idleInterval = 5 * time.Second
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
@@ -213,6 +214,39 @@
 	}
 }
 
+// Guards against relays that are given up together, with their calls, while the link of the scheduling process is full:
+// each of their calls is then sent once more in a direct call, which takes more bytes.
+func TestFullLinkKeepsRelays(t *testing.T) {
+	inFixture(t, func(t *testing.T, f *fixture) {
+		zones := []string{"z", "y", "x"}
+		var relays []*testRelay
+		for _, zone := range zones {
+			relays = append(relays, f.addRelay("r-"+zone, zone))
+		}
+		f.run()
+		for run, delay := range []time.Duration{3 * silenceLimit / 2, 0} {
+			for _, relay := range relays {
+				relay.listener.DelayRequests(delay)
+			}
+			var starts errgroup.Group
+			for n, zone := range zones {
+				worker := testWorker(n)
+				worker.Zone = zone
+				starts.Go(func() error {
+					_, err := f.router.Start(t.Context(), worker, infra.StartOrder{Item: testItem, Run: int64(run + 1), Token: 5})
+					return err
+				})
+			}
+			assert.NilError(t, starts.Wait())
+			f.settle()
+		}
+		assert.Equal(t, len(*f.router.links.Load()), len(zones))
+		for _, sent := range f.direct.calls() {
+			assert.Equal(t, sent.run, int64(1), "relays are used again once the link has room")
+		}
+	})
+}
+
 // Guards against a worker that counts as lost because either the relay or the scheduling process doesn't reach it.
 func TestWorkerThatOneProcessReaches(t *testing.T) {
 	inFixture(t, func(t *testing.T, f *fixture) {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -128,6 +128,22 @@
 	return best
 }
 
+// othersBehind reports whether most relays other than that of l are behind with reading their calls, so that the cause is
+// this host and not a relay. One other relay shows nothing, since it may be the one at fault.
+func (r *Router) othersBehind(l *link, now time.Duration) bool {
+	others, behind := 0, 0
+	for _, other := range *r.links.Load() {
+		if other == l {
+			continue
+		}
+		others++
+		if other.isBehind(now) {
+			behind++
+		}
+	}
+	return behind >= 2 && 2*behind > others
+}
+
 // forgetPaths forgets the choices that have run out, for example of workers that have left.
 func (r *Router) forgetPaths(now time.Duration) {
 	r.mu.Lock()
