Don't hold a goroutine for each order that waits

Cause, from heap profiles and runtime statistics at the first kill and at the loads after it (trial build): 30,000 to 36,000 goroutines with 140 MB of stacks, while the heap lives on 115 to 125 MB throughout. All items have room at once, and each placed one had a goroutine that waited for its turn in the window of its zone. Class: the bound was on calls in flight, not on what waits for them.

Ruled out: records at the load (125 MB before the first start), pending records, copies of definitions, and the collector's headroom (its next cycle was due at 123 MB).

Starts now wait as entries of the window.

--- a/internal/session/guard.go
+++ b/internal/session/guard.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"context"
 	"fmt"
 	"runtime/debug"
 
@@ -32,11 +31,9 @@
 	group.Go(func() error { return s.guarded(run) })
 }
 
-// goSend sends an order without waiting for its result. A panic ends the term.
-func (s *session) goSend(ctx context.Context, send func(ctx context.Context)) {
-	go func() {
-		if err := s.guarded(func() error { send(ctx); return nil }); err != nil {
-			s.endTerm(err)
-		}
-	}()
+// endTermOnPanic calls run. A panic ends the term.
+func (s *session) endTermOnPanic(run func()) {
+	if err := s.guarded(func() error { run(); return nil }); err != nil {
+		s.endTerm(err)
+	}
 }
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -222,17 +222,14 @@
 func TestStartWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		window := newStartWindow()
-		ctx, cancel := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		var admitted []int
 		for n := range initialStartWindow + 3 {
-			go func() {
-				if window.acquire(ctx) {
-					mu.Lock()
-					defer mu.Unlock()
-					admitted = append(admitted, n)
-				}
-			}()
+			window.enqueue(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				admitted = append(admitted, n)
+			})
 			synctest.Wait()
 		}
 		assert.Equal(t, len(admitted), initialStartWindow)
@@ -242,9 +239,7 @@
 		window.observe(0, time.Second, false)
 		window.observe(time.Second/2, time.Second, false)
 		assert.Equal(t, int(window.size), initialStartWindow/2)
-		cancel()
-		synctest.Wait()
-		assert.Equal(t, len(window.waiting), 0)
+		assert.Equal(t, len(window.waiting), 2)
 		assert.Equal(t, window.inFlight, initialStartWindow)
 	})
 }
--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -117,46 +117,55 @@
 	return window
 }
 
-// sendStart sends a start until its outcome is known, or the attempts are used up.
-func (s *session) sendStart(ctx context.Context, order *scheduler.Order) {
-	start := infra.StartOrder{Item: order.Item, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Token: s.term, Ticket: order.Ticket}
-	a := attempts{}
-	for {
-		sent, again, err := s.attemptStart(ctx, &a, order, start)
-		switch {
-		case sent && !again:
-			appliedAt := time.Now()
-			s.core.ApplyStartResult(order, err, a.uncertain)
-			s.stages.start.Since(appliedAt)
-			return
-		case sent:
-		case a.uncertain:
-			s.core.ApplyStartResult(order, &infra.Error{Kind: infra.Unknown, Op: "start", Detail: "an earlier attempt had no response, and the start must not be sent again"}, true)
-			return
-		default:
-			s.core.StartNotSent(order)
-			return
-		}
+// startCall is a start whose outcome isn't known yet.
+type startCall struct {
+	order    *scheduler.Order
+	attempts attempts
+}
+
+// queueStart sends the start when the window of its zone admits it, until its outcome is known or the attempts are used
+// up.
+func (s *session) queueStart(ctx context.Context, call *startCall) {
+	window := s.startWindow(call.order.Zone)
+	window.enqueue(func() { s.endTermOnPanic(func() { s.sendStart(ctx, window, call) }) })
+}
+
+// sendStart sends a start once, unless it must not be sent any more, and passes the outcome to the core or queues the
+// start again.
+func (s *session) sendStart(ctx context.Context, window *startWindow, call *startCall) {
+	sent, again, err := s.attemptStart(ctx, window, call)
+	switch {
+	case sent && again:
+		s.queueStart(ctx, call)
+	case sent:
+		appliedAt := time.Now()
+		s.core.ApplyStartResult(call.order, err, call.attempts.uncertain)
+		s.stages.start.Since(appliedAt)
+	case call.attempts.uncertain:
+		s.core.ApplyStartResult(call.order, &infra.Error{Kind: infra.Unknown, Op: "start", Detail: "an earlier attempt had no response, and the start must not be sent again"}, true)
+	default:
+		s.core.StartNotSent(call.order)
 	}
 }
 
-// attemptStart sends a start once when the window of its zone admits it. sent is false if the start must not be sent, and
+// attemptStart sends a start once, and releases its place in the window. sent is false if the start must not be sent, and
 // again is set if it has to be sent again.
-func (s *session) attemptStart(ctx context.Context, a *attempts, order *scheduler.Order, start infra.StartOrder) (sent, again bool, err error) {
-	window := s.startWindow(order.Zone)
-	if !window.acquire(ctx) {
+func (s *session) attemptStart(ctx context.Context, window *startWindow, call *startCall) (sent, again bool, err error) {
+	defer window.release()
+	if ctx.Err() != nil {
 		return false, false, nil
 	}
-	defer window.release()
+	order := call.order
 	leasedAt := time.Now()
-	start.LeaseEndMs = s.core.LeaseForStart(order, s.writer.ConfirmedAt())
+	leaseEndMs := s.core.LeaseForStart(order, s.writer.ConfirmedAt())
 	s.stages.start.Since(leasedAt)
-	if start.LeaseEndMs == 0 {
+	if leaseEndMs == 0 {
 		return false, false, nil
 	}
+	start := infra.StartOrder{Item: order.Item, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Token: s.term, Ticket: order.Ticket, LeaseEndMs: leaseEndMs}
 	unresponsive := s.core.Unresponsive(order.Worker.ID)
 	sentAt := s.Clock()
-	again, err = s.attempt(ctx, a, order.Worker.ID, func(ctx context.Context) error {
+	again, err = s.attempt(ctx, &call.attempts, order.Worker.ID, func(ctx context.Context) error {
 		_, err := s.Workers.Start(s.limited(ctx), order.Worker, start)
 		return err
 	})
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -96,6 +96,8 @@
 	stages    stages
 	// endTerm ends the term because of an error.
 	endTerm context.CancelCauseFunc
+	// stops and paces hold the orders of these kinds that wait to be sent.
+	stops, paces orderQueues
 
 	// mu protects the fields below.
 	mu sync.Mutex
@@ -251,24 +253,25 @@
 // sendOrders sends the orders without waiting for their results.
 func (s *session) sendOrders(ctx context.Context, orders []scheduler.Order) {
 	for i := range orders {
-		s.goSend(ctx, func(ctx context.Context) { s.send(ctx, &orders[i]) })
+		order := &orders[i]
+		switch order.Kind {
+		case scheduler.OrderStart:
+			s.queueStart(ctx, &startCall{order: order})
+		case scheduler.OrderStop:
+			s.stops.add(order, func() { s.endTermOnPanic(func() { s.sendStop(ctx, order) }) })
+		case scheduler.OrderPace:
+			s.paces.add(order, func() { s.endTermOnPanic(func() { s.sendPace(ctx, order) }) })
+		}
 	}
 }
 
-// send sends one order to a worker and passes the result to the core.
-func (s *session) send(ctx context.Context, order *scheduler.Order) {
-	switch order.Kind {
-	case scheduler.OrderStart:
-		s.sendStart(ctx, order)
-	case scheduler.OrderStop:
-		s.sendStop(ctx, order)
-	case scheduler.OrderPace:
-		if !s.mayAct() {
-			return
-		}
-		if _, err := s.Workers.SetPace(s.limited(ctx), order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
-			s.Logger.WithFields(logrus.Fields{"event": "pace_failed", "item": order.Item.String(), "worker": order.Worker.ID}).WithError(err).Info("can't set the pace of a work item; the worker's next report may change the pace again")
-		}
+// sendPace sets the pace of a run once.
+func (s *session) sendPace(ctx context.Context, order *scheduler.Order) {
+	if !s.mayAct() {
+		return
+	}
+	if _, err := s.Workers.SetPace(s.limited(ctx), order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
+		s.Logger.WithFields(logrus.Fields{"event": "pace_failed", "item": order.Item.String(), "worker": order.Worker.ID}).WithError(err).Info("can't set the pace of a work item; the worker's next report may change the pace again")
 	}
 }
 
--- a/internal/session/startwindow.go
+++ b/internal/session/startwindow.go
@@ -1,8 +1,6 @@
 package session
 
 import (
-	"context"
-	"slices"
 	"sync"
 	"time"
 )
@@ -25,8 +23,8 @@
 	mu       sync.Mutex
 	size     float64
 	inFlight int
-	// waiting holds a channel for each start that waits for its turn, in order.
-	waiting []chan struct{}
+	// waiting holds what sends each start that waits for its turn, in order.
+	waiting []func()
 	// threshold is the size from which on the window grows by one in each round trip instead of with each response.
 	threshold float64
 	// reducedAt is when the window was last reduced.
@@ -37,29 +35,16 @@
 	return &startWindow{size: initialStartWindow, threshold: maxStartsInFlight}
 }
 
-// acquire waits until a start may be sent. It returns false if ctx ends first; otherwise release must be called.
-func (w *startWindow) acquire(ctx context.Context) bool {
-	w.mu.Lock()
-	turn := make(chan struct{})
-	w.waiting = append(w.waiting, turn)
-	w.admit()
-	w.mu.Unlock()
-	select {
-	case <-turn:
-		return true
-	case <-ctx.Done():
-	}
+// enqueue calls send in a goroutine of its own when a start may be sent. Until then the start takes no goroutine, since
+// tens of thousands may wait. send must call release.
+func (w *startWindow) enqueue(send func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if index := slices.Index(w.waiting, turn); index >= 0 {
-		w.waiting = slices.Delete(w.waiting, index, index+1)
-		return false
-	}
-	// The turn came at the same time.
-	return true
+	w.waiting = append(w.waiting, send)
+	w.admit()
 }
 
-// release ends a start that acquire admitted.
+// release ends a start that was admitted.
 func (w *startWindow) release() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -71,7 +56,8 @@
 func (w *startWindow) admit() {
 	for len(w.waiting) > 0 && w.inFlight < int(w.size) {
 		w.inFlight++
-		close(w.waiting[0])
+		go w.waiting[0]()
+		w.waiting[0] = nil
 		w.waiting = w.waiting[1:]
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,8 +6,10 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -35,6 +37,7 @@
 	platform *platform
 	fleet    *fleet
 	trouble  bool
+	seed     uint64
 }
 
 // scenarios are the cases. Each returns whether its rule held.
@@ -44,7 +47,9 @@
 	"advice":    advisedQueue,
 	"gang":      gangJobs,
 	"timed":     timedJob,
-	"repeating": repeatingJobs,
+	"repeating": func(s *scene) bool { return repeatingJobs(s, manyOccurrences) },
+	"items":     func(s *scene) bool { return repeatingJobs(s, manyItems) },
+	"shapes":    func(s *scene) bool { return repeatingJobs(s, drawShape(rand.New(rand.NewPCG(s.seed, 0)))) },
 }
 
 func main() {
@@ -52,13 +57,14 @@
 	program := flag.String("program", "", "command of an entry process")
 	path := flag.String("record", "record.txt", "file of the record")
 	trouble := flag.Bool("trouble", true, "play the disruption")
+	seed := flag.Uint64("seed", 1, "seed of the scenario shapes")
 	keep := flag.Bool("keep-logs", false, "keep the logs of the processes")
 	flag.Parse()
-	os.Exit(play(*scenario, *program, *path, *trouble, *keep))
+	os.Exit(play(*scenario, *program, *path, *trouble, *keep, *seed))
 }
 
 // play plays a case and returns the exit status.
-func play(scenario, program, path string, trouble, keep bool) (status int) {
+func play(scenario, program, path string, trouble, keep bool, seed uint64) (status int) {
 	run := scenarios[scenario]
 	if run == nil || program == "" {
 		fmt.Fprintln(os.Stderr, "unknown case, or no program")
@@ -75,8 +81,8 @@
 		defer os.RemoveAll(dir)
 	}
 	record := newRecorder(path)
-	p := newPlatform(record, scenario != "large-job" && scenario != "repeating")
-	s := &scene{record: record, platform: p, trouble: trouble, fleet: &fleet{program: strings.Fields(program), dir: dir, platform: p, record: record}}
+	p := newPlatform(record, !slices.Contains([]string{"large-job", "repeating", "items", "shapes"}, scenario))
+	s := &scene{record: record, platform: p, trouble: trouble, seed: seed, fleet: &fleet{program: strings.Fields(program), dir: dir, platform: p, record: record}}
 	defer s.fleet.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,13 +20,47 @@
 	usualRate = 7.2
 	hotFactor = 7.5
 	hotTime   = 6500 * time.Millisecond
-	// Each job has hotOccurrences of hotItems work items. The first is due firstDue after the start of the traffic.
-	hotOccurrences = 600
-	hotItems       = 8
-	hotInterval    = 60 * time.Second
-	hotFirstDue    = 40 * time.Second
+	// hotFirstDue is the time from the start of the traffic to the first occurrences.
+	hotFirstDue = 40 * time.Second
+	// safeMemoryMb is what a process may take at most.
+	safeMemoryMb = memoryMb * 85 / 100
+	// maxJobItems is the largest number of work items that a job may have.
+	maxJobItems = 10000
 )
 
+// jobShape is the shape of the jobs of a hot tenant.
+type jobShape struct {
+	// occurrences is how often the steps run, interval apart.
+	occurrences int
+	interval    time.Duration
+	// items is the number of work items of an occurrence, each of which takes work.
+	items int
+	work  time.Duration
+	need  amount
+	// saves makes the work items report checkpoints.
+	saves bool
+	// spread is the time over which the first occurrences of the jobs are due.
+	spread time.Duration
+}
+
+var (
+	manyOccurrences = jobShape{occurrences: 600, interval: time.Minute, items: 8, work: 300 * time.Millisecond, need: amount{CPU: 100, MemMb: 64}}
+	manyItems       = jobShape{occurrences: 4, interval: time.Minute, items: 1200, work: 300 * time.Millisecond, need: amount{CPU: 10, MemMb: 8}}
+)
+
+// drawShape draws a shape near the edges of what jobs may be.
+func drawShape(rng *rand.Rand) jobShape {
+	occurrences := []int{1, 2, 4, 40, 600}
+	items := []int{1, 8, 100, 600, 1200, 2400, 5000, 9999}
+	shape := jobShape{occurrences: occurrences[rng.IntN(len(occurrences))], interval: time.Duration(1+rng.IntN(60)) * time.Second, items: items[rng.IntN(len(items))],
+		work: time.Duration(50+rng.IntN(500)) * time.Millisecond, spread: time.Duration(rng.IntN(3)) * 4 * time.Second,
+		saves: rng.IntN(2) == 0, need: amount{CPU: int64(1 + rng.IntN(200)), MemMb: int64(1 + rng.IntN(64))}}
+	for shape.occurrences > 1 && shape.occurrences*shape.items > maxJobItems {
+		shape.occurrences /= 2
+	}
+	return shape
+}
+
 // residentMb returns the resident memory of a process in MiB; 0 if it has ended.
 func residentMb(pid int) int {
 	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "statm"))
@@ -67,8 +102,9 @@
 	}
 }
 
-// repeatingJobs hands in jobs with many occurrences at the rate of a hot tenant, and checks LOST when occurrences are due.
-func repeatingJobs(s *scene) bool {
+// repeatingJobs hands in repeating jobs of the shape at the rate of a hot tenant, and checks LOST when occurrences are due.
+func repeatingJobs(s *scene, shape jobShape) bool {
+	s.record.line("shape of the jobs: %+v", shape)
 	s.open(9, 0)
 	done, limited := make(chan struct{}), make(chan struct{})
 	var kills map[string]int
@@ -87,9 +123,10 @@
 	var clients sync.WaitGroup
 	for began, n := time.Now(), 0; time.Since(began) < hotTime; n++ {
 		id := fmt.Sprintf("%016x", 0x8000000000000000+uint64(n))
-		s.platform.addItem(id, itemSpec{need: amount{CPU: 100, MemMb: 64}, work: 300 * time.Millisecond, total: hotItems})
-		body := map[string]any{"spec": "s-" + id, "repeatCount": hotOccurrences, "firstMs": first.UnixMilli(), "intervalMs": hotInterval.Milliseconds(),
-			"steps": []stepBody{{"count": hotItems, "cpu": 100, "memMb": 64, "estimateMs": 300}}}
+		due := first.Add(shape.spread * time.Duration(n%8) / 8)
+		s.platform.addItem(id, itemSpec{need: shape.need, work: shape.work, saves: shape.saves, total: shape.items})
+		body := map[string]any{"spec": "s-" + id, "repeatCount": shape.occurrences, "firstMs": due.UnixMilli(), "intervalMs": shape.interval.Milliseconds(),
+			"steps": []stepBody{{"count": shape.items, "cpu": shape.need.CPU, "memMb": shape.need.MemMb, "estimateMs": shape.work.Milliseconds()}}}
 		clients.Go(func() {
 			for range 5 {
 				a := call(s.fleet.pick(), http.MethodPost, queuePrefix+id, body)
@@ -117,7 +154,7 @@
 	close(done)
 	<-limited
 	s.record.line("largest memory of a process %d MiB; kills for memory %v", largest, kills)
-	return held
+	return held && len(kills) == 0 && largest <= safeMemoryMb
 }
 
 // occurred checks that each job is answered for, and that the work items of its first occurrence, which was due finishTime
