Place no more work than can be sent soon

Work items are now placed on workers of an availability zone only while fewer than 1,024 ordered starts wait to be sent there. The rest waits in the queue, where each planning cycle ranks it again.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -17,6 +17,8 @@
 	maxFree work.Resources
 	// tooLarge holds the needs that fitted on no worker in this cycle.
 	tooLarge []work.Resources
+	// startQueuesFull is set if all workers are in availability zones whose start queues are full.
+	startQueuesFull bool
 	// separateStarts is set if starts of different jobs should be kept apart, see startSeparationTime.
 	separateStarts bool
 	// otherWork is set while work waits in the pool that needs no trial.
@@ -39,9 +41,9 @@
 	}
 }
 
-// excludes reports whether no worker can have the needed resources free in this cycle.
+// excludes reports whether no worker can take an item with the need in this cycle.
 func (p *candidatePool) excludes(need work.Resources) bool {
-	if !need.Fits(p.maxFree) {
+	if p.startQueuesFull || !need.Fits(p.maxFree) {
 		return true
 	}
 	return containsFitting(p.tooLarge, need)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -116,6 +116,8 @@
 	queuePools map[string]string
 	jobs       map[string]*job
 	activeJobs map[*job]struct{}
+	// startQueues holds the start queue of each availability zone.
+	startQueues map[string]*startQueue
 	// recurring holds the jobs of which occurrences may have to be created or dropped, see maintainOccurrences.
 	recurring map[*job]struct{}
 	// memoryUsed is the estimated size of the state of all jobs, in bytes.
@@ -200,7 +202,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
 	}
@@ -274,6 +276,7 @@
 // unplace takes the item from its worker and frees its resources. By itself, it undoes place for an item that hasn't been
 // ordered to start.
 func (c *Core) unplace(i *item) {
+	c.leaveStartQueue(i)
 	i.removePlaced(c.clock())
 	i.worker.remove(i, c.clock())
 	i.worker = nil
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -108,6 +108,9 @@
 	if len(pool.workers)+len(pool.probes)+pool.onTrial == 0 {
 		return nil
 	}
+	if len(pool.workers) > 0 {
+		pool.updateStartQueues()
+	}
 	return pool
 }
 
@@ -172,6 +175,9 @@
 		}
 		c.placeAndStart(i, w, now)
 		placed++
+		if w.startQueue.isFull() {
+			pool.updateStartQueues()
+		}
 	}
 	if placed > 0 {
 		c.logger.WithFields(logrus.Fields{"event": "items_placed", "job": step.job.def.ID, "occurrence": step.occurrence, "step": step.number,
@@ -238,6 +244,7 @@
 	i.run = (c.term-1)*runsPerTerm + i.termRuns
 	i.placedAt, i.progressedAt = now, now
 	i.beginTrial(now)
+	c.enterStartQueue(i, now)
 	j := i.step.job
 	i.worker.lastStartJob, i.worker.lastStartAt = j, now
 	j.started = true
@@ -292,7 +299,7 @@
 			continue
 		}
 		fits = true
-		if w == excluded || !w.satisfies(step) || step.advice != nil && !step.granted(w, now) {
+		if w == excluded || w.startQueue.isFull() || !w.satisfies(step) || step.advice != nil && !step.granted(w, now) {
 			continue
 		}
 		score := c.score(i, w, now)
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -161,6 +161,7 @@
 	leaseEndMs := c.extendLease(w, now, confirmedAt)
 	if leaseEndMs > 0 {
 		i.startSent, i.startInFlight = true, true
+		c.leaveStartQueue(i)
 	}
 	return leaseEndMs
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -61,6 +61,8 @@
 
 	// inherited is set while the placement is one of an earlier term and no report has listed the run.
 	inherited bool
+	// startQueued is set while the start waits in the start queue of the worker's zone.
+	startQueued bool
 	// startSent is set once a lease was granted for the start, so that it may have been sent.
 	startSent bool
 	// startInFlight is set while a start is being sent and its outcome isn't known.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -107,6 +107,8 @@
 	lowLatencySince time.Duration
 	// addedAt is when this term first learned of the worker.
 	addedAt time.Duration
+	// startQueue is the start queue of the worker's availability zone.
+	startQueue *startQueue
 	// renewalAddress is the address to which the last lease renewal was sent.
 	renewalAddress string
 	// wake ends the pause before the worker's next lease renewal.
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -64,6 +64,7 @@
 		c.workerLists.remove(w)
 	}
 	w.entry, w.rack, w.listed = entry, rackOf(entry.Labels), true
+	c.setStartQueue(w)
 	if moved {
 		c.workerLists.add(w)
 	}
@@ -73,6 +74,7 @@
 
 // addWorker adds a worker that wasn't known.
 func (c *Core) addWorker(w *worker) {
+	c.setStartQueue(w)
 	c.workers[w.entry.ID] = w
 	c.workerLists.add(w)
 }
