Yield to another host after two claims in a row that ended

The claim now records whether it followed an unresigned claim of the same process. The first restart still claims at once, as that is the fastest recovery from a single kill.

TestHolderThatEndsTwiceInARowYields fails without the change; TestHolderThatYieldsToNobodyLeadsAgain covers others that are listed and can't lead.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	// that it joins so seldom that its membership lapses between joins: the joins may still arrive while their
 	// responses are lost, and the other processes must not wait for a leader in that state.
 	maxUnansweredJoin = 2 * time.Second
+	// yieldTime is how long a process doesn't claim after it has yielded. The others claim within that time, unless they
+	// have ended as well and are still listed.
+	yieldTime = 2 * memberTTL
 )
 
 // Claim is the newest claim of leadership, or a resignation from it.
@@ -75,6 +79,8 @@
 	// Resigned is set when the holder resigned, so that others may claim without waiting for its membership to
 	// lapse.
 	Resigned bool
+	// Reclaimed is set if the claim before it was by an earlier lifetime of the same process, which didn't resign.
+	Reclaimed bool
 }
 
 // claimRecord is the JSON value of a claim in the log.
@@ -85,6 +91,8 @@
 	Nonce   string `json:"nonce"`
 	// Resigned is set in the record by which a leader resigns.
 	Resigned bool `json:"resigned,omitempty"`
+	// Reclaimed is that of Claim.
+	Reclaimed bool `json:"reclaimed,omitempty"`
 }
 
 // Elector follows the claims in the log, and claims leadership when the leader is lost.
@@ -125,6 +133,8 @@
 	membersReadableSince time.Duration
 	// leaderMissingSince is when the leader was first found missing from the group; 0 while it is present.
 	leaderMissingSince time.Duration
+	// yieldedUntil is until when this process doesn't claim because it has yielded to others.
+	yieldedUntil time.Duration
 	// stopClaiming is set by Resign; this process then makes no further claims.
 	stopClaiming bool
 	// endedTerm is the last term that this process led and no longer leads.
@@ -216,7 +226,7 @@
 			e.Logger.WithFields(logrus.Fields{"event": "claim_skipped", "offset": record.Offset}).WithError(err).Warn("claim skipped: its value isn't valid JSON")
 			continue
 		}
-		e.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: value.Name, Zone: value.Zone, Address: value.Address}, Nonce: value.Nonce, Resigned: value.Resigned}
+		e.claim = Claim{Term: record.Offset + 1, Holder: infra.Member{Name: value.Name, Zone: value.Zone, Address: value.Address}, Nonce: value.Nonce, Resigned: value.Resigned, Reclaimed: value.Reclaimed}
 		e.leaderMissingSince, e.claimReadAt = 0, e.Clock()
 		e.Logger.WithFields(logrus.Fields{"event": "scheduler_changed", "term": e.claim.Term, "holder": value.Name, "address": value.Address}).Info("read a newer scheduler claim")
 		periodic.Wake(e.claimChanged)
@@ -278,12 +288,16 @@
 		now := e.Clock()
 		e.mu.Lock()
 		e.noteMembersRead(members, err, now)
-		claimDue := err == nil && e.claimsLoaded && !e.stopClaiming && e.shouldClaim(now)
+		claimDue := err == nil && e.claimsLoaded && !e.stopClaiming && now >= e.yieldedUntil && e.shouldClaim(now)
+		yields := claimDue && e.shouldYield()
+		if yields {
+			e.yieldedUntil = now + yieldTime
+		}
 		pause := e.watchPause()
 		claim, nextOffset := e.claim, e.nextOffset
 		e.mu.Unlock()
-		if claimDue && e.Eligible() {
-			e.appendClaim(ctx, claim, nextOffset, false)
+		if claimDue && (yields || e.Eligible()) {
+			e.appendClaim(ctx, claim, nextOffset, yields)
 		}
 		_ = periodic.Wait(ctx, pause, e.leaderResigned)
 	}
@@ -385,6 +399,14 @@
 	return now-e.leaderMissingSince >= delay
 }
 
+// shouldYield reports whether this process resigns from the claim of its earlier lifetime instead of claiming again. If
+// that one was a second claim in a row already, something that it does as the leader may have ended it each time, for
+// example with the memory that its state takes, and another host may bear it. e.mu must be held.
+func (e *Elector) shouldYield() bool {
+	return e.claim.Holder.Name == e.Self.Name && !e.claim.Resigned && e.claim.Reclaimed &&
+		slices.ContainsFunc(e.members, func(m infra.Member) bool { return m.Name != e.Self.Name && m.CPUMilli >= e.Self.CPUMilli })
+}
+
 // Resign gives up leadership if this process has it, and stops this process from claiming again.
 func (e *Elector) Resign(ctx context.Context) {
 	e.mu.Lock()
@@ -399,11 +421,12 @@
 // appendClaim appends a claim or a resignation at the offset, on the condition that the topic ends there, so
 // that no other claim came after previous. Success is only known once followClaims reads the record back.
 func (e *Elector) appendClaim(ctx context.Context, previous Claim, offset int64, resigned bool) {
-	value, err := json.Marshal(claimRecord{Name: e.Self.Name, Zone: e.Self.Zone, Address: e.Self.Address, Nonce: e.Nonce, Resigned: resigned})
+	reclaimed := !resigned && !previous.Resigned && previous.Holder.Name == e.Self.Name
+	value, err := json.Marshal(claimRecord{Name: e.Self.Name, Zone: e.Self.Zone, Address: e.Self.Address, Nonce: e.Nonce, Resigned: resigned, Reclaimed: reclaimed})
 	if err == nil {
 		_, err = e.Log.Append(ctx, claimTopic, []infra.Record{{Key: claimKey, Value: value}}, infra.AppendOptions{ExpectedEnd: &offset})
 	}
-	e.Logger.WithFields(logrus.Fields{"event": "claimed", "after_term": previous.Term, "at": offset, "resigned": resigned, "outcome": outcome(err)}).WithError(err).Info("tried to append a scheduler claim or resignation")
+	e.Logger.WithFields(logrus.Fields{"event": "claimed", "after_term": previous.Term, "at": offset, "resigned": resigned, "reclaimed": reclaimed, "outcome": outcome(err)}).WithError(err).Info("tried to append a scheduler claim or resignation")
 }
 
 // outcome returns the value of the log field "outcome".
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -199,6 +199,57 @@
 	})
 }
 
+// Guards against a process that is killed each time it leads, for example for its memory, and leads again and again while
+// other hosts are idle.
+func TestHolderThatEndsTwiceInARowYields(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		for n := range 3 {
+			f.startProcess(ctx, fmt.Sprint("weak-", n), 192)
+		}
+		f.startProcess(ctx, "other", 800)
+		_, kill := f.startProcess(ctx, "first", 800)
+		time.Sleep(5 * time.Second)
+		restarts := 0
+		for ; restarts < 5 && f.lastTerm().name == "first"; restarts++ {
+			kill()
+			time.Sleep(500 * time.Millisecond)
+			_, kill = f.startProcess(ctx, "first", 800)
+			time.Sleep(2 * time.Second)
+		}
+		assert.Equal(t, f.lastTerm().name, "other")
+		assert.Equal(t, restarts, 2)
+		terms := f.termCount()
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.termCount(), terms)
+	})
+}
+
+// Guards against a fleet without a leader if the others that are listed have ended as well, as after a power failure.
+func TestHolderThatYieldsToNobodyLeadsAgain(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		_, killOther := f.startProcess(ctx, "other", 400)
+		_, kill := f.startProcess(ctx, "first", 800)
+		time.Sleep(5 * time.Second)
+		kill()
+		time.Sleep(500 * time.Millisecond)
+		_, kill = f.startProcess(ctx, "first", 800)
+		time.Sleep(2 * time.Second)
+		third := f.newProcess("third", 800)
+		third.Eligible = func() bool { return false }
+		go func() { _ = third.Run(ctx) }()
+		time.Sleep(time.Second)
+		killOther()
+		kill()
+		time.Sleep(500 * time.Millisecond)
+		f.startProcess(ctx, "first", 800)
+		restartedAt := time.Since(f.startedAt)
+		time.Sleep(10 * time.Second)
+		last := f.lastTerm()
+		assert.Equal(t, last.name, "first")
+		assert.Assert(t, last.from-restartedAt <= yieldTime+2*time.Second, "leads after %s", last.from-restartedAt)
+	})
+}
+
 // Guards against a series of claims after the group service has lost all its members, which rejoin one by
 // one. In a simulated day of vaalkant-ops-grown with faults, this led to five terms within 0.7 s.
 func TestGroupThatLosesItsMembers(t *testing.T) {
