--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -300,3 +300,14 @@
 	f.next++
 	return f.entries[f.next%len(f.entries)]
 }
+
+// logged reports whether a process has logged the text.
+func (f *fleet) logged(text string) bool {
+	for _, e := range f.entries {
+		log, err := os.ReadFile(filepath.Join(f.dir, e.name+".log"))
+		if err == nil && bytes.Contains(log, []byte(text)) {
+			return true
+		}
+	}
+	return false
+}
