--- a/internal/session/unanswered_test.go
+++ b/internal/session/unanswered_test.go
@@ -25,6 +25,8 @@
 	t       *testing.T
 	begin   time.Time
 	runTime time.Duration
+	// cpuMilli is the capacity of each worker.
+	cpuMilli int64
 	// unanswered reports whether the n-th call of its kind to the worker, counted from 0, has no response.
 	unanswered func(worker, kind string, n int) bool
 
@@ -49,7 +51,7 @@
 const lateBy = 3 * time.Second
 
 func newUnansweringWorkers(t *testing.T, runTime time.Duration, ids ...string) *unansweringWorkers {
-	u := &unansweringWorkers{t: t, begin: time.Now(), runTime: runTime, workers: map[string]*unansweringWorker{}, runsOf: map[work.ItemID]int{}}
+	u := &unansweringWorkers{t: t, begin: time.Now(), runTime: runTime, cpuMilli: 4000, workers: map[string]*unansweringWorker{}, runsOf: map[work.ItemID]int{}}
 	for _, id := range ids {
 		u.workers[id] = &unansweringWorker{calls: map[string]int{}, running: map[work.ItemID]int64{}, highestRun: map[work.ItemID]int64{}, ends: make(chan struct{})}
 	}
@@ -59,7 +61,7 @@
 func (u *unansweringWorkers) Poll(context.Context) (infra.WorkerUpdate, error) {
 	update := infra.WorkerUpdate{Full: true}
 	for id := range u.workers {
-		update.Entries = append(update.Entries, infra.WorkerEntry{ID: id, Pool: "p", Zone: "z", Address: id, Capacity: work.Resources{CPUMilli: 4000}})
+		update.Entries = append(update.Entries, infra.WorkerEntry{ID: id, Pool: "p", Zone: "z", Address: id, Capacity: work.Resources{CPUMilli: u.cpuMilli}})
 	}
 	slices.SortFunc(update.Entries, func(a, b infra.WorkerEntry) int { return int(a.ID[0]) - int(b.ID[0]) })
 	return update, nil
