Reject requests at once where neither the scheduler nor the log is reached

Cause: a call that had no effect is retried for 0.5 s, since a change of the scheduler takes about that long. The process can't read the claims either, so that it wouldn't learn of another scheduler.

The elector now tells whether its reads of the claims succeed, and calls don't wait while they fail. Requests that are still waited for belong to calls that were sent.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -114,6 +114,8 @@
 	// nextOffset is where the next read of the claims starts. It is known once claimsLoaded is set.
 	nextOffset   int64
 	claimsLoaded bool
+	// claimsUnreadable is set while reads of the claims fail.
+	claimsUnreadable bool
 	// claimChanged is signalled when a newer claim was read.
 	claimChanged chan struct{}
 	// joinDue is signalled when the store responds again after joins without a response, so that the next join isn't
@@ -148,6 +150,13 @@
 	return e.claim
 }
 
+// FollowsClaims reports whether this process would soon learn of a new claim.
+func (e *Elector) FollowsClaims() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.claimsUnreadable
+}
+
 // Peers returns the other entry processes in the group as it was last read.
 func (e *Elector) Peers() []infra.Member {
 	e.mu.Lock()
@@ -175,7 +184,11 @@
 // followClaims reads the claims from the log until ctx ends.
 func (e *Elector) followClaims(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := e.readClaims(ctx); err != nil {
+		err := e.readClaims(ctx)
+		e.mu.Lock()
+		e.claimsUnreadable = err != nil
+		e.mu.Unlock()
+		if err != nil {
 			_ = periodic.Pause(ctx, retryDelay)
 		}
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -285,6 +285,21 @@
 	})
 }
 
+// Guards against a process that counts as cut off from the log while it waits there, or after an outage.
+func TestFollowsClaims(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		elector, _ := f.startProcess(ctx, "only", 400)
+		for _, down := range []bool{false, true, false, true} {
+			f.log.SetDown(down)
+			time.Sleep(readWait + retryDelay + time.Millisecond)
+			for range 10 {
+				assert.Equal(t, elector.FollowsClaims(), !down)
+				time.Sleep(readWait / 3)
+			}
+		}
+	})
+}
+
 // Guards against a leader that is elected again and again because the platform lists only some members of a
 // large group: in a simulated day of vaalkant-ops-large, 25 terms began 1.56 s apart, one after the other.
 func TestLeaderThatTheGroupCrowdsOut(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,8 @@
 // Election reports which entry process runs the scheduler, and the other entry processes.
 type Election interface {
 	Current() election.Claim
+	// FollowsClaims reports whether a change of the scheduler would soon show in Current.
+	FollowsClaims() bool
 	Peers() []infra.Member
 }
 
@@ -220,7 +222,8 @@
 }
 
 // callScheduler calls the scheduler. If a call had no effect, it looks up the scheduler again and retries
-// until schedulerLookupTimeout has passed.
+// until schedulerLookupTimeout has passed. A process that is cut off from the log as well doesn't wait, since it wouldn't
+// learn of another scheduler.
 func callScheduler[Response any](ctx context.Context, e *Entry, call func(peer.Service) (*Response, error)) (*Response, error) {
 	deadline := time.Now().Add(schedulerLookupTimeout)
 	for {
@@ -236,7 +239,7 @@
 		if !peer.HadNoEffect(err) {
 			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the call to the scheduler failed, but may have taken effect")
 		}
-		if time.Now().After(deadline) || periodic.Pause(ctx, schedulerLookupPause) != nil {
+		if time.Now().After(deadline) || !e.Election.FollowsClaims() || periodic.Pause(ctx, schedulerLookupPause) != nil {
 			return nil, fault.Wrap(fault.NotReady, err, "no scheduler can be reached")
 		}
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -61,8 +61,14 @@
 type noLeader struct{}
 
 func (noLeader) Current() election.Claim { return election.Claim{} }
+func (noLeader) FollowsClaims() bool     { return true }
 func (noLeader) Peers() []infra.Member   { return nil }
 
+// cutOff is the election as a process sees it that reaches neither the scheduler nor the log.
+type cutOff struct{ noLeader }
+
+func (cutOff) FollowsClaims() bool { return false }
+
 // A lost response must not be passed to the caller while the job can still be accepted: the entry process
 // repeats the submission, since the caller can't do so itself.
 func TestSubmitIsRetriedAfterLostResponse(t *testing.T) {
@@ -108,6 +114,19 @@
 	})
 }
 
+// Guards against requests that are held up in a zone that is cut off from the scheduler and the log, where nothing can
+// serve them.
+func TestCutOffProcessRejectsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		service := &scriptedService{responses: []func() (*peer.OutcomeResponse, error){func() (*peer.OutcomeResponse, error) { return nil, peer.ErrNotScheduling }}}
+		e := &Entry{Election: cutOff{}, serviceOverride: service}
+		_, err := e.Submit(t.Context(), &work.Job{ID: "j"})
+		assert.Equal(t, fault.KindOf(err), fault.NotReady)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
+
 // Guards against requests that fail while a leader that resigned is replaced: in 29 of 87 changes on simulated days of
 // vaalkant-ops-grown, the next leader served requests only 0.25 to 0.34 s after the resignation.
 func TestRequestsOutlastAChangeOfTheLeader(t *testing.T) {
@@ -147,6 +166,7 @@
 	return election.Claim{Term: int64(l.calls), Holder: infra.Member{Name: address, Address: address}}
 }
 
+func (*leaders) FollowsClaims() bool   { return true }
 func (*leaders) Peers() []infra.Member { return nil }
 
 // acceptingScheduler accepts all jobs.
--- a/internal/entry/peer_config_test.go
+++ b/internal/entry/peer_config_test.go
@@ -33,6 +33,7 @@
 type peersOnly []infra.Member
 
 func (peersOnly) Current() election.Claim { return election.Claim{} }
+func (peersOnly) FollowsClaims() bool     { return true }
 func (p peersOnly) Peers() []infra.Member { return p }
 
 // Guards against withdrawn keys that are in use again for a moment after a restart: a process without a configuration
