Send no queued order after the term

Workers that have seen the next term refuse them, but those that haven't would carry them out for a scheduler that doesn't schedule any more.

Queued stops and paces now check that the term goes on; starts did already. TestStopsThatWaitEndWithTheTerm fails without the check. Metrics and a method of the start queues are renamed after what they say.

--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -29,8 +29,8 @@
 	// for an occurrence that was due.
 	stateBytes         prometheus.Gauge
 	delayedOccurrences prometheus.Counter
-	// pacedStarts counts the start queues that have become full.
-	pacedStarts prometheus.Counter
+	// fullStartQueues counts the start queues that have become full.
+	fullStartQueues prometheus.Counter
 	// suspects and trials are the numbers of waiting suspects and of trials in progress, and suspectAge is how long the
 	// oldest waiting suspect has waited.
 	suspects, trials, suspectAge prometheus.Gauge
@@ -51,7 +51,7 @@
 		adviceWaits:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
 		stages:             newStageMetrics(registry),
 		stateBytes:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_state_bytes", Help: "Estimated size of the state of all jobs in memory."}),
-		pacedStarts:        prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_start_queues_full_total", Help: "How often so many starts to an availability zone waited to be sent that no more work items were placed there."}),
+		fullStartQueues:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_start_queues_full_total", Help: "How often so many starts to an availability zone waited to be sent that no more work items were placed there."}),
 		delayedOccurrences: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_occurrences_delayed_total", Help: "Checks that found no room in memory for an occurrence that was due."}),
 		rejectedRecords:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_records_rejected_total", Help: "Records that the log never accepts."}),
 		omittedCheckpoints: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_checkpoints_omitted_total", Help: "Records of work items without some checkpoints, which are too long for the log."}),
@@ -60,7 +60,7 @@
 		suspectAge:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
 	}
 	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits,
-		m.rejectedRecords, m.omittedCheckpoints, m.stateBytes, m.delayedOccurrences, m.pacedStarts)
+		m.rejectedRecords, m.omittedCheckpoints, m.stateBytes, m.delayedOccurrences, m.fullStartQueues)
 	return m
 }
 
@@ -189,10 +189,10 @@
 	}
 }
 
-// startsPaced counts a start queue that has become full.
-func (m *Metrics) startsPaced() {
+// startQueueFull counts a start queue that has become full.
+func (m *Metrics) startQueueFull() {
 	if m != nil {
-		m.pacedStarts.Inc()
+		m.fullStartQueues.Inc()
 	}
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -109,7 +109,7 @@
 		return nil
 	}
 	if len(pool.workers) > 0 {
-		pool.updateStartQueues()
+		pool.checkStartQueues()
 	}
 	return pool
 }
@@ -176,7 +176,7 @@
 		c.placeAndStart(i, w, now)
 		placed++
 		if w.startQueue.isFull() {
-			pool.updateStartQueues()
+			pool.checkStartQueues()
 		}
 	}
 	if placed > 0 {
--- a/internal/scheduler/startqueue.go
+++ b/internal/scheduler/startqueue.go
@@ -79,7 +79,7 @@
 
 // noteFullQueue counts a queue that has become full, and logs it.
 func (c *Core) noteFullQueue(queue *startQueue, now time.Duration) {
-	c.metrics.startsPaced()
+	c.metrics.startQueueFull()
 	if queue.loggedAt > 0 && now-queue.loggedAt < pacedLogInterval {
 		return
 	}
@@ -88,8 +88,8 @@
 		"starts to the zone are ordered faster than they can be sent; further work items wait for their turn")
 }
 
-// updateStartQueues notes whether any worker of the pool is in a zone whose queue isn't full.
-func (p *candidatePool) updateStartQueues() {
+// checkStartQueues notes whether any worker of the pool is in a zone whose queue isn't full.
+func (p *candidatePool) checkStartQueues() {
 	p.startQueuesFull = true
 	for _, w := range p.workers {
 		if !w.startQueue.isFull() {
--- a/internal/session/burst_test.go
+++ b/internal/session/burst_test.go
@@ -17,9 +17,9 @@
 	"turmericyoke/internal/work"
 )
 
-// runBurst submits a job of many work items and cancels it once they run. It returns the largest number of goroutines, and
-// the number of runs before the cancellation and at the end.
-func (u *unansweringWorkers) runBurst(t *testing.T, items int) (goroutines, runs, left int) {
+// runBurst submits a job of many work items, cancels it once they run, and ends the term after stopTime. It returns the
+// largest number of goroutines, and the number of runs before the cancellation and at the end.
+func (u *unansweringWorkers) runBurst(t *testing.T, items int, stopTime time.Duration) (goroutines, runs, left int) {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -55,7 +55,7 @@
 				observe(3 * time.Second)
 				runs = countRuns()
 				core.Cancel(job.ID, make(chan scheduler.Outcome, 1))
-				observe(3 * time.Second)
+				observe(stopTime)
 				left = countRuns()
 			}()
 		}}
@@ -69,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const items = 8000
 		u := newUnansweringWorkers(t, time.Hour, "a", "b")
-		goroutines, runs, left := u.runBurst(t, items)
+		goroutines, runs, left := u.runBurst(t, items, 3*time.Second)
 		assert.Equal(t, runs, items)
 		assert.Equal(t, left, 0)
 		assert.Assert(t, goroutines < items/10, "%d goroutines", goroutines)
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		u := newUnansweringWorkers(t, time.Hour, "a", "b")
 		u.unanswered = func(worker, kind string, _ int) bool { return worker == "a" && kind == "stop" }
-		goroutines, _, left := u.runBurst(t, 8000)
+		goroutines, _, left := u.runBurst(t, 8000, 3*time.Second)
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		assert.Equal(t, len(u.workers["b"].running), 0)
@@ -90,3 +90,16 @@
 		assert.Assert(t, goroutines < 800, "%d goroutines", goroutines)
 	})
 }
+
+// Guards against stops that are sent after the term, since they waited for their turn.
+func TestStopsThatWaitEndWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUnansweringWorkers(t, time.Hour, "a")
+		_, runs, left := u.runBurst(t, 4000, 20*time.Millisecond)
+		assert.Assert(t, 0 < left && left < runs, "%d of %d runs are left", left, runs)
+		time.Sleep(5 * time.Second)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		assert.Assert(t, len(u.workers["a"].running) >= left-2*maxOrdersInFlight, "%d runs are left, %d at the end of the term", len(u.workers["a"].running), left)
+	})
+}
--- a/internal/session/orders.go
+++ b/internal/session/orders.go
@@ -90,7 +90,7 @@
 func (s *session) sendStop(ctx context.Context, order *scheduler.Order) {
 	a := attempts{}
 	for {
-		if !s.mayAct() {
+		if ctx.Err() != nil || !s.mayAct() {
 			s.core.ApplyStopResult(order, errTermUnconfirmed)
 			return
 		}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -267,7 +267,7 @@
 
 // sendPace sets the pace of a run once.
 func (s *session) sendPace(ctx context.Context, order *scheduler.Order) {
-	if !s.mayAct() {
+	if ctx.Err() != nil || !s.mayAct() {
 		return
 	}
 	if _, err := s.Workers.SetPace(s.limited(ctx), order.Worker, order.Item, order.Run, order.Percent, s.term); err != nil {
