Drop records at a load once they are decoded

A load held all records of the log, all that was decoded of them and all state at the same time. Host records are loaded first, since the jobs' part clears the list. Tests that use their records again pass a copy; TestLoadedJobsWaitForRoomInMemory checks that none is kept.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -10,7 +10,8 @@
 	"turmericyoke/internal/infra"
 )
 
-// Load restores jobs of earlier terms from the newest records of the log.
+// Load restores jobs of earlier terms from the newest records of the log. It drops each record once it is decoded, and what
+// was decoded of a job once the job is restored, so that memory never holds all of two of these forms.
 func (c *Core) Load(records []infra.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -27,6 +28,7 @@
 		case !entry.unreadable:
 			c.deleteRecords(id, slices.Collect(maps.Keys(entry.groups)))
 		}
+		delete(jobs, id)
 	}
 	c.logger.WithFields(logrus.Fields{"event": "state_loaded", "jobs": len(c.jobs), "active": len(c.activeJobs), "term": c.term}).Info("loaded jobs of earlier terms")
 }
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,6 +138,7 @@
 	definition := &work.Job{Steps: []work.Step{step}}
 	second.options.MaxStateBytes = jobs*definitionBytes(definition) + room*occurrenceBytes(definition)
 	second.Load(records)
+	assert.Assert(t, !slices.ContainsFunc(records, func(r infra.Record) bool { return r.Value != nil }), "a record is kept in memory after it was decoded")
 	assert.Assert(t, second.memoryUsed <= second.options.MaxStateBytes)
 	id := second.addWorker(0, 64)
 	second.now += 20 * time.Second
--- a/internal/scheduler/odd_records_test.go
+++ b/internal/scheduler/odd_records_test.go
@@ -124,8 +124,8 @@
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		tc := newTestCore(2)
 		records := []infra.Record{{Key: key, Value: value}}
-		tc.Load(records)
 		tc.LoadHostRecords(records)
+		tc.Load(records)
 		for id, job := range tc.jobs {
 			assert.Equal(t, job.def.ID, id)
 			assert.NilError(t, job.def.Check())
--- a/internal/scheduler/pending_test.go
+++ b/internal/scheduler/pending_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,7 +33,7 @@
 	records, err := (&jobEncoder{}).encodeJob(first.jobs["job"], true)
 	assert.NilError(t, err)
 	second := newTestCore(2)
-	second.Load(records)
+	second.Load(slices.Clone(records))
 	assert.Equal(t, second.Pending("review"), 1)
 
 	first.ApplyStartResult(startOf(), nil, false)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -297,7 +297,8 @@
 		}
 		return jobs[id]
 	}
-	for _, record := range records {
+	for n, record := range records {
+		records[n] = infra.Record{}
 		if record.Value == nil {
 			continue
 		}
--- a/internal/scheduler/recordlimit_test.go
+++ b/internal/scheduler/recordlimit_test.go
@@ -101,17 +101,17 @@
 	records := []infra.Record{{Key: definitionPrefix + "job", Value: definition}, {Key: progressPrefix + "job", Value: value}}
 
 	second := newTestCore(2)
-	second.Load(records)
+	second.Load(slices.Clone(records))
 	j := second.jobs["job"]
 	assert.Equal(t, j.steps[0].countInState(itemDone), 3*groupItems-1)
 	second.markItemDirty(j.itemAt(0, 0, 0))
 	batch := second.Collect()
 	// The record without groups is still there if the term ends after the first of the groups.
 	third := newTestCore(3)
-	third.Load(append(records, batch.Records[0]))
+	third.Load(append(slices.Clone(records), batch.Records[0]))
 	assert.Equal(t, third.jobs["job"].steps[0].countInState(itemDone), 3*groupItems-1)
 	fourth := newTestCore(4)
-	fourth.Load(append(records[:1:1], batch.Records...))
+	fourth.Load(append(slices.Clone(records[:1]), batch.Records...))
 	assert.Equal(t, fourth.jobs["job"].steps[0].countInState(itemDone), 3*groupItems-1)
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -307,8 +307,8 @@
 	for key, value := range s.log {
 		records = append(records, infra.Record{Key: key, Value: value})
 	}
-	core.Load(records)
 	core.LoadHostRecords(records)
+	core.Load(records)
 	core.SetConfig(s.config)
 	scheduler := &simScheduler{core: core, term: s.term, confirmedAt: s.now}
 	s.schedulers = append(s.schedulers, scheduler)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -164,8 +164,8 @@
 	for {
 		records, _, err := s.Log.LatestByKey(ctx, scheduler.Topic)
 		if err == nil {
-			s.core.Load(records)
 			s.core.LoadHostRecords(records)
+			s.core.Load(records)
 			return nil
 		}
 		s.Logger.WithField("event", "load_failed").WithError(err).Warn("can't read the scheduler state from the log; trying again")
