--- a/internal/session/advice_test.go
+++ b/internal/session/advice_test.go
@@ -10,11 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
-	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
@@ -132,26 +130,19 @@
 // schedule runs a term for the given time, in which the jobs are submitted to a queue with advice, and the job with the
 // ID "plain" to one without.
 func (f *advisedFleet) schedule(t *testing.T, jobs []string, items int, duration time.Duration) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	begin := time.Now()
 	advised, plain := work.Queue{Name: "advised", Pool: "p", NeedsAdvice: true}, work.Queue{Name: "plain", Pool: "p"}
-	config := Config{Log: &infratest.Log{}, Workers: f, Hosts: noHosts{}, Advice: f, NewDirectory: func() infra.Directory { return f },
-		Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-		Options: scheduler.Options{Lease: 5 * time.Second},
-		ConfigureCore: func(core *scheduler.Core) {
-			core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{advised, plain}})
-		},
-		DetachCore: func() {},
-		AttachCore: func(core *scheduler.Core) {
-			for _, id := range jobs {
-				queue := advised
-				if id == "plain" {
-					queue = plain
-				}
-				core.Submit(&work.Job{ID: id, Queue: queue, Steps: []work.Step{{Count: items, Need: work.Resources{CPUMilli: 3500}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+	config := newTestConfig(f, begin, advised, plain)
+	config.Advice = f
+	config.AttachCore = func(core *scheduler.Core) {
+		for _, id := range jobs {
+			queue := advised
+			if id == "plain" {
+				queue = plain
 			}
-		}}
+			core.Submit(&work.Job{ID: id, Queue: queue, Steps: []work.Step{{Count: items, Need: work.Resources{CPUMilli: 3500}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+		}
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	Run(ctx, config, 1)
--- a/internal/session/burst_test.go
+++ b/internal/session/burst_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"turmericyoke/internal/infra"
-	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
@@ -21,8 +17,6 @@
 // largest number of goroutines, and the number of runs before the cancellation and at the end.
 func (u *unansweringWorkers) runBurst(t *testing.T, items int, stopTime time.Duration) (goroutines, runs, left int) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	queue := work.Queue{Name: "q", Pool: "p"}
@@ -40,25 +34,19 @@
 			goroutines = max(goroutines, runtime.NumGoroutine())
 		}
 	}
-	config := Config{Log: &infratest.Log{}, Workers: u, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return u },
-		Clock: func() time.Duration { return time.Hour + time.Since(u.begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-		Options: scheduler.Options{Lease: 5 * time.Second},
-		ConfigureCore: func(core *scheduler.Core) {
-			core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-		},
-		DetachCore: func() {},
-		AttachCore: func(core *scheduler.Core) {
-			go func() {
-				defer cancel()
-				time.Sleep(time.Second)
-				core.Submit(job, make(chan scheduler.Outcome, 1))
-				observe(3 * time.Second)
-				runs = countRuns()
-				core.Cancel(job.ID, make(chan scheduler.Outcome, 1))
-				observe(stopTime)
-				left = countRuns()
-			}()
-		}}
+	config := newTestConfig(u, u.begin, queue)
+	config.AttachCore = func(core *scheduler.Core) {
+		go func() {
+			defer cancel()
+			time.Sleep(time.Second)
+			core.Submit(job, make(chan scheduler.Outcome, 1))
+			observe(3 * time.Second)
+			runs = countRuns()
+			core.Cancel(job.ID, make(chan scheduler.Outcome, 1))
+			observe(stopTime)
+			left = countRuns()
+		}()
+	}
 	Run(ctx, config, 1)
 	return goroutines, runs, left
 }
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -196,20 +196,12 @@
 // later than the time limit: it gets no work, and what it has starts again when its lease has lapsed.
 func TestSlowResponsesKeepTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
 		worker := &slowReports{}
 		begin := time.Now()
-		config := Config{Log: &infratest.Log{}, Workers: worker, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return worker },
-			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-			Options: scheduler.Options{Lease: 5 * time.Second},
-			ConfigureCore: func(core *scheduler.Core) {
-				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{{Name: "q", Pool: "p"}}})
-			},
-			DetachCore: func() {},
-			AttachCore: func(core *scheduler.Core) {
-				core.Submit(&work.Job{ID: "j", Queue: work.Queue{Name: "q", Pool: "p"}, Steps: []work.Step{{Count: 3, Need: work.Resources{CPUMilli: 1}, Lasting: true}}}, make(chan scheduler.Outcome, 1))
-			}}
+		config := newTestConfig(worker, begin, work.Queue{Name: "q", Pool: "p"})
+		config.AttachCore = func(core *scheduler.Core) {
+			core.Submit(&work.Job{ID: "j", Queue: work.Queue{Name: "q", Pool: "p"}, Steps: []work.Step{{Count: 3, Need: work.Resources{CPUMilli: 1}, Lasting: true}}}, make(chan scheduler.Outcome, 1))
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
 		Run(ctx, config, 1)
--- a/internal/session/memory_test.go
+++ b/internal/session/memory_test.go
@@ -3,18 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"runtime"
 	"runtime/debug"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"turmericyoke/internal/infra"
-	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
@@ -53,45 +49,38 @@
 // runRecurringJobs submits jobs of the shape until one is rejected, and runs a session until their first occurrences have
 // been due for a while. It returns the number of submitted jobs, that of the runs, and the largest memory in use.
 func runRecurringJobs(t *testing.T, shape burstShape, maxStateBytes int64) (submitted, runs int, largest int64) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	u := newUnansweringWorkers(t, 100*time.Millisecond, "a", "b", "c")
 	u.cpuMilli = 1 << 20
 	queue := work.Queue{Name: "q", Pool: "p"}
 	firstDue := time.Now().Add(5 * time.Second)
-	config := Config{Log: &infratest.Log{}, Workers: u, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return u },
-		Clock: func() time.Duration { return time.Hour + time.Since(u.begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-		Options: scheduler.Options{Lease: 5 * time.Second, MaxStateBytes: maxStateBytes},
-		ConfigureCore: func(core *scheduler.Core) {
-			core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-		},
-		DetachCore: func() {},
-		AttachCore: func(core *scheduler.Core) {
-			go func() {
-				defer cancel()
-				time.Sleep(time.Second)
-				outcomes := make(chan scheduler.Outcome, maxJobs)
-				for ; submitted < maxJobs && !rejectedAny(outcomes); submitted++ {
-					var steps []work.Step
-					for range shape.steps {
-						steps = append(steps, work.Step{Count: shape.items, Need: work.Resources{CPUMilli: 1}, Estimate: 100 * time.Millisecond})
-					}
-					due := firstDue.Add(time.Duration(submitted%shape.distinctTimes) * 200 * time.Millisecond)
-					core.Submit(&work.Job{ID: fmt.Sprintf("%016x", submitted), Queue: queue, Customer: "hot", Spec: "spec", Accepted: time.Now(), Steps: steps,
-						Recurrence: work.Recurrence{Times: shape.occurrences, First: due, Interval: time.Minute}}, outcomes)
+	config := newTestConfig(u, u.begin, queue)
+	config.Options.MaxStateBytes = maxStateBytes
+	config.AttachCore = func(core *scheduler.Core) {
+		go func() {
+			defer cancel()
+			time.Sleep(time.Second)
+			outcomes := make(chan scheduler.Outcome, maxJobs)
+			for ; submitted < maxJobs && !rejectedAny(outcomes); submitted++ {
+				var steps []work.Step
+				for range shape.steps {
+					steps = append(steps, work.Step{Count: shape.items, Need: work.Resources{CPUMilli: 1}, Estimate: 100 * time.Millisecond})
 				}
-				for end := firstDue.Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-					largest = max(largest, memoryInUse())
-				}
-				u.mu.Lock()
-				defer u.mu.Unlock()
-				for _, w := range u.workers {
-					runs += len(w.highestRun) + len(w.running)
-				}
-			}()
-		}}
+				due := firstDue.Add(time.Duration(submitted%shape.distinctTimes) * 200 * time.Millisecond)
+				core.Submit(&work.Job{ID: fmt.Sprintf("%016x", submitted), Queue: queue, Customer: "hot", Spec: "spec", Accepted: time.Now(), Steps: steps,
+					Recurrence: work.Recurrence{Times: shape.occurrences, First: due, Interval: time.Minute}}, outcomes)
+			}
+			for end := firstDue.Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				largest = max(largest, memoryInUse())
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			for _, w := range u.workers {
+				runs += len(w.highestRun) + len(w.running)
+			}
+		}()
+	}
 	Run(ctx, config, 1)
 	return submitted, runs, largest
 }
--- a/internal/session/pace_test.go
+++ b/internal/session/pace_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
@@ -39,27 +37,20 @@
 		minAppends, maxAppends int64
 	}{{workers: 20, minAppends: 40, maxAppends: 70}, {workers: 3000, minAppends: 10, maxAppends: 20}} {
 		synctest.Test(t, func(t *testing.T) {
-			logger := logrus.New()
-			logger.SetOutput(io.Discard)
 			hosts := &idleHosts{count: tc.workers}
 			log := &countingLog{}
 			begin := time.Now()
 			queue := work.Queue{Name: "q", Pool: "p"}
-			config := Config{Log: log, Workers: hosts, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return hosts },
-				Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-				Options: scheduler.Options{Lease: 5 * time.Second},
-				ConfigureCore: func(core *scheduler.Core) {
-					core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-				},
-				DetachCore: func() {},
-				AttachCore: func(core *scheduler.Core) {
-					go func() {
-						for n := range 250 {
-							core.Submit(&work.Job{ID: fmt.Sprint("j-", n), Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1 << 40}, Lasting: true}}}, make(chan scheduler.Outcome, 1))
-							time.Sleep(time.Millisecond)
-						}
-					}()
-				}}
+			config := newTestConfig(hosts, begin, queue)
+			config.Log = log
+			config.AttachCore = func(core *scheduler.Core) {
+				go func() {
+					for n := range 250 {
+						core.Submit(&work.Job{ID: fmt.Sprint("j-", n), Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1 << 40}, Lasting: true}}}, make(chan scheduler.Outcome, 1))
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			Run(ctx, config, 1)
--- a/internal/session/relay_test.go
+++ b/internal/session/relay_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
-	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
@@ -61,22 +58,14 @@
 // Guards against a worker that counts as silent because a relay failed: its starts would be given up, and its leases lapse.
 func TestFailedRelayIsNoSilenceOfTheWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
 		begin := time.Now()
 		worker := &lostRelay{}
 		var core *scheduler.Core
-		config := Config{Log: &infratest.Log{}, Workers: worker, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return worker },
-			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-			Options: scheduler.Options{Lease: 5 * time.Second},
-			ConfigureCore: func(core *scheduler.Core) {
-				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{{Name: "q", Pool: "p"}}})
-			},
-			DetachCore: func() {},
-			AttachCore: func(attached *scheduler.Core) {
-				core = attached
-				core.Submit(&work.Job{ID: "j", Queue: work.Queue{Name: "q", Pool: "p"}, Steps: []work.Step{{Count: 10, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
-			}}
+		config := newTestConfig(worker, begin, work.Queue{Name: "q", Pool: "p"})
+		config.AttachCore = func(attached *scheduler.Core) {
+			core = attached
+			core.Submit(&work.Job{ID: "j", Queue: work.Queue{Name: "q", Pool: "p"}, Steps: []work.Step{{Count: 10, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 		defer cancel()
 		Run(ctx, config, 1)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -151,23 +151,15 @@
 // have shrunk.
 func TestNoStartsWithoutTheListOfWorkers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
 		list := &lostList{}
 		begin := time.Now()
 		queue := work.Queue{Name: "q", Pool: "p"}
-		config := Config{Log: &infratest.Log{}, Workers: list, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return list },
-			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-			Options: scheduler.Options{Lease: 5 * time.Second},
-			ConfigureCore: func(core *scheduler.Core) {
-				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-			},
-			DetachCore: func() {},
-			AttachCore: func(core *scheduler.Core) {
-				time.AfterFunc(4*time.Second, func() {
-					core.Submit(&work.Job{ID: "late", Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
-				})
-			}}
+		config := newTestConfig(list, begin, queue)
+		config.AttachCore = func(core *scheduler.Core) {
+			time.AfterFunc(4*time.Second, func() {
+				core.Submit(&work.Job{ID: "late", Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}, Estimate: time.Minute}}}, make(chan scheduler.Outcome, 1))
+			})
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 		defer cancel()
 		Run(ctx, config, 1)
--- a/internal/session/stall_test.go
+++ b/internal/session/stall_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
-	"turmericyoke/internal/infra"
 	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
@@ -30,28 +27,21 @@
 // outcome may be unknown are rejected.
 func testOutage(t *testing.T, first time.Duration, unknown int) {
 	synctest.Test(t, func(t *testing.T) {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
 		log, worker := &infratest.Log{}, &slowStarts{}
 		begin := time.Now()
 		queue := work.Queue{Name: "q", Pool: "p"}
 		const count = 20
 		outcomes := make(chan scheduler.Outcome, count)
-		config := Config{Log: log, Workers: worker, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return worker },
-			Clock: func() time.Duration { return time.Hour + time.Since(begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-			Options: scheduler.Options{Lease: 5 * time.Second},
-			ConfigureCore: func(core *scheduler.Core) {
-				core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-			},
-			DetachCore: func() {},
-			AttachCore: func(core *scheduler.Core) {
-				log.SetDown(true)
-				for n := range count {
-					time.AfterFunc(first+time.Duration(n)*50*time.Millisecond, func() {
-						core.Submit(&work.Job{ID: fmt.Sprint(n), Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}}}}, outcomes)
-					})
-				}
-			}}
+		config := newTestConfig(worker, begin, queue)
+		config.Log = log
+		config.AttachCore = func(core *scheduler.Core) {
+			log.SetDown(true)
+			for n := range count {
+				time.AfterFunc(first+time.Duration(n)*50*time.Millisecond, func() {
+					core.Submit(&work.Job{ID: fmt.Sprint(n), Queue: queue, Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1}}}}, outcomes)
+				})
+			}
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), first+2*time.Second)
 		defer cancel()
 		go Run(ctx, config, 1)
--- a/internal/session/unanswered_test.go
+++ b/internal/session/unanswered_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"turmericyoke/internal/infra"
-	"turmericyoke/internal/infra/infratest"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
 )
@@ -177,31 +174,23 @@
 // runJob runs a session until the job is completed, and returns how long that took.
 func (u *unansweringWorkers) runJob(t *testing.T, steps ...work.Step) time.Duration {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	queue := work.Queue{Name: "q", Pool: "p", Slack: 2, Target: time.Second}
 	took := time.Duration(0)
-	config := Config{Log: &infratest.Log{}, Workers: u, Hosts: noHosts{}, NewDirectory: func() infra.Directory { return u },
-		Clock: func() time.Duration { return time.Hour + time.Since(u.begin) }, WallClock: time.Now, Logger: logrus.NewEntry(logger),
-		Options: scheduler.Options{Lease: 5 * time.Second},
-		ConfigureCore: func(core *scheduler.Core) {
-			core.SetConfig(&work.Config{Version: 1, Pools: map[string]work.Pool{"p": {Name: "p"}}, Queues: []work.Queue{queue}})
-		},
-		DetachCore: func() {},
-		AttachCore: func(core *scheduler.Core) {
-			go func() {
-				time.Sleep(time.Second)
-				core.Submit(&work.Job{ID: "j", Queue: queue, Steps: steps}, make(chan scheduler.Outcome, 1))
-				for submittedAt := time.Now(); ctx.Err() == nil; time.Sleep(time.Millisecond) {
-					if state, _ := core.State("j"); state == scheduler.JobCompleted {
-						took = time.Since(submittedAt)
-						cancel()
-					}
+	config := newTestConfig(u, u.begin, queue)
+	config.AttachCore = func(core *scheduler.Core) {
+		go func() {
+			time.Sleep(time.Second)
+			core.Submit(&work.Job{ID: "j", Queue: queue, Steps: steps}, make(chan scheduler.Outcome, 1))
+			for submittedAt := time.Now(); ctx.Err() == nil; time.Sleep(time.Millisecond) {
+				if state, _ := core.State("j"); state == scheduler.JobCompleted {
+					took = time.Since(submittedAt)
+					cancel()
 				}
-			}()
-		}}
+			}
+		}()
+	}
 	Run(ctx, config, 1)
 	assert.Assert(t, took > 0, "the job isn't completed")
 	// Orders that are still to be carried out may start a run.
