Count lasting items on draining workers as away

Ruled out: takeover (inheritedStopDelay had passed) and late calls (all three stops were confirmed within 32 ms).

mayStop now counts items on draining workers as away. The maintenance waits until they run elsewhere.

--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -216,7 +216,8 @@
 		if other == i {
 			continue
 		}
-		if other.state != itemPlaced || !other.available || other.stopping || other.worker.failedRenewals > 0 || other.worker.ended {
+		// The next check of the workers stops what is on a draining one, whatever the budget is.
+		if other.state != itemPlaced || !other.available || other.stopping || other.worker.failedRenewals > 0 || other.worker.ended || other.worker.entry.Draining {
 			unavailable++
 		}
 	}
