--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -39,13 +39,15 @@
 	need  amount
 	// saves makes the work items report checkpoints.
 	saves bool
+	// mayWait is set if more may be due at once than can be started.
+	mayWait bool
 	// spread is the time over which the first occurrences of the jobs are due.
 	spread time.Duration
 }
 
 var (
 	manyOccurrences = jobShape{occurrences: 600, interval: time.Minute, items: 8, work: 300 * time.Millisecond, need: amount{CPU: 100, MemMb: 64}}
-	manyItems       = jobShape{occurrences: 4, interval: time.Minute, items: 1200, work: 300 * time.Millisecond, need: amount{CPU: 10, MemMb: 8}}
+	manyItems       = jobShape{occurrences: 4, interval: time.Minute, items: 1200, work: 300 * time.Millisecond, need: amount{CPU: 10, MemMb: 8}, mayWait: true}
 )
 
 // drawShape draws a shape near the edges of what jobs may be.
@@ -54,7 +56,7 @@
 	items := []int{1, 8, 100, 600, 1200, 2400, 5000, 9999}
 	shape := jobShape{occurrences: occurrences[rng.IntN(len(occurrences))], interval: time.Duration(1+rng.IntN(60)) * time.Second, items: items[rng.IntN(len(items))],
 		work: time.Duration(50+rng.IntN(500)) * time.Millisecond, spread: time.Duration(rng.IntN(3)) * 4 * time.Second,
-		saves: rng.IntN(2) == 0, need: amount{CPU: int64(1 + rng.IntN(200)), MemMb: int64(1 + rng.IntN(64))}}
+		mayWait: true, saves: rng.IntN(2) == 0, need: amount{CPU: int64(1 + rng.IntN(200)), MemMb: int64(1 + rng.IntN(64))}}
 	for shape.occurrences > 1 && shape.occurrences*shape.items > maxJobItems {
 		shape.occurrences /= 2
 	}
@@ -150,7 +152,7 @@
 		fatal("only %d jobs were accepted", len(accepted))
 	}
 	time.Sleep(time.Until(first.Add(finishTime)))
-	held := s.occurred(accepted)
+	held := s.occurred(accepted, shape.mayWait)
 	close(done)
 	<-limited
 	s.record.line("largest memory of a process %d MiB; kills for memory %v", largest, kills)
@@ -158,10 +160,11 @@
 }
 
 // occurred checks that each job is answered for, and that the work items of its first occurrence, which was due finishTime
-// before, have begun. Jobs without a start don't count if the processes have logged that starts wait for their turn.
-func (s *scene) occurred(accepted []string) bool {
+// before, have begun. If mayWait is set, jobs without a start don't count if the
+// processes have logged that starts wait for their turn.
+func (s *scene) occurred(accepted []string, mayWait bool) bool {
 	unanswered, idle := 0, 0
-	delayLogged := s.fleet.logged("event=starts_paced")
+	delayLogged := mayWait && s.fleet.logged("event=starts_paced")
 	for n, id := range accepted {
 		s.platform.mu.Lock()
 		starts := s.platform.starts[id]
