--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -160,8 +160,8 @@
 }
 
 // occurred checks that each job is answered for, and that the work items of its first occurrence, which was due finishTime
-// before, have begun. If mayWait is set, jobs without a start don't count if the
-// processes have logged that starts wait for their turn.
+// before, have begun. If mayWait is set, jobs without a start don't count if the processes have logged that starts wait for
+// their turn.
 func (s *scene) occurred(accepted []string, mayWait bool) bool {
 	unanswered, idle := 0, 0
 	delayLogged := mayWait && s.fleet.logged("event=starts_paced")
