Run the tests of internal/follower without the race detector on arm64

Program counter and link register are in the detector's own runtime: StackDepotBase::Put (+0x80), called by CurrentStackId. The instruction is the load of the hash over a call stack whose length, in r19, is 0xffffffff: the detector had counted one return more than calls on a goroutine that starts another, and read on to the end of the mapped memory. Ruled out: the package's code. It has no assembly and no unsafe code, and doesn't write to memory of C. Not reproduced: 440 runs of the test binary, one or 24 at a time, and about 200 more 40 at a time: none crashed.

A check of the machine in scripts/test.sh runs this package without the detector on arm64, where its tests run all the same. On x86-64 nothing changes.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,7 +19,15 @@
 go vet ./...
 go tool staticcheck ./...
 go mod tidy -diff
-go test -race -timeout 20m ./...
+# The race detector's runtime itself has crashed on arm64 in the tests of these packages: a goroutine's call stack,
+# as the detector counts it, had a negative length. On arm64 they are run without it.
+crashes_detector='^turmericyoke/internal/follower$'
+packages=$(go list ./...)
+if [ "$(go env GOARCH)" = arm64 ]; then
+  go test -timeout 20m $(grep -E "$crashes_detector" <<<"$packages")
+  packages=$(grep -vE "$crashes_detector" <<<"$packages")
+fi
+go test -race -timeout 20m $packages
 
 # Builds with the command in the deploy file, and checks that the program accepts the example settings.
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
