Move lasting items off draining workers within their budgets

Cause: two paths stop items of one step, and one of them doesn't ask. Ruled out: waiting only for stops that aren't confirmed.

evacuate now asks mayStop until 2 s before the worker may leave. mayStop counts what is on other draining workers as away, but not for an item that is on one itself.

--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -203,7 +203,8 @@
 	}
 }
 
-// mayStop reports whether the availability budget of the item's step allows stopping the item now.
+// mayStop reports whether the availability budget of the item's step allows stopping the item now. The items on draining
+// workers are to be stopped before all others: they count as unavailable unless the item itself is one of them.
 func (c *Core) mayStop(i *item) bool {
 	if i.step.def.MayMiss <= 0 {
 		return true
@@ -216,8 +217,8 @@
 		if other == i {
 			continue
 		}
-		// The next check of the workers stops what is on a draining one, whatever the budget is.
-		if other.state != itemPlaced || !other.available || other.stopping || other.worker.failedRenewals > 0 || other.worker.ended || other.worker.entry.Draining {
+		if other.state != itemPlaced || !other.available || other.stopping || other.worker.failedRenewals > 0 || other.worker.ended ||
+			other.worker.entry.Draining && !i.worker.entry.Draining {
 			unavailable++
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -19,6 +19,8 @@
 	host string
 	// listed is set while the platform lists the worker.
 	listed bool
+	// leavesAt is when the worker may leave at the earliest, if it is draining.
+	leavesAt time.Duration
 	// hasReported is set once the worker has reported to this term. From then on the worker
 	// refuses orders of earlier terms, so that all of its runs are known.
 	hasReported bool
--- a/internal/scheduler/workercheck.go
+++ b/internal/scheduler/workercheck.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// evacuationTime is how long before a draining worker may leave its lasting items are stopped whatever their budgets
+// are. An item that is still there when the worker leaves starts again only after its lease.
+const evacuationTime = 2 * time.Second
+
 // checkWorkers checks the runs of all workers for unconfirmed starts and stops and for stragglers, and stops lasting
 // work on draining workers. It passes over the workers, and over the runs that may need an order, in the order of their IDs.
 func (c *Core) checkWorkers(now time.Duration) {
@@ -20,7 +24,7 @@
 			switch {
 			case w.failedRenewals > 0:
 			case w.entry.Draining:
-				c.evacuate(i)
+				c.evacuate(i, now)
 			case c.stopStraggler(i, now):
 				stragglers++
 			}
@@ -32,8 +36,14 @@
 }
 
 // evacuate stops an item on a draining worker if it is lasting, so that it starts on another before the worker leaves.
-func (c *Core) evacuate(i *item) {
-	if i.step.def.Lasting && !i.stopping && i.startConfirmedAt > 0 {
-		c.orderStop(i)
+// While there is time, it keeps to the availability budget of the item's step: a stop of another item may still be on
+// its way.
+func (c *Core) evacuate(i *item, now time.Duration) {
+	if !i.step.def.Lasting || i.stopping || i.startConfirmedAt == 0 {
+		return
+	}
+	if now < i.worker.leavesAt-evacuationTime && !c.mayStop(i) {
+		return
 	}
+	c.orderStop(i)
 }
