Encode refusals whose texts aren't valid UTF-8

The batch in flight doesn't change until it is appended, so that it was tried for ever and no later refusal of the gateway was appended. Cause: texts were only made valid when they were shortened. Not ruled out: that a caller can bring such a text there; names come from the configuration, details may quote a request.

--- a/internal/refusal/recorder.go
+++ b/internal/refusal/recorder.go
@@ -40,8 +40,8 @@
 // Add records a refusal and returns the id that the caller receives.
 func (r *Recorder) Add(refusal Refusal) string {
 	key := entryKey{
-		team: truncate(refusal.Team, MaxFieldBytes), keyID: truncate(refusal.KeyID, MaxFieldBytes),
-		pool: truncate(refusal.Pool, MaxFieldBytes), rule: string(refusal.Kind), version: refusal.ConfigVersion,
+		team: sanitize(refusal.Team, MaxFieldBytes), keyID: sanitize(refusal.KeyID, MaxFieldBytes),
+		pool: sanitize(refusal.Pool, MaxFieldBytes), rule: string(refusal.Kind), version: refusal.ConfigVersion,
 	}
 	nowMS := r.now().UnixMilli()
 	r.mu.Lock()
@@ -58,7 +58,7 @@
 	r.pending.add(key, &v1.RefusalEntry{
 		Team: key.team, KeyId: key.keyID, Pool: key.pool, Rule: key.rule, ConfigVersion: key.version, Count: 1,
 		FirstNumber: number, LastNumber: number, FirstUnixMs: nowMS, LastUnixMs: nowMS,
-		SampleFree: refusal.Free, SampleNeeded: refusal.Needed, SampleDetail: truncate(refusal.Detail, MaxDetailBytes),
+		SampleFree: refusal.Free, SampleNeeded: refusal.Needed, SampleDetail: sanitize(refusal.Detail, MaxDetailBytes),
 	}, r.pendingLimit())
 	return FormatID(r.incarnation, number)
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -70,11 +70,8 @@
 	return id[:hyphen], number, nil
 }
 
-// truncate shortens a text that is longer than maxBytes, and then also removes invalid UTF-8 such as a split
-// character at the end.
-func truncate(text string, maxBytes int) string {
-	if len(text) <= maxBytes {
-		return text
-	}
-	return strings.ToValidUTF8(text[:maxBytes], "")
+// sanitize shortens a text that is longer than maxBytes, and replaces invalid UTF-8, also that of a character split at
+// the end, by question marks. A batch with invalid UTF-8 can't be encoded.
+func sanitize(text string, maxBytes int) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxBytes)], "?")
 }
