Wait for a disconnect before the next request on a slot

It then closed the connection of the next request on the slot, whose run the endpoint ended. Cause: context.AfterFunc's stop doesn't wait for a call that has begun. Ruled out: a reset at the begin of the next attempt, which is what there was; the call may come after it. TestLateDisconnectSparesTheNextRequest fails before (20 of 20, also with the race detector) and passes now (50 of 50 with it).

--- a/internal/gateway/endpoints/slot.go
+++ b/internal/gateway/endpoints/slot.go
@@ -78,9 +78,16 @@
 // can't be taken for the response to another request.
 func (s *endpointSlot) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) pipe.AttemptReport {
 	s.resetAttempt()
-	stop := context.AfterFunc(ctx, s.cancel)
+	cancelled := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(cancelled)
+		s.cancel()
+	})
 	err := s.client.DoDeadline(request, response, deadline)
-	stop()
+	if !stop() {
+		// Otherwise cancel could hit the next request on the slot.
+		<-cancelled
+	}
 	return s.buildReport(err)
 }
 
