Count the expired records at the end of a stream

Readers of the state check the oldest offset themselves and aren't concerned. Each now returns how many records are missing after the last visited one; export and refusals state it. TestExpiredRecordsAreCounted.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -37,12 +37,12 @@
 }
 
 // Export writes the records of the stream with offsets above afterOffset as JSON lines and returns their
-// number. The line after a gap in the offsets states how many records are missing.
-func Export(ctx context.Context, log logreader.Log, stream string, afterOffset int64, out io.Writer) (int, error) {
+// number. The line after a gap in the offsets states how many records are missing; missingAtEnd is the number of those
+// after the last line.
+func Export(ctx context.Context, log logreader.Log, stream string, afterOffset int64, out io.Writer) (count int, missingAtEnd int64, err error) {
 	encoder := json.NewEncoder(out)
 	var chain []byte
-	count := 0
-	err := logreader.Each(ctx, log, stream, afterOffset, func(record *v1.LogRecord, missing int64) error {
+	missingAtEnd, err = logreader.Each(ctx, log, stream, afterOffset, func(record *v1.LogRecord, missing int64) error {
 		chain = chainHash(chain, record.GetOffset(), record.GetData())
 		line := Line{
 			Stream: stream, Offset: record.GetOffset(), Missing: missing,
@@ -54,7 +54,7 @@
 		count++
 		return nil
 	})
-	return count, err
+	return count, missingAtEnd, err
 }
 
 // decodeRecord returns the record in data as JSON, or nil if it can't be decoded; its data is exported anyway.
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -24,7 +24,7 @@
 	}
 	log.Trim("fleet", trimOffset)
 	var out bytes.Buffer
-	_, err := Export(t.Context(), log, "fleet", 0, &out)
+	_, _, err := Export(t.Context(), log, "fleet", 0, &out)
 	assert.NilError(t, err)
 	return out.String()
 }
--- a/internal/cli/record.go
+++ b/internal/cli/record.go
@@ -64,11 +64,14 @@
 				return err
 			}
 			out := bufio.NewWriter(cmd.OutOrStdout())
-			count, err := audit.Export(ctx, log, stream, after, out)
+			count, missingAtEnd, err := audit.Export(ctx, log, stream, after, out)
 			if err := errors.Join(err, out.Flush()); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.ErrOrStderr(), "exported: %d records\n", count)
+			if missingAtEnd > 0 {
+				fmt.Fprintf(cmd.ErrOrStderr(), "missing at the end: %d records that the log no longer keeps\n", missingAtEnd)
+			}
 			return nil
 		},
 	}
--- a/internal/logreader/logreader_test.go
+++ b/internal/logreader/logreader_test.go
@@ -34,7 +34,7 @@
 	for _, offsets := range [][]int64{{1}, {1, 2, 2}, {5, 4}, {-1}, {0}} {
 		log := &repeatingLog{offsets: offsets}
 		visited := int64(0)
-		err := Each(t.Context(), log, "s", 0, func(record *v1.LogRecord, missing int64) error {
+		_, err := Each(t.Context(), log, "s", 0, func(record *v1.LogRecord, missing int64) error {
 			assert.Assert(t, record.GetOffset() > visited && missing >= 0)
 			visited = record.GetOffset()
 			return nil
@@ -43,3 +43,23 @@
 		assert.Assert(t, log.reads <= 2, "%d reads", log.reads)
 	}
 }
+
+// expiredLog has records up to an offset, and keeps none of them.
+type expiredLog int64
+
+func (l expiredLog) Read(context.Context, *v1.ReadRequest) (*v1.ReadResponse, error) {
+	return &v1.ReadResponse{OldestOffset: int64(l) + 1, HeadOffset: int64(l)}, nil
+}
+
+// Checks that a stream of which the log keeps no record isn't taken for an empty one.
+func TestExpiredRecordsAreCounted(t *testing.T) {
+	visit := func(*v1.LogRecord, int64) error {
+		t.Error("record visited")
+		return nil
+	}
+	for after, want := range map[int64]int64{0: 7, 5: 2, 7: 0, 9: 0} {
+		missingAtEnd, err := Each(t.Context(), expiredLog(7), "s", after, visit)
+		assert.NilError(t, err)
+		assert.Equal(t, missingAtEnd, want)
+	}
+}
--- a/internal/refusal/stream.go
+++ b/internal/refusal/stream.go
@@ -37,11 +37,11 @@
 // ReadAll adds all records of the refusals stream that the log keeps to the reader. It returns the number of
 // records that the log no longer keeps, whose refusals can't be explained.
 func ReadAll(ctx context.Context, log logreader.Log, reader *Reader) (expired int64, err error) {
-	err = logreader.Each(ctx, log, Stream, 0, func(record *v1.LogRecord, missing int64) error {
+	missingAtEnd, err := logreader.Each(ctx, log, Stream, 0, func(record *v1.LogRecord, missing int64) error {
 		expired += missing
 		return addRecord(reader, record)
 	})
-	return expired, err
+	return expired + missingAtEnd, err
 }
 
 // addRecord decodes a record of the refusals stream and adds its batch to the reader.
