Repeat reads of jobs and queues after a lost response

Cause: reads and submissions shared the rule that only a call without effect may be repeated. A read has none.

TestReadsAreRepeatedAfterLostResponse fails before. TestForwardedSubmissionOutlivesItsLeader used a read to show that a lost response isn't taken for a call without effect. It now shows this by a submission, at the client and at the entry process, which is as strict.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -221,10 +221,10 @@
 	return e.PeerClients.At(claim.Holder.Address), true
 }
 
-// callScheduler calls the scheduler. If a call had no effect, it looks up the scheduler again and retries
-// until schedulerLookupTimeout has passed. A process that is cut off from the log as well doesn't wait, since it wouldn't
-// learn of another scheduler.
-func callScheduler[Response any](ctx context.Context, e *Entry, call func(peer.Service) (*Response, error)) (*Response, error) {
+// callScheduler calls the scheduler. After an error for which mayRepeat returns true, it looks up the scheduler again and
+// retries until schedulerLookupTimeout has passed. A process that is cut off from the log as well doesn't wait, since it
+// wouldn't learn of another scheduler.
+func callScheduler[Response any](ctx context.Context, e *Entry, mayRepeat func(error) bool, call func(peer.Service) (*Response, error)) (*Response, error) {
 	deadline := time.Now().Add(schedulerLookupTimeout)
 	for {
 		var err error
@@ -236,7 +236,7 @@
 				return response, nil
 			}
 		}
-		if !peer.HadNoEffect(err) {
+		if !mayRepeat(err) {
 			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the call to the scheduler failed, but may have taken effect")
 		}
 		if time.Now().After(deadline) || !e.Election.FollowsClaims() || periodic.Pause(ctx, schedulerLookupPause) != nil {
@@ -265,7 +265,7 @@
 func (e *Entry) retryUntilKnown(ctx context.Context, call func(context.Context, peer.Service) (*peer.OutcomeResponse, error)) (*peer.OutcomeResponse, error) {
 	uncertain := false
 	for {
-		response, err := callScheduler(ctx, e, func(s peer.Service) (*peer.OutcomeResponse, error) {
+		response, err := callScheduler(ctx, e, peer.HadNoEffect, func(s peer.Service) (*peer.OutcomeResponse, error) {
 			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
 			return call(attemptCtx, s)
@@ -283,15 +283,18 @@
 
 // State returns the state of a job.
 func (e *Entry) State(ctx context.Context, id string) (*peer.StateResponse, error) {
-	return callScheduler(ctx, e, func(s peer.Service) (*peer.StateResponse, error) { return s.State(ctx, &peer.StateRequest{Job: id}) })
+	return callScheduler(ctx, e, isRead, func(s peer.Service) (*peer.StateResponse, error) { return s.State(ctx, &peer.StateRequest{Job: id}) })
 }
 
 // Pending returns the number of jobs of a queue that haven't started.
 func (e *Entry) Pending(ctx context.Context, queue string) (*peer.PendingResponse, error) {
-	return callScheduler(ctx, e, func(s peer.Service) (*peer.PendingResponse, error) {
+	return callScheduler(ctx, e, isRead, func(s peer.Service) (*peer.PendingResponse, error) {
 		return s.Pending(ctx, &peer.PendingRequest{Queue: queue})
 	})
 }
 
+// isRead permits a repetition after any error: a read has no effect.
+func isRead(error) bool { return true }
+
 // PeerService returns the service that this process offers to other entry processes.
 func (e *Entry) PeerService() peer.Service { return peerServer{e} }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -114,6 +114,48 @@
 	})
 }
 
+// readableScheduler answers reads after a number of lost responses.
+type readableScheduler struct {
+	peer.Service
+	lost int
+}
+
+func (s *readableScheduler) loseNext() error {
+	if s.lost--; s.lost >= 0 {
+		return connect.NewError(connect.CodeUnavailable, errors.New("connection reset"))
+	}
+	return nil
+}
+
+func (s *readableScheduler) State(context.Context, *peer.StateRequest) (*peer.StateResponse, error) {
+	return &peer.StateResponse{Known: true}, s.loseNext()
+}
+
+func (s *readableScheduler) Pending(context.Context, *peer.PendingRequest) (*peer.PendingResponse, error) {
+	return &peer.PendingResponse{Pending: 3}, s.loseNext()
+}
+
+// A read has no effect, so that its caller mustn't be told of an unknown outcome: it is repeated after a lost response,
+// and ends within the lookup timeout.
+func TestReadsAreRepeatedAfterLostResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Entry{Election: noLeader{}, serviceOverride: &readableScheduler{lost: 1}}
+		state, err := e.State(t.Context(), "j")
+		assert.NilError(t, err)
+		assert.Assert(t, state.Known)
+		e.serviceOverride = &readableScheduler{lost: 1}
+		pending, err := e.Pending(t.Context(), "review")
+		assert.NilError(t, err)
+		assert.Equal(t, pending.Pending, 3)
+
+		e.serviceOverride = &readableScheduler{lost: 1 << 20}
+		start := time.Now()
+		_, err = e.State(t.Context(), "j")
+		assert.Equal(t, fault.KindOf(err), fault.NotReady)
+		assert.Assert(t, time.Since(start) <= schedulerLookupTimeout+schedulerLookupPause)
+	})
+}
+
 // Guards against requests that are held up in a zone that is cut off from the scheduler and the log, where nothing can
 // serve them.
 func TestCutOffProcessRejectsAtOnce(t *testing.T) {
@@ -192,11 +234,13 @@
 	assert.Equal(t, response.Kind, scheduler.OutcomeDone)
 	assert.Equal(t, election.calls, 2)
 
-	lost := &leaders{addresses: []string{stopping.Listener.Addr().String()}}
-	e.Election = lost
-	_, err = e.State(t.Context(), "j")
+	_, err = e.PeerClients.At(stopping.Listener.Addr().String()).Submit(t.Context(), &peer.SubmitRequest{Job: &work.Job{ID: "j"}})
+	assert.Assert(t, err != nil && !peer.HadNoEffect(err), "the call was taken for one without effect: %v", err)
+	e.Election = &leaders{addresses: []string{stopping.Listener.Addr().String()}}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*attemptPause)
+	defer cancel()
+	_, err = e.Submit(ctx, &work.Job{ID: "j"})
 	assert.Equal(t, fault.KindOf(err), fault.OutcomeUnknown)
-	assert.Equal(t, lost.calls, 1, "the call was taken for one without effect")
 }
 
 // Guards against a rejection by the core of a term that has just ended: the core is closed before it is detached, and a
