Count only consecutive healthy probes of a failed host

A probe that isn't healthy has no action that is due, and the count was only reset where an action was considered, so that a flapping host returned after three healthy probes in all. TestFailedHostReturnsAfterConsecutiveHealthyProbes fails before (after the third healthy one of four probes).

--- a/internal/controller/stop/machine.go
+++ b/internal/controller/stop/machine.go
@@ -45,7 +45,7 @@
 	// lastCallAt is when a reboot or an assignment was last requested.
 	lastCallAt  time.Time
 	nextProbeAt time.Time
-	// healthyProbes counts the healthy probes towards stableProbes.
+	// healthyProbes is the number of healthy probes since the last one that wasn't.
 	healthyProbes int
 	detail        string
 	// lastHealthy is set when the last probe found the host healthy.
@@ -118,7 +118,7 @@
 // of the controller's rank.
 func (m *Machine) advance(ctx context.Context, host inventory.Host, progress *stopProgress, delay time.Duration) {
 	result := m.probe(ctx, host)
-	progress.lastHealthy = result.Response.GetHealthy()
+	progress.observeHealth(result.Response.GetHealthy())
 	action, detail := NextAction(host, result)
 	progress.detail = detail
 	now := m.deps.Clock()
@@ -135,13 +135,18 @@
 // Without it, a flapping host would get work whenever it answers.
 const stableProbes = 3
 
-// mayActNow reports whether the action may be taken now, and counts the healthy probes. A failed host returns
-// to service only after stableProbes, and reboots and assignments are repeated only after callRepeatInterval.
-func (m *Machine) mayActNow(host inventory.Host, progress *stopProgress, action Action) bool {
-	progress.healthyProbes++
-	if !progress.lastHealthy {
-		progress.healthyProbes = 0
+// observeHealth records the result of a probe.
+func (p *stopProgress) observeHealth(healthy bool) {
+	p.lastHealthy = healthy
+	p.healthyProbes++
+	if !healthy {
+		p.healthyProbes = 0
 	}
+}
+
+// mayActNow reports whether the action may be taken now. A failed host returns to service only after stableProbes,
+// and reboots and assignments are repeated only after callRepeatInterval.
+func (m *Machine) mayActNow(host inventory.Host, progress *stopProgress, action Action) bool {
 	endsStop := action == ActionUndrain || action == ActionReturn
 	if host.Phase == inventory.PhaseFailed && endsStop && progress.healthyProbes < stableProbes {
 		return false
