Notice older certificate files, and log those that can't be loaded

An authorities file that is replaced by one with an older time, as copies that keep times have, wasn't noticed: the withdrawn authority stayed trusted until a restart. Each file's time and size are compared now. TestOlderFilesAreReloaded fails before. - Files that can't be loaded were ignored without a word. They still leave the earlier ones in use, and are logged once for each change (certificates_unusable); so is a reload. TestUnusableFilesAreLogged.

--- a/cmd/console/main.go
+++ b/cmd/console/main.go
@@ -42,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	link.LogReloads(log)
 	server, err := newServer(config, link, log)
 	if err != nil {
 		return err
--- a/cmd/controller/run.go
+++ b/cmd/controller/run.go
@@ -75,6 +75,7 @@
 	if err := setLogLevel(logger, config.LogLevel); err != nil {
 		return nil, err
 	}
+	rpcTransport.LogReloads(logger)
 	httpClient := rpcTransport.Client()
 	platform := platformClients{
 		log:     turmericyokev1connect.NewLogServiceClient(httpClient, rpcTransport.URL(config.Log)),
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -95,6 +95,7 @@
 		config: config, log: telemetry.NewLogger(out, config.Name, config.Zone),
 		store: fleet.NewStore(), registry: telemetry.NewRegistry(), rpcTransport: rpcTransport,
 	}
+	rpcTransport.LogReloads(p.log)
 	peers := peerclient.NewClientPool(rpcTransport.PeerClient(), rpcTransport.URL)
 	p.clients = newClients(config, rpcTransport, peers)
 	waitingByTeam := func() map[string]uint64 { return p.gateway.WaitingByTeam() }
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -46,6 +48,16 @@
 	return &Transport{reloader: reloader}, nil
 }
 
+// LogReloads logs each later reload of certificates, and each that fails.
+func (t *Transport) LogReloads(log logrus.FieldLogger) {
+	if t.reloader == nil {
+		return
+	}
+	t.reloader.mu.Lock()
+	defer t.reloader.mu.Unlock()
+	t.reloader.log = log
+}
+
 // URL returns the base URL of the process at address.
 func (t *Transport) URL(address string) string {
 	if t.reloader == nil {
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"turmericyoke/internal/fault"
 )
 
@@ -51,22 +53,32 @@
 	now   func() time.Time
 
 	mu sync.Mutex
-	// current holds the credentials in use, and modifiedAt the modification time of their files.
+	// current holds the credentials in use, and loadedFrom the versions of their files.
 	current    credentials
 	checkedAt  time.Time
+	loadedFrom fileVersions
+	// rejected has the versions of the files that couldn't be loaded last.
+	rejected fileVersions
+	// log is nil if reloads aren't logged.
+	log logrus.FieldLogger
+}
+
+// fileVersions has the modification times and sizes of the certificate, the key and the authorities. A file may be
+// replaced by an older one.
+type fileVersions [3]struct {
 	modifiedAt time.Time
+	size       int64
 }
 
 // NewCertReloader loads the files and returns an error if they are unusable.
 func NewCertReloader(files TLS) (*CertReloader, error) {
-	reloader := &CertReloader{files: files, now: time.Now}
+	reloader := &CertReloader{files: files, now: time.Now, loadedFrom: versionsOf(files)}
 	loaded, err := loadCredentials(files)
 	if err != nil {
 		return nil, err
 	}
 	reloader.current = loaded
 	reloader.checkedAt = reloader.now()
-	reloader.modifiedAt = latestModTime(files)
 	return reloader, nil
 }
 
@@ -79,17 +91,29 @@
 		return r.current
 	}
 	r.checkedAt = r.now()
-	modified := latestModTime(r.files)
-	if modified.Equal(r.modifiedAt) {
-		return r.current
-	}
-	if loaded, err := loadCredentials(r.files); err == nil {
-		r.current = loaded
-		r.modifiedAt = modified
+	if versions := versionsOf(r.files); versions != r.loadedFrom {
+		r.reload(versions)
 	}
 	return r.current
 }
 
+// reload loads the files in the given versions. r.mu must be held.
+func (r *CertReloader) reload(versions fileVersions) {
+	loaded, err := loadCredentials(r.files)
+	if err == nil {
+		r.current, r.loadedFrom = loaded, versions
+	}
+	if r.log == nil || err != nil && versions == r.rejected {
+		return
+	}
+	if err != nil {
+		r.rejected = versions
+		r.log.WithField("event", "certificates_unusable").WithError(err).Error("changed certificate files can't be loaded; the earlier ones stay in use")
+		return
+	}
+	r.log.WithField("event", "certificates_reloaded").Info("certificate files were reloaded")
+}
+
 // ServerConfig returns a configuration that requires a client certificate signed by the authorities.
 func (r *CertReloader) ServerConfig() *tls.Config {
 	return &tls.Config{
@@ -144,14 +168,13 @@
 	return credentials{certificate: &certificate, authorities: authorities}, nil
 }
 
-// latestModTime returns the latest modification time of the files. It ignores missing files.
-func latestModTime(files TLS) time.Time {
-	var latest time.Time
-	for _, path := range []string{files.CertFile, files.KeyFile, files.CAFile} {
-		info, err := os.Stat(path)
-		if err == nil && info.ModTime().After(latest) {
-			latest = info.ModTime()
+// versionsOf returns the versions of the files; a missing file has no version.
+func versionsOf(files TLS) fileVersions {
+	var versions fileVersions
+	for i, path := range []string{files.CertFile, files.KeyFile, files.CAFile} {
+		if info, err := os.Stat(path); err == nil {
+			versions[i].modifiedAt, versions[i].size = info.ModTime(), info.Size()
 		}
 	}
-	return latest
+	return versions
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -12,11 +13,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"turmericyoke/internal/telemetry"
 )
 
 // authority is a certificate authority for tests.
@@ -110,6 +114,64 @@
 	assert.Equal(t, served.Load(), int64(1))
 }
 
+// passReloadInterval sets the clock to a number of reload intervals from now.
+func (t *Transport) passReloadInterval(count int) {
+	t.reloader.mu.Lock()
+	defer t.reloader.mu.Unlock()
+	now := time.Now().Add(time.Duration(count) * reloadInterval)
+	t.reloader.now = func() time.Time { return now }
+}
+
+// Guards against an authority that stays trusted after its file was replaced, because the new file is older than the
+// certificate, as a copy that keeps its time is.
+func TestOlderFilesAreReloaded(t *testing.T) {
+	own, withdrawn := newAuthority(t, "own"), newAuthority(t, "withdrawn")
+	files := own.issue(t, t.TempDir(), 2)
+	client := withdrawn.issue(t, t.TempDir(), 3)
+	trusted := append(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: own.certificate.Raw}),
+		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: withdrawn.certificate.Raw})...)
+	client.CAFile = files.CAFile
+	assert.NilError(t, os.WriteFile(files.CAFile, trusted, 0o600))
+	setAge := func(age time.Duration) {
+		assert.NilError(t, os.Chtimes(files.CAFile, time.Now(), time.Now().Add(-age)))
+	}
+	setAge(time.Hour)
+	server, address := startServer(t, files, &atomic.Int64{})
+	_, err := sendRequest(t, client, address)
+	assert.NilError(t, err)
+
+	writePEM(t, files.CAFile, "CERTIFICATE", own.certificate.Raw)
+	setAge(time.Minute)
+	server.passReloadInterval(2)
+	_, err = sendRequest(t, client, address)
+	assert.Assert(t, err != nil, "a client of a withdrawn authority is served")
+}
+
+// Checks that files that can't be loaded leave the earlier ones in use, and are logged once for each change.
+func TestUnusableFilesAreLogged(t *testing.T) {
+	own := newAuthority(t, "own")
+	dir := t.TempDir()
+	files := own.issue(t, dir, 2)
+	server, address := startServer(t, files, &atomic.Int64{})
+	var out bytes.Buffer
+	server.LogReloads(telemetry.NewLogger(&out, "gateway", "a"))
+	client := own.issue(t, t.TempDir(), 3)
+
+	assert.NilError(t, os.WriteFile(files.CertFile, []byte("no certificate"), 0o600))
+	for interval := 2; interval <= 6; interval += 2 {
+		server.passReloadInterval(interval)
+		_, err := sendRequest(t, client, address)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, strings.Count(out.String(), "event=certificates_unusable"), 1, out.String())
+
+	own.issue(t, dir, 4)
+	server.passReloadInterval(8)
+	_, err := sendRequest(t, client, address)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(out.String(), "event=certificates_reloaded"), 1, out.String())
+}
+
 // Guards against a process that needs a restart to use a renewed certificate.
 func TestCertificatesAreReloaded(t *testing.T) {
 	own := newAuthority(t, "own")
@@ -120,9 +182,7 @@
 
 	own.issue(t, dir, 7)
 	assert.NilError(t, os.Chtimes(files.CertFile, start, start.Add(time.Minute)))
-	server.reloader.mu.Lock()
-	server.reloader.now = func() time.Time { return start.Add(2 * reloadInterval) }
-	server.reloader.mu.Unlock()
+	server.passReloadInterval(2)
 
 	response, err := sendRequest(t, files, address)
 	assert.NilError(t, err)
