Ignore late and unlisted reports of another zone

A response that is overtaken by a newer one set the zone's free slots back, so that requests were sent to a zone that is full, and a gateway that has left or was replaced could go on reporting. The sender must be listed with its incarnation and its report be newer than its last one, as within a zone. TestLateAndUnlistedReportsOfAZoneAreIgnored fails before; the model tests of the gateway pass.

--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -176,6 +176,27 @@
 	})
 }
 
+// A late report of another zone must not replace a newer one, and a gateway that isn't in the view must not report for its
+// zone.
+func TestLateAndUnlistedReportsOfAZoneAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateways(map[string]int{"z1": 1, "z2": 1})
+		g.run(5 * time.Second)
+		peers := g.peers["z1-0"]
+		report := func(gateway, incarnation string, seq, free uint64) bool {
+			return peers.ApplyReport(&v1.GatewayLoad{Gateway: gateway, Incarnation: incarnation, Zone: "z2", Seq: seq,
+				Pools: []*v1.PoolLoad{{Pool: "desk", OwnedSlots: 100, FreeSlots: free}}})
+		}
+		assert.Assert(t, report("z2-0", "z2-0", 1000, 0))
+		assert.Assert(t, !report("z2-0", "z2-0", 999, 100), "a late report was applied")
+		assert.Assert(t, !report("z2-0", "earlier", 1001, 100), "a report of an earlier process was applied")
+		assert.Assert(t, !report("z2-9", "z2-9", 1001, 100), "a report of an unlisted gateway was applied")
+		assert.Assert(t, peers.PickForSpill("desk") == nil)
+		assert.Assert(t, report("z2-0", "z2-0", 1001, 100))
+		assert.Assert(t, peers.PickForSpill("desk") != nil)
+	})
+}
+
 // Requests must not be sent to a zone that is too busy, counting the requests already sent there, nor to a peer
 // that has refused one since its last report.
 func TestPeerSelection(t *testing.T) {
--- a/internal/gateway/exchange/peers.go
+++ b/internal/gateway/exchange/peers.go
@@ -129,8 +129,8 @@
 }
 
 // ApplyReport records the report of another gateway, and returns whether it was accepted. A peer of the zone
-// must be listed with this incarnation, and its report must be newer than its last one. Another zone must be
-// one of the region.
+// must be listed with this incarnation, and its report must be newer than its last one. The same holds for the gateway
+// that reports for another zone of the region.
 func (p *Peers) ApplyReport(report *v1.GatewayLoad) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,7 +160,10 @@
 
 // applyZoneReport records the report that a gateway of another zone sent for its whole zone.
 func (p *Peers) applyZoneReport(report *v1.GatewayLoad) bool {
-	if !slices.Contains(p.otherZones, report.GetZone()) {
+	isSender := func(gateway structs.GatewayEntry) bool {
+		return gateway.Name == report.GetGateway() && gateway.Incarnation == report.GetIncarnation()
+	}
+	if !slices.ContainsFunc(p.zoneGateways[report.GetZone()], isSender) {
 		return false
 	}
 	zone, ok := p.zones[report.GetZone()]
@@ -168,6 +171,9 @@
 		zone = &zoneState{}
 		p.zones[report.GetZone()] = zone
 	}
+	if last := zone.report; last.GetGateway() == report.GetGateway() && last.GetIncarnation() == report.GetIncarnation() && report.GetSeq() <= last.GetSeq() {
+		return false
+	}
 	zone.running = smoothRunning(zone.running, report)
 	zone.report, zone.reportedAt, zone.freeSlots = report, p.now(), freeSlots(report)
 	p.sumRunning()
