Pause between questions to peers without a state

TestStartDuringOutageAsksWithPauses fails before: the limit of 200 answers to each controller is used up before any time passes.

--- a/internal/follower/helpers_test.go
+++ b/internal/follower/helpers_test.go
@@ -32,6 +32,8 @@
 	// tailCalls and statusCalls count the calls of Tail and Status that were answered.
 	tailCalls   atomic.Int64
 	statusCalls atomic.Int64
+	// maxStatusCalls is the number of calls of Status after which further ones aren't answered; 0 for no limit.
+	maxStatusCalls int64
 	// wrongHash makes Tail return a wrong state hash.
 	wrongHash atomic.Bool
 	// failFetchState makes FetchState return an error.
@@ -75,11 +77,14 @@
 	return l.Follower.FetchState()
 }
 
-func (l *peerLink) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
+func (l *peerLink) Status(ctx context.Context, _ *v1.StatusRequest) (*v1.StatusResponse, error) {
 	if err := l.checkConnection(); err != nil {
 		return nil, err
 	}
-	l.statusCalls.Add(1)
+	if calls := l.statusCalls.Add(1); l.maxStatusCalls > 0 && calls > l.maxStatusCalls {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return l.Follower.Status(), nil
 }
 
--- a/internal/follower/poll_test.go
+++ b/internal/follower/poll_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+// Guards against controllers that start while the log is down, and ask each other for a state without a pause although
+// none of them has one.
+func TestStartDuringOutageAsksWithPauses(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		const seconds, maxCalls = 10, 200
+		controllers := make([]*controller, 3)
+		for i := range controllers {
+			controllers[i] = f.newController(string(rune('a'+i)), "zone-00", true)
+			controllers[i].maxStatusCalls = maxCalls
+		}
+		connectPeers(controllers)
+		for _, c := range controllers {
+			f.runController(c)
+		}
+		advance(seconds * time.Second)
+		for _, c := range controllers {
+			assert.Assert(t, c.statusCalls.Load() < maxCalls, "asked %d times", c.statusCalls.Load())
+		}
+	})
+}
--- a/internal/follower/ready.go
+++ b/internal/follower/ready.go
@@ -46,7 +46,7 @@
 	return r.ready
 }
 
-// collectPeerOffsets repeatedly asks all peers for their offset, until a peer that has a state has answered
+// collectPeerOffsets repeatedly asks all peers for their offset, with pauses, until a peer that has a state has answered
 // or the state has reached the head of the log.
 func (f *Follower) collectPeerOffsets(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -59,6 +59,9 @@
 		if done {
 			return nil
 		}
+		if err := sleepWithJitter(ctx, minBackoff); err != nil {
+			return err
+		}
 	}
 	return ctx.Err()
 }
