--- a/internal/controller/adapt/adapt.go
+++ b/internal/controller/adapt/adapt.go
@@ -93,7 +93,7 @@
 // Rank implements fleet.Ranker and schedule.Ranker. Ok is false while this controller hasn't joined.
 func (r Ranker) Rank(subject string) (position int, ok bool) {
 	r.Follower.Read(func(state *fold.State) {
-		names := rank.Controllers(state, nil)
+		names := rank.Controllers(state)
 		for _, name := range names {
 			ok = ok || name == r.Name
 		}
--- a/internal/controller/rank/rank.go
+++ b/internal/controller/rank/rank.go
@@ -14,15 +14,8 @@
 	"turmericyoke/internal/fold"
 )
 
-// Delays between the ranks.
-const (
-	// DelayPerRank is how long a controller waits, for each controller ranked before it, until it takes over
-	// pending work.
-	DelayPerRank = 5 * time.Second
-	// PlacementDelayPerRank is the delay per rank for the placement of jobs: an urgent job must start
-	// within 4.1 s.
-	PlacementDelayPerRank = 500 * time.Millisecond
-)
+// DelayPerRank is how long a controller waits, for each controller ranked before it, until it takes over pending work.
+const DelayPerRank = 5 * time.Second
 
 // SnapshotSubject is the subject for which controllers are ranked to write snapshots.
 const SnapshotSubject = "snapshots"
@@ -59,12 +52,11 @@
 	return rank
 }
 
-// Controllers returns the names of the joined controllers that aren't suspected to have failed, without those
-// for which isGone returns true. isGone may be nil.
-func Controllers(state *fold.State, isGone func(name string) bool) []string {
+// Controllers returns the names of the joined controllers that aren't suspected to have failed.
+func Controllers(state *fold.State) []string {
 	var names []string
 	for _, member := range state.Escrow.Members(v1.Role_ROLE_CONTROLLER) {
-		if !member.Suspected && (isGone == nil || !isGone(member.Name)) {
+		if !member.Suspected {
 			names = append(names, member.Name)
 		}
 	}
--- a/internal/controller/snapshot/snapshot.go
+++ b/internal/controller/snapshot/snapshot.go
@@ -51,8 +51,6 @@
 	Incarnation string
 	State       State
 	Log         Log
-	// HostGone reports whether the platform's host list shows the controller's host as gone; it may be nil.
-	HostGone func(name string) bool
 	// OnNewest is called with the offset of each snapshot that becomes the newest known one; it may be nil.
 	OnNewest func(offset int64)
 	Logger   *logrus.Entry
@@ -119,7 +117,7 @@
 // ownRank returns this controller's rank for writing snapshots, from 0.
 func (l *Loop) ownRank() int {
 	var names []string
-	l.State.Read(func(state *fold.State) { names = rank.Controllers(state, l.HostGone) })
+	l.State.Read(func(state *fold.State) { names = rank.Controllers(state) })
 	return rank.Position(rank.SnapshotSubject, names, l.Name)
 }
 
--- a/internal/rights/plan.go
+++ b/internal/rights/plan.go
@@ -22,8 +22,6 @@
 	claimedEarly bool
 	// holdersByTeam is what the newest view shows about the holders of each team; nil until it is needed.
 	holdersByTeam map[string][]holderRights
-	// latestSamples holds the newest sample of each team's account.
-	latestSamples map[string]sample
 	// granted holds the holder's rights of each team in the newest view.
 	granted map[string]uint64
 	// lastGainAt holds when the holder last got rights of each team.
@@ -35,7 +33,7 @@
 
 func newPlanState() planState {
 	return planState{
-		latestSamples: map[string]sample{}, granted: map[string]uint64{}, lastGainAt: map[string]time.Time{},
+		granted: map[string]uint64{}, lastGainAt: map[string]time.Time{},
 		largeSurplusSince: map[string]time.Time{}, anySurplusSince: map[string]time.Time{},
 	}
 }
--- a/internal/rights/record.go
+++ b/internal/rights/record.go
@@ -200,10 +200,8 @@
 	if h.cfg.Waiting != nil {
 		waiting = h.cfg.Waiting()
 	}
-	h.plans.latestSamples = map[string]sample{}
 	for team, a := range *current.accounts.Load() {
 		s := a.takeSample()
-		h.plans.latestSamples[team] = s
 		need := s.peak + waiting[team]
 		if h.cfg.Waiting == nil && s.refused > 0 {
 			// If the length of the queue isn't known, refused requests raise the need to a quarter above the
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -90,11 +90,6 @@
 	return slices.SortedFunc(maps.Keys(c.dirtyJobs), func(a, b *job) int { return strings.Compare(a.def.ID, b.def.ID) })
 }
 
-// Empty reports whether the batch has neither records and orders nor effects to apply once it is durable.
-func (b *Batch) Empty() bool {
-	return len(b.Records) == 0 && len(b.Orders) == 0 && len(b.waiters) == 0 && len(b.durableEnds) == 0
-}
-
 // Committed applies the effects of a batch that is durable but for the rejected records, which the log never accepts: it
 // makes job states visible to callers, marks run ends for acknowledgement to workers, and sends the outcomes to waiters.
 // The caller of Collect sends the orders.
