Cancel surrenders after a rejected change set

A change set that lowers a team's limit first sets a surrender target for the team, which blocks new claims of rights until another limit is accepted. If the change set was then rejected, as it is when another one was accepted meanwhile, the target stayed: the team could claim no rights above a limit that nobody had accepted. After a definite rejection the targets are set back, as they were already when the wait failed, and to the limits that are accepted now, not to those of the plan's base. While the outcome isn't known they stay. Not mended: a draft of the console is planned against a document that is read twice; its base version is checked when it is proposed, so that it can be rejected but not applied to another document.

--- a/internal/adminclient/publish.go
+++ b/internal/adminclient/publish.go
@@ -40,7 +40,8 @@
 
 // Publish proposes the change set and returns the configuration version with the change. If the plan lowers
 // upper limits of teams, it first asks holders to return unused rights, and waits until the rights and job
-// units of each of these teams fit the team's new limit.
+// units of each of these teams fit the team's new limit. If the change set is rejected, holders may claim rights up to the
+// accepted limits again.
 func (c *Client) Publish(ctx context.Context, changePlan *ChangePlan) (uint64, error) {
 	author := changePlan.ChangeSet.GetAuthor()
 	lowered := loweredTeams(&changePlan.Base.Document, changePlan.Next)
@@ -54,7 +55,11 @@
 	if err == nil {
 		return response.GetConfigVersion(), nil
 	}
-	return c.resolveOutcome(ctx, changePlan, err)
+	version, err := c.resolveOutcome(ctx, changePlan, err)
+	if err != nil && fault.KindOf(err) != fault.AppendUnsettled {
+		return 0, errors.Join(err, c.cancelSurrenders(ctx, changePlan, lowered))
+	}
+	return version, err
 }
 
 // resolveOutcome searches the verdicts for the change set if cause leaves open whether it was accepted. This
@@ -79,16 +84,25 @@
 }
 
 // cancelSurrenders sets the surrender targets back to the accepted limits, since a lower target blocks new
-// claims until another limit is accepted. It also works after ctx has ended.
+// claims until another limit is accepted. Another change may have been accepted since the plan was made. It also works
+// after ctx has ended.
 func (c *Client) cancelSurrenders(ctx context.Context, changePlan *ChangePlan, lowered []structs.Team) error {
+	if len(lowered) == 0 {
+		return nil
+	}
+	accepted, err := c.Document(context.WithoutCancel(ctx))
+	if err != nil {
+		accepted = changePlan.Base
+	}
 	acceptedLimits := map[string]uint64{}
-	for _, team := range changePlan.Base.Document.Teams {
+	for _, team := range accepted.Document.Teams {
 		acceptedLimits[team.Name] = team.UpperLimit
 	}
 	var errs []error
 	for _, team := range lowered {
-		err := c.proposeSurrender(context.WithoutCancel(ctx), changePlan.ChangeSet.GetAuthor(), team.Name, acceptedLimits[team.Name])
-		errs = append(errs, err)
+		if limit, known := acceptedLimits[team.Name]; known {
+			errs = append(errs, c.proposeSurrender(context.WithoutCancel(ctx), changePlan.ChangeSet.GetAuthor(), team.Name, limit))
+		}
 	}
 	return errors.Join(errs...)
 }
