--- a/internal/gateway/endpoints/slot_test.go
+++ b/internal/gateway/endpoints/slot_test.go
@@ -54,7 +54,7 @@
 	// With one processor, the function that the end of a context calls runs once the caller's goroutine yields.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	disconnecting, disconnect := context.WithCancel(t.Context())
-	yield := func() { time.Sleep(time.Millisecond) }
+	yield := runtime.Gosched
 	conns := []*scriptedConn{{onRead: disconnect, onWrite: func() {}}, {onRead: func() {}, onWrite: yield}}
 	for _, conn := range conns {
 		conn.response = strings.NewReader("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
