Drop needless checks of start queues, and use the stand-in of the log

Each worker gets its start queue when it is added, so that the two checks for one that has none were dead: in isFull and enterStartQueue. No behaviour changes. TestInvalidTextsAreAppended had a log of its own, though the stand-in of the platform's log serves; it still fails if texts aren't made valid.

--- a/internal/refusal/refusal_test.go
+++ b/internal/refusal/refusal_test.go
@@ -17,6 +17,7 @@
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/fault"
 	_ "turmericyoke/internal/fixedseed"
+	"turmericyoke/internal/standin/logsvc"
 	"turmericyoke/internal/telemetry"
 )
 
@@ -191,22 +192,15 @@
 
 // Guards against a text of a caller that makes a batch unencodable, so that no later refusal is appended either.
 func TestInvalidTextsAreAppended(t *testing.T) {
-	appended := 0
-	log := logFunc(func(request *v1.AppendRequest) { appended += len(request.GetRecords()) })
+	log := logsvc.New()
 	recorder := NewRecorder("a", "a1", time.Now)
 	recorder.Add(Refusal{Team: "t\xff", KeyID: "\xc3", Pool: "clips\xfe", Kind: fault.PoolUnknown, Detail: "pool clips\xfe isn't known"})
 	assert.NilError(t, recorder.Flush(t.Context(), LogAppender{Log: log}))
 	recorder.Add(Refusal{Team: "u", Kind: fault.QueueFull})
 	assert.NilError(t, recorder.Flush(t.Context(), LogAppender{Log: log}))
-	assert.Equal(t, appended, 2)
-}
-
-// logFunc is a Log that accepts all appends.
-type logFunc func(*v1.AppendRequest)
-
-func (f logFunc) Append(_ context.Context, request *v1.AppendRequest) (*v1.AppendResponse, error) {
-	f(request)
-	return &v1.AppendResponse{}, nil
+	response, err := log.Read(t.Context(), &v1.ReadRequest{Stream: Stream, MaxRecords: 10})
+	assert.NilError(t, err)
+	assert.Equal(t, len(response.GetRecords()), 2)
 }
 
 // Checks that a gateway that stops while the log is down says how many refusals it couldn't append, and that
--- a/internal/scheduler/startqueue.go
+++ b/internal/scheduler/startqueue.go
@@ -24,7 +24,7 @@
 }
 
 // isFull reports whether no more items should be placed on workers of the zone.
-func (q *startQueue) isFull() bool { return q != nil && q.length >= maxQueuedStarts }
+func (q *startQueue) isFull() bool { return q.length >= maxQueuedStarts }
 
 // startQueueOf returns the queue of the zone.
 func (c *Core) startQueueOf(zone string) *startQueue {
@@ -39,9 +39,6 @@
 // enterStartQueue notes that the start of a placed item was ordered.
 func (c *Core) enterStartQueue(i *item, now time.Duration) {
 	queue := i.worker.startQueue
-	if queue == nil {
-		return
-	}
 	i.startQueued = true
 	queue.length++
 	if queue.length == maxQueuedStarts {
