Log who answered a cancellation, and who said that a job is unknown

Each answer to a cancellation, and each 410 to a query, now has a line with the scheduler, its term and the age of its last confirmed append.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -212,7 +212,7 @@
 		return e.serviceOverride, true
 	}
 	if core := e.core.Load(); core != nil {
-		return localService{core}, true
+		return localService{core, e.Self.Name}, true
 	}
 	claim := e.Election.Current()
 	if claim.Term == 0 || claim.Holder.Name == e.Self.Name {
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -11,7 +11,17 @@
 )
 
 // localService implements peer.Service with the scheduler core of this process.
-type localService struct{ core *scheduler.Core }
+type localService struct {
+	core *scheduler.Core
+	// process is the name of this process.
+	process string
+}
+
+// origin returns the origin of an answer that is given now.
+func (l localService) origin() peer.Origin {
+	term, age := l.core.LastConfirmation()
+	return peer.Origin{Scheduler: l.process, Term: term, ConfirmedAgeMs: age.Milliseconds()}
+}
 
 // awaitOutcome passes a channel to submit and waits for the outcome that the core sends on it. A core whose term is over
 // counts as one that isn't there.
@@ -35,12 +45,20 @@
 }
 
 func (l localService) Cancel(ctx context.Context, request *peer.CancelRequest) (*peer.OutcomeResponse, error) {
-	return awaitOutcome(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.Cancel(request.Job, outcomes) })
+	response, err := awaitOutcome(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.Cancel(request.Job, outcomes) })
+	if err == nil {
+		response.Origin = l.origin()
+	}
+	return response, err
 }
 
 func (l localService) State(_ context.Context, request *peer.StateRequest) (*peer.StateResponse, error) {
 	state, known := l.core.State(request.Job)
-	return &peer.StateResponse{Known: known, State: state}, nil
+	response := &peer.StateResponse{Known: known, State: state}
+	if !known {
+		response.Origin = l.origin()
+	}
+	return response, nil
 }
 
 func (l localService) Pending(_ context.Context, request *peer.PendingRequest) (*peer.PendingResponse, error) {
@@ -59,7 +77,7 @@
 
 func (s peerServer) localScheduler() (localService, error) {
 	if core := s.entry.core.Load(); core != nil {
-		return localService{core}, nil
+		return localService{core, s.entry.Self.Name}, nil
 	}
 	return localService{}, peer.ErrNotScheduling
 }
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -39,8 +39,18 @@
 	Job string
 }
 
-// OutcomeResponse is the response to a submission or cancellation.
+// Origin tells which scheduler gave an answer, for the logs.
+type Origin struct {
+	// Scheduler is the name of its process, and Term its term.
+	Scheduler string
+	Term      int64
+	// ConfirmedAgeMs is the time since it sent the last append that the log has confirmed.
+	ConfirmedAgeMs int64
+}
+
+// OutcomeResponse is the response to a submission or cancellation. Origin is set for cancellations.
 type OutcomeResponse struct {
+	Origin
 	Kind         scheduler.OutcomeKind
 	RetryAfterMs int64
 	Reason       string
@@ -51,8 +61,9 @@
 	Job string
 }
 
-// StateResponse is the state of a job; Known is false when there is none.
+// StateResponse is the state of a job; Known is false when there is none. Origin is set then.
 type StateResponse struct {
+	Origin
 	Known bool
 	State scheduler.JobState
 }
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -96,7 +96,9 @@
 func (c *Core) Committed(batch *Batch, rejected ...infra.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.appendStartedAt = 0
+	if c.appendStartedAt > 0 {
+		c.confirmedAt, c.appendStartedAt = c.appendStartedAt, 0
+	}
 	unrecorded := c.failUnrecordable(rejected)
 	for _, j := range batch.changedJobs {
 		j.durable = j.durable || !unrecorded[j]
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -161,8 +161,9 @@
 	deletions []infra.Record
 	// pendingRecords are records of waves and host orders for the next batch.
 	pendingRecords []infra.Record
-	// appendStartedAt is when the append in progress began; 0 if none is in progress.
-	appendStartedAt time.Duration
+	// appendStartedAt is when the append in progress began; 0 if none is in progress. confirmedAt is when the last one began
+	// that was confirmed.
+	appendStartedAt, confirmedAt time.Duration
 	// fenced is set when a worker or host refused a call because it has seen a higher fencing token.
 	fenced bool
 	// delay is how late this process has recently been, see ObserveDelay.
@@ -239,9 +240,17 @@
 func (c *Core) EarlierTermsFenced() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.confirmedAt = c.startedAt
 	c.startedAt, c.startedUnixMs = c.clock(), c.wallClock().UnixMilli()
 }
 
+// LastConfirmation returns the term, and the time since the last append began that was confirmed.
+func (c *Core) LastConfirmation() (term int64, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term, c.clock() - c.confirmedAt
+}
+
 // place assigns the item to the worker and reserves its resources.
 func (c *Core) place(i *item, w *worker) {
 	i.setState(itemPlaced)
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -116,6 +116,8 @@
 		waiter <- Outcome{Kind: OutcomeTermOver}
 		return
 	case j == nil:
+		c.logger.WithFields(logrus.Fields{"event": "unknown_job_cancelled", "job": id, "confirmed_age_ms": (c.clock() - c.confirmedAt).Milliseconds()}).Info(
+			"cancellation of a job that isn't known")
 		waiter <- Outcome{Kind: OutcomeNotFound}
 		return
 	case c.logStalled(c.clock()):
