Confirm by an append what a leader says isn't there

What callers saw: a cancellation of an accepted job was acknowledged with 410, and the job ran on; a query for an accepted job was answered with 410.

Cause: the core answered from its own state that a job isn't known, though a later term may have accepted it. A core serves requests until an append of its own is fenced or a worker refuses its token, which takes seconds while it is cut off, and is still to come when its process has just been resumed.

Such an answer now waits for an append of the term that begins after the question arrived: a later term fences it. Waiting answers share the append of the next batch, or one confirmation record if there is none. The same holds for rejections, which promise that a job never runs, for counts of pending jobs from a state older than 2 s, which callers allow for, and for jobs said to be at work longer than their leases last. While the log takes no records the answer is 503 instead, at once, and a core that is closed answers nothing. Reads of another process have a time limit, as other calls do.

Not taken: a lease for reads, for which a successor would have to wait, and which trusts clocks; and a core that detaches itself after some time without an append, which shortens the window and doesn't close it.

The test of odd messages commits the batches of its core now, as a session does: it had asked a core without one for unknown jobs.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -283,18 +283,31 @@
 
 // State returns the state of a job.
 func (e *Entry) State(ctx context.Context, id string) (*peer.StateResponse, error) {
-	return callScheduler(ctx, e, isRead, func(s peer.Service) (*peer.StateResponse, error) { return s.State(ctx, &peer.StateRequest{Job: id}) })
+	return read(ctx, e, func(ctx context.Context, s peer.Service) (*peer.StateResponse, error) {
+		return s.State(ctx, &peer.StateRequest{Job: id})
+	})
 }
 
 // Pending returns the number of jobs of a queue that haven't started.
 func (e *Entry) Pending(ctx context.Context, queue string) (*peer.PendingResponse, error) {
-	return callScheduler(ctx, e, isRead, func(s peer.Service) (*peer.PendingResponse, error) {
+	return read(ctx, e, func(ctx context.Context, s peer.Service) (*peer.PendingResponse, error) {
 		return s.Pending(ctx, &peer.PendingRequest{Queue: queue})
 	})
 }
 
-// isRead permits a repetition after any error: a read has no effect.
-func isRead(error) bool { return true }
+// read calls the scheduler for an answer that has no effect. It is repeated after any error, except one of a scheduler that
+// can't confirm its state.
+func read[Response any](ctx context.Context, e *Entry, call func(context.Context, peer.Service) (*Response, error)) (*Response, error) {
+	response, err := callScheduler(ctx, e, func(err error) bool { return !peer.IsUnconfirmed(err) }, func(s peer.Service) (*Response, error) {
+		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		return call(attemptCtx, s)
+	})
+	if peer.IsUnconfirmed(err) {
+		return nil, fault.Wrap(fault.NotReady, err, "the log takes no records")
+	}
+	return response, err
+}
 
 // PeerService returns the service that this process offers to other entry processes.
 func (e *Entry) PeerService() peer.Service { return peerServer{e} }
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -23,23 +23,41 @@
 	return peer.Origin{Scheduler: l.process, Term: term, ConfirmedAgeMs: age.Milliseconds()}
 }
 
-// awaitOutcome passes a channel to submit and waits for the outcome that the core sends on it. A core whose term is over
-// counts as one that isn't there.
-func awaitOutcome(ctx context.Context, submit func(chan<- scheduler.Outcome)) (*peer.OutcomeResponse, error) {
+// await passes a channel to request and waits for the outcome that the core sends on it. A core whose term is over counts as
+// one that isn't there.
+func await(ctx context.Context, request func(chan<- scheduler.Outcome)) (scheduler.Outcome, error) {
 	// The buffer keeps the core from blocking if ctx ends first.
 	outcomes := make(chan scheduler.Outcome, 1)
-	submit(outcomes)
+	request(outcomes)
 	select {
 	case outcome := <-outcomes:
 		if outcome.Kind == scheduler.OutcomeTermOver {
-			return nil, peer.ErrNotScheduling
+			return scheduler.Outcome{}, peer.ErrNotScheduling
 		}
-		return &peer.OutcomeResponse{Kind: outcome.Kind, RetryAfterMs: outcome.RetryAfter.Milliseconds(), Reason: outcome.Reason}, nil
+		return outcome, nil
 	case <-ctx.Done():
-		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		return scheduler.Outcome{}, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
 }
 
+// awaitOutcome is await for a submission or cancellation.
+func awaitOutcome(ctx context.Context, request func(chan<- scheduler.Outcome)) (*peer.OutcomeResponse, error) {
+	outcome, err := await(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.OutcomeResponse{Kind: outcome.Kind, RetryAfterMs: outcome.RetryAfter.Milliseconds(), Reason: outcome.Reason}, nil
+}
+
+// awaitAnswer is await for a query.
+func awaitAnswer(ctx context.Context, request func(chan<- scheduler.Outcome)) (scheduler.Outcome, error) {
+	outcome, err := await(ctx, request)
+	if err == nil && outcome.Kind == scheduler.OutcomeUnavailable {
+		err = peer.ErrUnconfirmed
+	}
+	return outcome, err
+}
+
 func (l localService) Submit(ctx context.Context, request *peer.SubmitRequest) (*peer.OutcomeResponse, error) {
 	return awaitOutcome(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.Submit(request.Job, outcomes) })
 }
@@ -52,17 +70,24 @@
 	return response, err
 }
 
-func (l localService) State(_ context.Context, request *peer.StateRequest) (*peer.StateResponse, error) {
-	state, known := l.core.State(request.Job)
-	response := &peer.StateResponse{Known: known, State: state}
-	if !known {
+func (l localService) State(ctx context.Context, request *peer.StateRequest) (*peer.StateResponse, error) {
+	outcome, err := awaitAnswer(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.QueryState(request.Job, outcomes) })
+	if err != nil {
+		return nil, err
+	}
+	response := &peer.StateResponse{Known: outcome.Kind == scheduler.OutcomeDone, State: outcome.State}
+	if !response.Known {
 		response.Origin = l.origin()
 	}
 	return response, nil
 }
 
-func (l localService) Pending(_ context.Context, request *peer.PendingRequest) (*peer.PendingResponse, error) {
-	return &peer.PendingResponse{Pending: l.core.Pending(request.Queue)}, nil
+func (l localService) Pending(ctx context.Context, request *peer.PendingRequest) (*peer.PendingResponse, error) {
+	outcome, err := awaitAnswer(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.QueryPending(request.Queue, outcomes) })
+	if err != nil {
+		return nil, err
+	}
+	return &peer.PendingResponse{Pending: outcome.Pending}, nil
 }
 
 func (l localService) Config(context.Context, *peer.ConfigRequest) (*peer.ConfigResponse, error) {
--- a/internal/entry/odd_messages_test.go
+++ b/internal/entry/odd_messages_test.go
@@ -23,7 +23,9 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	e := &Entry{Logger: logrus.NewEntry(logger), Election: noLeader{}, PeerClients: peer.NewClients()}
-	e.AttachCore(scheduler.New(1, scheduler.Options{}, boottime.Now, time.Now, e.Logger, nil))
+	core := scheduler.New(1, scheduler.Options{}, boottime.Now, time.Now, e.Logger, nil)
+	e.AttachCore(core)
+	defer commitBatches(core)()
 	server := httptest.NewServer(peer.NewHandler(e.PeerService()))
 	defer server.Close()
 	client := e.PeerClients.At(strings.TrimPrefix(server.URL, "http://"))
@@ -41,5 +43,22 @@
 		assert.NilError(t, err)
 		assert.Assert(t, !state.Known)
 	}
-	assert.Equal(t, e.core.Load().Pending(""), 0)
+	assert.Equal(t, core.Pending(""), 0)
+}
+
+// commitBatches commits the batches of the core, as a session with a log would, until the returned function is called.
+func commitBatches(core *scheduler.Core) (stop func()) {
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-core.Wakeups():
+				batch := core.Collect()
+				core.Committed(&batch)
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func() { close(ended) }
 }
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -100,6 +100,13 @@
 // ErrNotScheduling is the error of a process that doesn't run the scheduler. The call had no effect.
 var ErrNotScheduling = connect.NewError(connect.CodeFailedPrecondition, errors.New("this process doesn't schedule"))
 
+// ErrUnconfirmed is the error of a read whose scheduler may have been replaced without knowing it, since the log takes none
+// of its records.
+var ErrUnconfirmed = connect.NewError(connect.CodeAborted, errors.New("the scheduler can't confirm its state"))
+
+// IsUnconfirmed reports whether err is ErrUnconfirmed, of this process or another one.
+func IsUnconfirmed(err error) bool { return connect.CodeOf(err) == connect.CodeAborted }
+
 // jsonCodec encodes messages that are plain structs; the JSON codec of Connect accepts only protobuf
 // messages.
 type jsonCodec struct{}
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -77,6 +77,7 @@
 		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
 	batch.Orders, batch.heldStarts, batch.waiters = c.pendingOrders, c.heldStarts, c.waiters
+	c.confirming, c.unconfirmed = append(c.confirming, c.unconfirmed...), nil
 	if len(batch.Records) > 0 {
 		c.appendStartedAt = now
 	}
@@ -125,6 +126,9 @@
 			waiter.outcomes <- Outcome{Kind: OutcomeDone}
 		}
 	}
+	if len(rejected) == 0 || len(rejected) < len(batch.Records) {
+		c.sendConfirmed()
+	}
 }
 
 // Abandon closes the core when the batch may not have become durable. Callers that wait for this batch
@@ -143,4 +147,5 @@
 	for j := range c.dirtyJobs {
 		c.answerSubmitters(j, Outcome{Kind: OutcomeTermOver})
 	}
+	c.failUnconfirmed(Outcome{Kind: OutcomeTermOver})
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -161,9 +161,12 @@
 	deletions []infra.Record
 	// pendingRecords are records of waves and host orders for the next batch.
 	pendingRecords []infra.Record
-	// appendStartedAt is when the append in progress began; 0 if none is in progress. confirmedAt is when the last one began
-	// that was confirmed.
+	// appendStartedAt is when the append in progress began; 0 if none is in progress. confirmedAt is a time at which the
+	// term was certainly not fenced: the last confirmed append began later, or at that time.
 	appendStartedAt, confirmedAt time.Duration
+	// unconfirmed are the answers that wait for an append which begins after now, and confirming those that wait for the
+	// append in progress.
+	unconfirmed, confirming []unconfirmedAnswer
 	// fenced is set when a worker or host refused a call because it has seen a higher fencing token.
 	fenced bool
 	// delay is how late this process has recently been, see ObserveDelay.
@@ -199,10 +202,11 @@
 	metrics                                  *Metrics
 }
 
-// New returns a Core for the given term.
+// New returns a Core for the given term. It may serve requests once an append of the term is confirmed that begins after
+// this call.
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	return &Core{
-		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
+		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), confirmedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, supply: supplyCache{expiresAt: -1},
@@ -240,7 +244,6 @@
 func (c *Core) EarlierTermsFenced() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmedAt = c.startedAt
 	c.startedAt, c.startedUnixMs = c.clock(), c.wallClock().UnixMilli()
 }
 
--- a/internal/scheduler/outcome.go
+++ b/internal/scheduler/outcome.go
@@ -2,20 +2,23 @@
 
 import "time"
 
-// Outcome is the result of a submission or cancellation.
+// Outcome is the result of a submission or cancellation, or the answer to a query.
 type Outcome struct {
 	Kind OutcomeKind
 	// RetryAfter is how long the caller should wait before it submits a rejected job again.
 	RetryAfter time.Duration
 	// Reason is the machine-readable reason for a rejection, e.g. "overload".
 	Reason string
+	// State is the answer to QueryState, and Pending that to QueryPending, if Kind is OutcomeDone.
+	State   JobState
+	Pending int
 }
 
 // OutcomeKind enumerates the outcomes.
 type OutcomeKind uint8
 
 const (
-	// OutcomeDone: the acceptance or cancellation is durable, or the job had already finished.
+	// OutcomeDone: the acceptance or cancellation is durable, or the job had already finished; the query is answered.
 	OutcomeDone OutcomeKind = iota
 	// OutcomeRejected: the job isn't accepted and never runs.
 	OutcomeRejected
@@ -42,3 +45,6 @@
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
 )
+
+// ended reports whether a job stays in this state.
+func (s JobState) ended() bool { return s == JobCompleted || s == JobFailed || s == JobCancelled }
--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -23,22 +23,23 @@
 	return c.appendStartedAt > 0 && now-c.appendStartedAt > logStallTimeout
 }
 
-// RejectUnwrittenJobs rejects the jobs whose records aren't part of any append yet, if the append in progress has taken
-// longer than logStallTimeout. They certainly don't run, so that their callers can submit them again at once, whereas
-// the outcome of the append in progress isn't known.
-func (c *Core) RejectUnwrittenJobs() {
+// RejectWaitingRequests rejects the jobs whose records aren't part of any append yet, and answers that wait for an append,
+// if the append in progress has taken longer than logStallTimeout. Such jobs certainly don't run, so that their callers can
+// submit them again at once, whereas the outcome of the append in progress isn't known.
+func (c *Core) RejectWaitingRequests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
 	if !c.logStalled(now) {
 		return
 	}
+	c.failUnconfirmed(logDownOutcome)
 	for j := range c.dirtyJobs {
 		// A cancellation that was requested meanwhile has to be recorded with the job.
 		if j.definitionWritten || j.cancelled {
 			continue
 		}
-		c.answerSubmitters(j, Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"})
+		c.answerSubmitters(j, logDownOutcome)
 		c.cancelBooking(j)
 		j.cancelled = true // Jobs that are ranked leave the ranking when they are finished.
 		c.removeJob(j)
--- a/internal/scheduler/stall_test.go
+++ b/internal/scheduler/stall_test.go
@@ -39,12 +39,12 @@
 	unwritten, repeated := tc.submitAsync("unwritten"), tc.submitAsync("unwritten")
 	cancelled, cancellation := tc.submitAsync("cancelled"), make(chan Outcome, 1)
 	tc.Cancel("cancelled", cancellation)
-	tc.RejectUnwrittenJobs()
+	tc.RejectWaitingRequests()
 	assert.Equal(t, len(unwritten), 0, "rejected while the log may only be slow")
 
 	tc.now += logStallTimeout/2 + time.Millisecond
 	booked := tc.statsOf(simPool).accounts["small"].bookedUntil
-	tc.RejectUnwrittenJobs()
+	tc.RejectWaitingRequests()
 	assert.Equal(t, awaitedOutcome(t, unwritten).Kind, OutcomeUnavailable)
 	assert.Equal(t, awaitedOutcome(t, repeated).Kind, OutcomeUnavailable)
 	assert.Equal(t, len(written), 0, "the outcome of the append in progress isn't known")
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -14,8 +14,8 @@
 // busyRetryAfter is the retry delay that callers are given while this process is too far behind.
 const busyRetryAfter = time.Second
 
-// Submit submits a job. It is idempotent: a job with a known ID isn't added again. The outcome is sent to
-// waiter: a rejection immediately, an acceptance when it is durable.
+// Submit submits a job. It is idempotent: a job with a known ID isn't added again. The outcome is sent to waiter: an
+// acceptance when it is durable, and a rejection when it is certain that no later term has accepted the job.
 func (c *Core) Submit(def *work.Job, waiter chan<- Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -24,20 +24,7 @@
 		return
 	}
 	if existing := c.jobs[def.ID]; existing != nil {
-		if existing.definitionRejected {
-			waiter <- existing.unrecordedOutcome()
-			return
-		}
-		if existing.durable {
-			waiter <- Outcome{Kind: OutcomeDone}
-			return
-		}
-		if !existing.definitionWritten {
-			existing.submitters = append(existing.submitters, waiter)
-			return
-		}
-		c.waiters = append(c.waiters, jobWaiter{existing, waiter})
-		c.markDirty(existing)
+		c.joinSubmission(existing, waiter)
 		return
 	}
 	if !c.isRecordable(def) || c.exceedsMemory(def) {
@@ -53,12 +40,12 @@
 		c.metrics.jobRejected("busy")
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "busy",
 			"delay_ms": c.delay.Milliseconds()}).Info("job rejected: this process is too far behind")
-		waiter <- Outcome{Kind: OutcomeRejected, RetryAfter: busyRetryAfter, Reason: "busy"}
+		c.rejectAsBusy(def.ID, now, waiter)
 		return
 	}
 	if c.logStalled(now) {
 		c.noteLogDown(def, now)
-		waiter <- Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"}
+		waiter <- logDownOutcome
 		return
 	}
 	def.Accepted = c.wallClock()
@@ -66,7 +53,7 @@
 		c.metrics.jobRejected(decision.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": decision.reason,
 			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).Info("job rejected")
-		waiter <- Outcome{Kind: OutcomeRejected, RetryAfter: decision.retryAfter, Reason: decision.reason}
+		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: decision.retryAfter, Reason: decision.reason}, waiter)
 		return
 	}
 	j := newJob(def)
@@ -88,6 +75,44 @@
 	c.markDirty(j)
 }
 
+// joinSubmission answers a submission of a job that is known.
+func (c *Core) joinSubmission(j *job, waiter chan<- Outcome) {
+	switch {
+	case j.definitionRejected:
+		waiter <- j.unrecordedOutcome()
+	case j.durable:
+		waiter <- Outcome{Kind: OutcomeDone}
+	case !j.definitionWritten:
+		j.submitters = append(j.submitters, waiter)
+	default:
+		c.waiters = append(c.waiters, jobWaiter{j, waiter})
+		c.markDirty(j)
+	}
+}
+
+// rejectOnceConfirmed sends the rejection once it is confirmed, unless the job has been accepted by then: its caller may
+// have submitted it more than once.
+func (c *Core) rejectOnceConfirmed(id string, rejection Outcome, waiter chan<- Outcome) {
+	c.awaitConfirmation(waiter, func() {
+		if j := c.jobs[id]; j != nil {
+			c.joinSubmission(j, waiter)
+			return
+		}
+		waiter <- rejection
+	})
+}
+
+// rejectAsBusy rejects a job since this process is too far behind. It doesn't have the caller wait for an append, unless the
+// process has been paused or cut off, so that a later term may have begun.
+func (c *Core) rejectAsBusy(id string, now time.Duration, waiter chan<- Outcome) {
+	rejection := Outcome{Kind: OutcomeRejected, RetryAfter: busyRetryAfter, Reason: "busy"}
+	if now-c.confirmedAt > maxUnconfirmedRejectionAge {
+		c.rejectOnceConfirmed(id, rejection, waiter)
+		return
+	}
+	waiter <- rejection
+}
+
 // offeredJobRetention is how long offeredJobs keeps a job. Callers retry a rejected job for a few seconds
 // only.
 const offeredJobRetention = 15 * time.Second
@@ -105,8 +130,8 @@
 	return now
 }
 
-// Cancel cancels a job. The outcome is sent to waiter: immediately if there is nothing to record, and
-// otherwise when the cancellation is durable.
+// Cancel cancels a job. The outcome is sent to waiter when the cancellation is durable, or when it is certain that the job
+// isn't known.
 func (c *Core) Cancel(id string, waiter chan<- Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,28 +143,85 @@
 	case j == nil:
 		c.logger.WithFields(logrus.Fields{"event": "unknown_job_cancelled", "job": id, "confirmed_age_ms": (c.clock() - c.confirmedAt).Milliseconds()}).Info(
 			"cancellation of a job that isn't known")
-		waiter <- Outcome{Kind: OutcomeNotFound}
+		c.awaitConfirmation(waiter, func() { c.answerCancellationOf(id, waiter) })
 		return
 	case c.logStalled(c.clock()):
-		waiter <- Outcome{Kind: OutcomeUnavailable, RetryAfter: time.Second, Reason: "log_down"}
+		waiter <- logDownOutcome
 		return
 	case j.finished() && (j.visibleCancelled || j.visibleCompleted || j.visibleFailed):
 		waiter <- Outcome{Kind: OutcomeDone}
 		return
 	}
+	c.cancelJob(j, waiter)
+}
+
+// answerCancellationOf answers the cancellation of a job that wasn't known when it arrived.
+func (c *Core) answerCancellationOf(id string, waiter chan<- Outcome) {
+	if j := c.jobs[id]; j != nil {
+		c.cancelJob(j, waiter)
+		return
+	}
+	waiter <- Outcome{Kind: OutcomeNotFound}
+}
+
+// cancelJob cancels a known job.
+func (c *Core) cancelJob(j *job, waiter chan<- Outcome) {
 	if !j.finished() {
 		j.cancelled, j.endedAt = true, c.clock()
-		c.logger.WithFields(logrus.Fields{"event": "job_cancelled", "job": id, "queue": j.def.Queue.Name, "placed": j.placedCount}).Info("job cancelled")
+		c.logger.WithFields(logrus.Fields{"event": "job_cancelled", "job": j.def.ID, "queue": j.def.Queue.Name, "placed": j.placedCount}).Info("job cancelled")
 		c.orderJobStops(j)
 	}
 	c.waiters = append(c.waiters, jobWaiter{j, waiter})
 	c.markDirty(j)
 }
 
-// State returns the state of a job as callers see it, and false for an unknown job.
+// QueryState sends the state of a job to waiter, or OutcomeNotFound. That a job isn't known, or hasn't ended, holds only
+// while no later term has begun. Work runs for some time after the last confirmed append at most, and is said to do so for
+// no longer.
+func (c *Core) QueryState(id string, waiter chan<- Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		waiter <- Outcome{Kind: OutcomeTermOver}
+		return
+	}
+	state, known := c.stateOf(id)
+	if known && (state.ended() || c.clock()-c.confirmedAt <= c.longestUnconfirmedRun()) {
+		waiter <- Outcome{Kind: OutcomeDone, State: state}
+		return
+	}
+	c.awaitConfirmation(waiter, func() {
+		if state, known := c.stateOf(id); known {
+			waiter <- Outcome{Kind: OutcomeDone, State: state}
+			return
+		}
+		waiter <- Outcome{Kind: OutcomeNotFound}
+	})
+}
+
+// QueryPending sends the number of accepted jobs of a queue of which no work item has begun to waiter.
+func (c *Core) QueryPending(queue string, waiter chan<- Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch answer := func() { waiter <- Outcome{Kind: OutcomeDone, Pending: c.pendingOf(queue)} }; {
+	case c.closed:
+		waiter <- Outcome{Kind: OutcomeTermOver}
+	case c.clock()-c.confirmedAt <= maxPendingAge:
+		answer()
+	default:
+		c.awaitConfirmation(waiter, answer)
+	}
+}
+
+// State returns the state of a job as this term knows it, and false for an unknown job.
 func (c *Core) State(id string) (JobState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.stateOf(id)
+}
+
+// stateOf is State with the lock held.
+func (c *Core) stateOf(id string) (JobState, bool) {
 	j := c.jobs[id]
 	switch {
 	case j == nil || !j.durable:
@@ -156,10 +238,15 @@
 	return JobQueued, true
 }
 
-// Pending returns the number of accepted jobs of a queue of which no work item has begun.
+// Pending returns the number of accepted jobs of a queue of which no work item has begun, as this term knows it.
 func (c *Core) Pending(queue string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.pendingOf(queue)
+}
+
+// pendingOf is Pending with the lock held.
+func (c *Core) pendingOf(queue string) int {
 	n := 0
 	for j := range c.activeJobs {
 		if j.def.Queue.Name == queue && !j.begun && !j.finished() && j.durable {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -198,7 +198,7 @@
 		checkedAt := s.Clock()
 		_ = periodic.Pause(ctx, fenceCheckInterval)
 		s.core.ObserveDelay(s.Clock() - checkedAt - fenceCheckInterval)
-		s.core.RejectUnwrittenJobs()
+		s.core.RejectWaitingRequests()
 	}
 	return ctx.Err()
 }
@@ -222,7 +222,7 @@
 			return errFenced
 		}
 		batch := s.collect()
-		if len(batch.Records) == 0 && s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge {
+		if len(batch.Records) == 0 && (s.core.AwaitsConfirmation() || s.Clock()-s.writer.ConfirmedAt() > maxConfirmationAge) {
 			batch.Records = s.confirmationRecords()
 			s.core.AppendStarted()
 		}
