Acknowledge only cancellations that a batch contains

Callers of a cancellation got success if no record of its job was in the batch: of a job whose definition the log has refused for good, or whose records can't be encoded. Those who wait for such a job are now told what holds for it, that it is never accepted or that the outcome isn't known.

TestUnrecordedCancellationIsNotAcknowledged failed before.

--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -58,11 +58,14 @@
 	encoder := jobEncoder{maxValueBytes: c.maxValueBytes(), checkpointOmitted: c.noteOmittedCheckpoint}
 	for _, j := range c.sortedDirtyJobs() {
 		if j.definitionRejected {
+			c.answerWaitersOf(j, j.unrecordedOutcome())
 			continue
 		}
 		records, err := encoder.encodeJob(j, !j.definitionWritten)
 		if err != nil {
 			c.logger.WithFields(logrus.Fields{"event": "job_unencodable", "job": j.def.ID}).WithError(err).Error("can't encode the records of a job; this change isn't recorded")
+			c.answerWaitersOf(j, Outcome{Kind: OutcomeUnknown})
+			c.answerSubmitters(j, Outcome{Kind: OutcomeUnknown})
 			continue
 		}
 		j.definitionWritten = true
@@ -90,6 +93,16 @@
 	return batch
 }
 
+// answerWaitersOf sends the outcome to those who wait for a record of the job that the next batch doesn't contain.
+func (c *Core) answerWaitersOf(j *job, outcome Outcome) {
+	c.waiters = slices.DeleteFunc(c.waiters, func(waiter jobWaiter) bool {
+		if waiter.job == j {
+			waiter.outcomes <- outcome
+		}
+		return waiter.job == j
+	})
+}
+
 // sortedDirtyJobs returns the jobs that have changed since the last batch, sorted by ID.
 func (c *Core) sortedDirtyJobs() []*job {
 	return slices.SortedFunc(maps.Keys(c.dirtyJobs), func(a, b *job) int { return strings.Compare(a.def.ID, b.def.ID) })
