Count leases as lapsed only by reports of the platform

What callers saw: running jobs were ended in the fold and started again as the next attempt, although their workers were well and another controller renewed their leases. This happened when a controller moved up to an acting rank, as it does when one of the three acting ones is restarted; when it had been paused for longer than a lease; and when it alone was cut off from the platform.

Cause: a controller took "no lease can be valid any more" and "the start wasn't confirmed in time" from the times of its own calls. A standby controller has called no worker, so each task that it knew for 5 s was an unconfirmed start, and each one that it knew for 17 s a lapsed lease, which it ended without a call. The same holds for times that went by in a pause, and for calls that failed while those of the other ranks succeeded.

Evidence, before; the tests want attempt 1 to be the only one that was started:

--- FAIL: TestPromotedControllerKeepsRunningJobs (0.03s) evidence_test.go:92: assertion failed: ... - 2, --- FAIL: TestControllerCutOffFromWorkersKeepsRunningJobs (0.05s) evidence_test.go:110: assertion failed: ... - 2, 3, 4, --- FAIL: TestPausedControllerKeepsRunningJobs (0.03s) evidence_test.go:133: assertion failed: ... - 2,

Now both follow from reports of the platform: each answered poll either lists an attempt as running, which also confirms its start, or adds to the time for which it isn't listed. That time begins anew when polls are further apart than 3 s, so neither a pause nor a time without answers counts. A lease has lapsed when the attempt wasn't listed for as long as a lease and its margin. A worker that the platform loses and finds again between two polls, 0.5 s apart, isn't noticed.

TestJobOfLostWorkerRunsElsewhere passes before and after: a job of a lost worker still starts elsewhere.

--- a/internal/controller/schedule/advance.go
+++ b/internal/controller/schedule/advance.go
@@ -91,6 +91,7 @@
 // updateEviction decides whether the task has to be evicted, and ends a throttling that is no longer needed.
 func (l *Loop) updateEviction(t *task, now time.Time) {
 	worker, known := l.hosts[t.job.Worker]
+	unlistedSince, unlisted := t.unlisted(now)
 	switch {
 	case t.ended:
 	case t.job.CancelRequested:
@@ -99,10 +100,11 @@
 	case known && !worker.failed && (!worker.serving || worker.pool != t.job.Pool):
 		t.beginEviction(reasonVacate, now)
 	case t.eviction.reason == reasonPreempt:
+	case !unlisted:
 	case !t.confirmed && now.Sub(t.firstSeen) > l.settings.StartTimeout:
 		t.beginEviction(reasonStartTimeout, now)
 		l.source.Health.Suspend(t.job.Worker, now, l.settings.Lease)
-	case t.confirmed && now.Sub(t.leasedAt) > l.settings.Lease:
+	case t.confirmed && now.Sub(laterOf(unlistedSince, t.leasedAt)) > l.settings.Lease:
 		t.beginEviction(reasonLeaseLapsed, now)
 		l.source.Health.Suspend(t.job.Worker, now, l.settings.Lease)
 	}
--- a/internal/controller/schedule/deps.go
+++ b/internal/controller/schedule/deps.go
@@ -124,6 +124,9 @@
 	leaseMargin = 2 * time.Second
 	// retryInterval is the time between two attempts of a call or proposal.
 	retryInterval = 200 * time.Millisecond
+	// maxPollGap is the longest time between two answered polls of the reports that count as following each other.
+	// It allows for a poll without an answer.
+	maxPollGap = 3 * time.Second
 	// sweepInterval is the time between two passes over all tasks. It is a small part of the lease.
 	sweepInterval = time.Second
 	// hostReadInterval is the minimum time between two reads of the hosts from the state.
--- a/internal/controller/schedule/report.go
+++ b/internal/controller/schedule/report.go
@@ -18,17 +18,35 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.settings.CallTimeout)
 	defer cancel()
+	sentAt := l.Now()
 	response, err := l.Workers.Report(ctx, &v1.ReportRequest{Workers: workers})
 	if err != nil {
 		return
 	}
 	l.update(func(now time.Time) {
+		l.recordPoll(workers, sentAt)
 		for _, report := range response.GetTasks() {
 			l.applyReport(report, now)
 		}
 	})
 }
 
+// recordPoll records a poll that was sent at the given time for all tasks of the workers. The tasks that it lists
+// are applied afterwards.
+func (l *Loop) recordPoll(workers []string, sentAt time.Time) {
+	polled := make(map[string]bool, len(workers))
+	for _, worker := range workers {
+		polled[worker] = true
+	}
+	for _, pool := range l.pools {
+		for _, t := range pool.tasks {
+			if polled[t.job.Worker] {
+				t.recordPoll(sentAt)
+			}
+		}
+	}
+}
+
 // workersToPoll returns the workers whose reports are to be polled.
 func (l *Loop) workersToPoll() []string {
 	l.mu.Lock()
@@ -61,6 +79,7 @@
 		l.markBusy(t)
 		return
 	}
+	t.recordListed()
 	if report.GetUsage() == nil {
 		return
 	}
--- a/internal/controller/schedule/task.go
+++ b/internal/controller/schedule/task.go
@@ -23,6 +23,10 @@
 	lastCall      time.Time
 	leasedAt      time.Time
 	maybeLeasedAt time.Time
+	// polledAt is when the last answered poll of the worker's reports was sent, and unlistedSince when the first
+	// one since which no answer has listed the attempt as running; zero if the last answer did.
+	polledAt      time.Time
+	unlistedSince time.Time
 	// ended is set, with endedAt and outcome, once the attempt is known not to run any more.
 	ended       bool
 	endedAt     time.Time
@@ -180,9 +184,35 @@
 	return next
 }
 
-// leaseLapsed reports whether even a lease whose grant wasn't confirmed must have lapsed.
+// recordPoll records that a poll of the worker's reports, sent at the given time, was answered. Unless the answer
+// lists the attempt, which recordListed records afterwards, the platform had no contact with it.
+func (t *task) recordPoll(sentAt time.Time) {
+	if t.unlistedSince.IsZero() || sentAt.Sub(t.polledAt) > maxPollGap {
+		t.unlistedSince = sentAt
+	}
+	t.polledAt = sentAt
+}
+
+// recordListed records that the platform lists the attempt as running, which also confirms its start.
+func (t *task) recordListed() {
+	t.unlistedSince = time.Time{}
+	if !t.confirmed {
+		t.confirmed = true
+		t.renewNow = true
+	}
+}
+
+// unlisted returns since when the platform hasn't listed the attempt. It returns false if the platform lists it or
+// hasn't been asked recently, so that other controllers may have started it or renewed its lease.
+func (t *task) unlisted(now time.Time) (time.Time, bool) {
+	return t.unlistedSince, !t.unlistedSince.IsZero() && now.Sub(t.polledAt) <= maxPollGap
+}
+
+// leaseLapsed reports whether even a lease whose grant wasn't confirmed, or that another controller renewed, must
+// have lapsed.
 func (t *task) leaseLapsed(settings *Settings, now time.Time) bool {
-	return now.Sub(t.maybeLeasedAt) > settings.Lease+leaseMargin
+	since, unlisted := t.unlisted(now)
+	return unlisted && now.Sub(laterOf(since, t.maybeLeasedAt)) > settings.Lease+leaseMargin
 }
 
 // markEnded records that the attempt doesn't run any more. Only the first outcome is kept.
