Don't ask another controller after a connection was lost

What callers saw: the verdict on a second copy of a proposal, as if it settled the first. A submitter of a job was told queue_full with outcome not_run, or an operator that the change was rejected (exit 4 or 5) or that no controller answered (exit 6), while the first controller still had the proposal and appended it when the log took it: the job ran, or the change came into force.

Cause: the gateway's client for jobs and the operators' client go to the next controller after an error with the code Unavailable. A controller answers so for proposals that it hasn't appended, but the client library gives the same code to each call that fails without an answer, such as one whose connection breaks after the request was sent. The exit status was also taken from that code, before the kind append_unsettled.

Now the next controller is asked only if no connection was made, which forwarding between gateways tells already and from which CallTrace is taken, or if the controller itself answered that it is unavailable. Everything else is append_unsettled.

--- a/cmd/gateway/jobs.go
+++ b/cmd/gateway/jobs.go
@@ -5,29 +5,29 @@
 	"encoding/json"
 	"errors"
 
-	"connectrpc.com/connect"
-
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/controller/schedule"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/transport"
 )
 
 // jobClient submits and looks up jobs through the configured controllers.
 type jobClient struct{ clients *processClients }
 
 // Propose implements schedule.Proposer. A call that may have reached a controller isn't repeated at
-// another one: that controller would append the submission under another envelope, and the fold would
-// take it for a repeated submission of the job.
+// another one: that controller would append the submission under another envelope, and its verdict would
+// say nothing about the first copy, which may still be accepted later.
 func (j jobClient) Propose(ctx context.Context, record *v1.Record) error {
 	var errs []error
 	for _, controller := range j.clients.controllers {
-		response, err := controller.Propose(ctx, &v1.ProposeRequest{Record: record})
+		var trace transport.CallTrace
+		response, err := controller.Propose(trace.Context(ctx), &v1.ProposeRequest{Record: record})
 		switch {
 		case err == nil && response.GetAccepted():
 			return nil
 		case err == nil:
 			return fault.New(fault.Kind(response.GetKind()), "%s", response.GetDetail())
-		case connect.CodeOf(err) != connect.CodeUnavailable:
+		case !trace.Unsent(err) && !transport.IsUnavailableAnswer(err):
 			return fault.Wrap(fault.AppendUnsettled, err, "the job may have been accepted")
 		}
 		errs = append(errs, err)
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -58,12 +58,13 @@
 }
 
 // Propose sends a record to the first controller that is available. A rejection is returned as an error of the
-// verdict's kind. If the outcome of a call is unknown, the record isn't sent to another controller, and the
-// error is of kind AppendUnsettled.
+// verdict's kind. If the outcome of a call is unknown, the record isn't sent to another controller, whose verdict
+// would say nothing about the first copy, and the error is of kind AppendUnsettled.
 func (c *Client) Propose(ctx context.Context, author string, record *v1.Record) (*v1.ProposeResponse, error) {
 	var errs []error
 	for _, controller := range c.controllers {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var trace transport.CallTrace
+		callCtx, cancel := context.WithTimeout(trace.Context(ctx), callTimeout)
 		response, err := controller.Propose(callCtx, &v1.ProposeRequest{Record: record, Author: author})
 		cancel()
 		switch {
@@ -71,7 +72,7 @@
 			return response, verdictError(response)
 		case connect.CodeOf(err) == connect.CodeUnauthenticated:
 			return nil, err
-		case connect.CodeOf(err) == connect.CodeUnavailable:
+		case trace.Unsent(err) || transport.IsUnavailableAnswer(err):
 			errs = append(errs, err)
 		default:
 			return nil, fault.Wrap(fault.AppendUnsettled, err, "the proposal may or may not have been accepted")
--- a/internal/adminclient/publish_test.go
+++ b/internal/adminclient/publish_test.go
@@ -1,11 +1,15 @@
 package adminclient
 
 import (
+	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/standin/controllersvc"
 	"turmericyoke/internal/standin/fleetdoc"
@@ -40,3 +44,40 @@
 	assert.Equal(t, surrenders[0].GetTarget(), accepted-1)
 	assert.Equal(t, surrenders[1].GetTarget(), accepted+1, "the target is the limit of the change set that was accepted meanwhile")
 }
+
+// abortingController closes the connection of each proposal after it was read.
+type abortingController struct{ *controllersvc.Controller }
+
+func (abortingController) Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error) {
+	panic(http.ErrAbortHandler)
+}
+
+// Guards against a change set that is reported as rejected, because of the verdict on its copy at another controller,
+// and is accepted from the first controller afterwards.
+func TestLostConnectionLeavesChangeSetUnsettled(t *testing.T) {
+	doc := fleetdoc.New(fleetdoc.Size{Hosts: 4, Teams: 2, Pools: 1, Zones: 1})
+	first, second := controllersvc.New(7, *doc), controllersvc.New(8, *doc)
+	_, aborting := turmericyokev1connect.NewControllerServiceHandler(abortingController{first})
+	client := newTestClient(t, aborting, second.Handler())
+	next := *fleetdoc.New(fleetdoc.Size{Hosts: 4, Teams: 2, Pools: 1, Zones: 1})
+	next.Teams[0].Share++
+	changePlan, err := client.Plan(t.Context(), "change", "ada", "", &next)
+	assert.NilError(t, err)
+
+	_, err = client.Publish(t.Context(), changePlan)
+	assert.Equal(t, fault.KindOf(err), fault.AppendUnsettled)
+}
+
+// newTestClient returns a client of the controllers with the handlers.
+func newTestClient(t *testing.T, handlers ...http.Handler) *Client {
+	t.Helper()
+	link, err := transport.New(transport.TLS{Plaintext: true})
+	assert.NilError(t, err)
+	var addresses []string
+	for _, handler := range handlers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return NewClient(link, addresses)
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -11,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/document"
 	"turmericyoke/internal/standin/controllersvc"
 	"turmericyoke/internal/structs"
@@ -32,16 +35,33 @@
 // runCommand runs the command line against the controller and returns its output and exit status.
 func runCommand(t *testing.T, controller *controllersvc.Controller, args ...string) (string, ExitCode) {
 	t.Helper()
-	server := httptest.NewServer(controller.Handler())
-	defer server.Close()
+	return runCommandAt(t, []http.Handler{controller.Handler()}, args...)
+}
+
+// runCommandAt is like runCommand, with several controllers.
+func runCommandAt(t *testing.T, controllers []http.Handler, args ...string) (string, ExitCode) {
+	t.Helper()
 	root := NewRootCommand("test")
 	var out bytes.Buffer
 	root.SetOut(&out)
-	root.SetArgs(append(args, "--plaintext", "--controller", strings.TrimPrefix(server.URL, "http://")))
+	root.SetErr(&out)
+	root.SetArgs(append(args, "--plaintext", "--controller", strings.Join(startControllers(t, controllers), ",")))
 	code := ExitCodeFor(root.ExecuteContext(context.Background()))
 	return out.String(), code
 }
 
+// startControllers serves the handlers until the test ends and returns their addresses.
+func startControllers(t *testing.T, controllers []http.Handler) []string {
+	t.Helper()
+	var addresses []string
+	for _, handler := range controllers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return addresses
+}
+
 func writeDocument(t *testing.T, doc structs.Document) string {
 	t.Helper()
 	data, err := document.Encode(&doc)
@@ -102,3 +122,20 @@
 	assert.Equal(t, invalidCode, ExitRejected)
 	assert.Equal(t, usageCode, ExitUsage)
 }
+
+// abortingController closes the connection of each proposal after it was read.
+type abortingController struct{ *controllersvc.Controller }
+
+func (abortingController) Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error) {
+	panic(http.ErrAbortHandler)
+}
+
+// Guards against the exit status of a change that wasn't made, for one that may still be accepted.
+func TestApplyAfterLostConnectionIsUnsettled(t *testing.T) {
+	doc := testDocument()
+	doc.Teams[0].Share = 5
+	_, handler := turmericyokev1connect.NewControllerServiceHandler(abortingController{controllersvc.New(4, testDocument())})
+
+	_, code := runCommandAt(t, []http.Handler{handler}, "apply", writeDocument(t, doc))
+	assert.Equal(t, code, ExitUnsettled)
+}
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -51,6 +51,8 @@
 		return ExitDifferent
 	case errors.As(err, &usageErr):
 		return ExitUsage
+	case fault.KindOf(err) == fault.AppendUnsettled:
+		return ExitUnsettled
 	case errors.As(err, &connectErr) && connectErr.Code() == connect.CodeUnavailable:
 		return ExitUnavailable
 	}
@@ -59,8 +61,6 @@
 		return ExitConflict
 	case fault.LogUnavailable, fault.NotReady:
 		return ExitUnavailable
-	case fault.AppendUnsettled:
-		return ExitUnsettled
 	case fault.Internal, fault.SettingsInvalid:
 		return ExitError
 	default:
--- a/internal/gateway/peerclient/forward.go
+++ b/internal/gateway/peerclient/forward.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math"
-	"net"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,6 +11,7 @@
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/gateway/dispatch"
 	"turmericyoke/internal/gateway/pipe"
+	"turmericyoke/internal/transport"
 )
 
 // PeerObserver is informed of the results of forwarded requests.
@@ -48,13 +45,10 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	defer f.ForwardEnded(peer, r.PoolName, r.Team)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	response, err := f.clients.ForwardClient(peer.Address).Forward(ctx, f.forwardRequest(peer, r))
+	var trace transport.CallTrace
+	response, err := f.clients.ForwardClient(peer.Address).Forward(trace.Context(ctx), f.forwardRequest(peer, r))
 	if err != nil {
-		return failedCall(peer, err, connected.Load())
+		return failedCall(peer, err, trace.Unsent(err))
 	}
 	f.UpdateFree(peer, r.PoolName, r.Team, response.GetFreeSlots(), response.GetFreeRights())
 	if response.GetFreeSlots() > 0 {
@@ -65,10 +59,8 @@
 
 // failedCall returns the result of a call that failed without a response. If no connection was made, the
 // request can't have reached the peer and provably did not run; otherwise its outcome is unknown.
-func failedCall(peer *pipe.Peer, err error, connected bool) dispatch.ForwardResult {
-	var netErr *net.OpError
-	dialFailed := errors.As(err, &netErr) && netErr.Op == "dial"
-	if !connected || dialFailed {
+func failedCall(peer *pipe.Peer, err error, unsent bool) dispatch.ForwardResult {
+	if unsent {
 		return dispatch.ForwardResult{
 			Outcome: pipe.OutcomeNotRun,
 			Fault:   fault.Wrap(fault.EndpointUnavailable, err, "no connection to gateway %s", peer.Name),
