Leave a repeated submission unsettled until its job is found

What callers saw: a submission that was repeated with its Idempotency-Key, because the response to the first one was lost, was answered with not_ready (503) and outcome not_run when no controller answered the look-up of its job, or with job_conflict (409) and not_run when the controller that answered lagged behind. The job had been accepted, and ran.

Cause: the verdict job_conflict proves that the id is in use, but a look-up that failed or found nothing was taken for another submission under the id, or for a submission that wasn't made. The first controller that answered decided, whatever its offset.

Evidence, before:

--- FAIL: TestConflictWithoutLookupIsUnsettled/the_state_is_older submit_test.go:40: assertion failed: job_conflict (err.Kind fault.Kind) != append_unsettled --- FAIL: TestConflictWithoutLookupIsUnsettled/no_controller_answers submit_test.go:40: assertion failed: not_ready (err.Kind fault.Kind) != append_unsettled --- FAIL: TestLookupAsksControllersThatMayBeNewer jobs_test.go:94: assertion failed: {false } (result schedule.LookupResult) != {true d}

Now only a job that was found settles the conflict, since the submission of an id doesn't change; controllers are asked until one knows it. Without it the outcome is append_unsettled, and the caller repeats the submission.

--- a/cmd/gateway/jobs.go
+++ b/cmd/gateway/jobs.go
@@ -35,7 +35,8 @@
 	return fault.Wrap(fault.AppendUnsettled, errors.Join(errs...), "no controller told the verdict")
 }
 
-// LookupJob implements schedule.Lookup.
+// LookupJob implements schedule.Lookup. It asks all controllers until one of them knows the job, since the state of
+// a controller may be older than the job.
 func (j jobClient) LookupJob(ctx context.Context, job string) (schedule.LookupResult, error) {
 	var errs []error
 	for _, controller := range j.clients.controllers {
@@ -45,8 +46,12 @@
 			continue
 		}
 		result := schedule.LookupResult{}
-		err = json.Unmarshal(response.GetJson(), &result)
-		return result, err
+		if err := json.Unmarshal(response.GetJson(), &result); err != nil || result.Found {
+			return result, err
+		}
+	}
+	if len(errs) > 0 {
+		return schedule.LookupResult{}, fault.Wrap(fault.NotReady, errors.Join(errs...), "not all controllers answered")
 	}
-	return schedule.LookupResult{}, fault.Wrap(fault.NotReady, errors.Join(errs...), "no controller answered")
+	return schedule.LookupResult{}, nil
 }
--- a/cmd/gateway/jobs_test.go
+++ b/cmd/gateway/jobs_test.go
@@ -85,3 +85,15 @@
 	assert.NilError(t, newJobClient(t, nil, notReady, accepting).Propose(t.Context(), &v1.Record{}))
 	assert.Equal(t, accepting.proposals.Load(), int64(1))
 }
+
+// Guards against a job that counts as unknown because the first controller that answers lags behind.
+func TestLookupAsksControllersThatMayBeNewer(t *testing.T) {
+	lagging, current := &fakeController{}, &fakeController{found: schedule.LookupResult{Found: true, Digest: "d"}}
+
+	result, err := newJobClient(t, lagging, current).LookupJob(t.Context(), "a/tally-7")
+	assert.NilError(t, err)
+	assert.Equal(t, result, current.found)
+
+	_, err = newJobClient(t, nil, lagging).LookupJob(t.Context(), "a/tally-7")
+	assert.Equal(t, fault.KindOf(err), fault.NotReady)
+}
--- a/internal/controller/schedule/submit.go
+++ b/internal/controller/schedule/submit.go
@@ -57,7 +57,7 @@
 	Digest string
 }
 
-// Lookup finds a live or ended job in the newest state.
+// Lookup finds a live or ended job. A job that it doesn't find may still exist, since its state may be older.
 type Lookup interface {
 	LookupJob(ctx context.Context, job string) (LookupResult, error)
 }
@@ -103,13 +103,14 @@
 }
 
 // resolveConflict handles a submission whose job id is in use. It succeeds if the job comes from the same
-// submission, and otherwise returns the conflict.
+// submission, and returns the conflict if it comes from another one. While the job can't be found, the outcome is
+// unknown: the conflict proves that the id is in use.
 func (s *Submitter) resolveConflict(ctx context.Context, result SubmitResult, record *v1.JobSubmit, conflict error) (SubmitResult, *fault.Error) {
 	known, err := s.Lookup.LookupJob(ctx, record.GetJob())
-	if err != nil {
-		return result, asFault(err)
+	if err != nil || !known.Found {
+		return result, fault.Wrap(fault.AppendUnsettled, errors.Join(conflict, err), "job %s was accepted before; it isn't known from which submission", record.GetJob())
 	}
-	if known.Found && known.Digest == jobs.Digest(record) {
+	if known.Digest == jobs.Digest(record) {
 		result.Repeated = true
 		return result, nil
 	}
