Say not_run only if no attempt may have run

Cause: an idempotent request whose first attempt has an unknown outcome is placed again. If the next attempt was refused by its endpoint or its peer, or the wait in the queue ended, the request ended with that fault, which proves only that the last attempt didn't run.

Evidence, before:

--- FAIL: TestRetryThatIsRefusedLeavesOutcomeUnknown (2.00s) once_test.go:147: assertion failed: not_run (got.outcome string) != outcome_unknown (string)

Now a fault that says not_run ends the request as outcome_unknown, with both details, once an attempt may have run.

--- a/internal/gateway/dispatch/dispatch.go
+++ b/internal/gateway/dispatch/dispatch.go
@@ -83,9 +83,11 @@
 	prepareRequest(r)
 	f.retries.addRequest()
 	runs, placements := 0, 0
+	// mayHaveRun is the fault of the last attempt in which r may have run.
+	var mayHaveRun *fault.Error
 	for {
 		if err := f.queue.AwaitPlacement(r, placements > 0); err != nil {
-			return err
+			return finalFault(err, mayHaveRun)
 		}
 		placements++
 		res := f.attempt(r)
@@ -97,10 +99,11 @@
 			return fault.New(fault.CallerGone, "the caller left: %v", res.fault)
 		case res.outcome == pipe.OutcomeNotRun:
 			if !f.mayPlaceAgain(r, res, placements) {
-				return res.fault
+				return finalFault(res.fault, mayHaveRun)
 			}
 		default:
 			runs++
+			mayHaveRun = res.fault
 			if !f.waitToRunAgain(r, res, runs) {
 				return res.fault
 			}
@@ -109,6 +112,15 @@
 	}
 }
 
+// finalFault returns the fault with which a request ends. A fault of the last attempt that proves that the request
+// didn't run proves nothing about an earlier attempt in which it may have run.
+func finalFault(last, mayHaveRun *fault.Error) *fault.Error {
+	if mayHaveRun == nil || !fault.ResponseFor(last.Kind).NotRun {
+		return last
+	}
+	return fault.Wrap(fault.OutcomeUnknown, last, "an earlier attempt may have run: %s; the last one: %s", mayHaveRun.Detail, last.Detail)
+}
+
 // attempt sends r once, records the state of the endpoint, and releases the right and the slot.
 func (f *Filter) attempt(r *pipe.Request) attemptResult {
 	res := f.send(r)
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -131,6 +131,23 @@
 	}
 }
 
+// Guards against an idempotent request that is reported as not run because its retry wasn't, although its first
+// attempt ran.
+func TestRetryThatIsRefusedLeavesOutcomeUnknown(t *testing.T) {
+	zone := newTestZone(t)
+	broken := zone.addEndpoint("desk", endpointsvc.Config{Slots: 9})
+	leaving := zone.addEndpoint("desk", endpointsvc.Config{Slots: 8})
+	gw := zone.addGateway("z1", map[string]uint64{"a": 10}, nil)
+	zone.publish()
+	broken.SetFaults(endpointsvc.Faults{CutResponse: true, CutResponseAt: 30})
+	leaving.SetDraining(true)
+	got := sendRequest(t, gw, "PUT", "/v1/pools/desk/x", "body")
+	assert.Equal(t, broken.Runs(got.id), 1)
+	assert.Equal(t, leaving.Stats().Refused, 1)
+	assert.Equal(t, got.outcome, "outcome_unknown")
+	assert.Equal(t, got.kind, string(fault.OutcomeUnknown))
+}
+
 // Guards the retry budget: if all responses are truncated, there are at most a tenth as many retries as
 // requests, and the 3 initial ones.
 func TestRetryBudget(t *testing.T) {
