Refuse unknown keys and pools for good only from a current view

What callers saw: 401 key_unknown for each valid key, and 404 pool_unknown for each pool, from a gateway that had no view yet, and for keys and pools accepted after the view of a gateway that was cut off. Both look final, and callers don't repeat such requests.

Cause: the answer that something doesn't exist was given from any view, however old, and also from the empty one with which a gateway starts.

Evidence, before:

--- FAIL: TestAbsenceNeedsCurrentView (0.00s) callers_test.go:160: assertion failed: key_unknown != key_freshness_unknown (string)

Now absence needs a view that was known to be current within 17 s, in which the design has a configuration in force wherever the log is reached. Otherwise the refusals are key_freshness_unknown and not_ready, both 503 with Retry-After. A request that names neither a key nor a pool is refused as before, since no configuration could admit it.

--- a/internal/console/refusalpage.go
+++ b/internal/console/refusalpage.go
@@ -23,8 +23,9 @@
 // ruleMeanings explains the rules by which requests are refused, for operators.
 var ruleMeanings = map[fault.Kind]string{
 	fault.KeyUnknown:          "The request had no key, or one that isn't in the document.",
-	fault.KeyFreshnessUnknown: "The gateway's configuration was older than the key's failClosedAfter.",
+	fault.KeyFreshnessUnknown: "The gateway's configuration was older than the key's failClosedAfter, or didn't have the key and may have been out of date.",
 	fault.PoolUnknown:         "The document has no pool of that name.",
+	fault.NotReady:            "The gateway's configuration had no such pool or team, and may have been out of date.",
 	fault.RequestInvalid:      "The request couldn't be understood.",
 	fault.RequestTooLarge:     "The headers or the body were larger than the gateway accepts.",
 	fault.TeamLimit:           "The team had as many units running as its limit permits.",
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -17,7 +17,7 @@
 	// KeyUnknown is a request whose API key is missing, malformed, unknown or revoked.
 	KeyUnknown Kind = "key_unknown"
 	// KeyFreshnessUnknown is a request whose API key is refused because the configuration isn't known to have
-	// been current within the key's FailClosedAfter.
+	// been current within the key's FailClosedAfter or, if it doesn't have the key, within the time of a roll-out.
 	KeyFreshnessUnknown Kind = "key_freshness_unknown"
 	// PoolUnknown is a request for a pool that the document doesn't have.
 	PoolUnknown Kind = "pool_unknown"
--- a/internal/gateway/authenticate/authenticate.go
+++ b/internal/gateway/authenticate/authenticate.go
@@ -36,7 +36,7 @@
 	r.ConfigVersion = snapshot.View.ConfigVersion
 	header := r.HTTPRequest.Header.PeekBytes([]byte("Authorization"))
 	if len(header) == 0 {
-		return setOpenTeam(r, snapshot)
+		return f.setOpenTeam(r, snapshot)
 	}
 	secret, ok := bytes.CutPrefix(header, bearerPrefix)
 	if !ok {
@@ -44,7 +44,7 @@
 	}
 	key, ok := snapshot.Key(secret)
 	if !ok {
-		return fault.New(fault.KeyUnknown, "the key isn't known")
+		return f.notInView(snapshot, "the key isn't known")
 	}
 	r.Team = key.Team
 	r.KeyID = key.ID
@@ -56,11 +56,22 @@
 }
 
 // setOpenTeam sets the team of a request without a key, and refuses the request if its pool has no open team.
-func setOpenTeam(r *pipe.Request, snapshot *fleet.Snapshot) *fault.Error {
+func (f *Filter) setOpenTeam(r *pipe.Request, snapshot *fleet.Snapshot) *fault.Error {
+	if r.PoolName == "" {
+		return fault.New(fault.KeyUnknown, "the request has neither a key nor a pool")
+	}
 	pool, ok := snapshot.Pool(r.PoolName)
 	if !ok || pool.OpenTeam == "" {
-		return fault.New(fault.KeyUnknown, "the request has no key")
+		return f.notInView(snapshot, "the request has no key")
 	}
 	r.Team = pool.OpenTeam
 	return nil
 }
+
+// notInView returns the refusal of a request whose key or open pool the view doesn't have.
+func (f *Filter) notInView(snapshot *fleet.Snapshot, detail string) *fault.Error {
+	if !snapshot.ProvesAbsence(f.now()) {
+		return fault.New(fault.KeyFreshnessUnknown, "%s in a configuration that may be out of date", detail)
+	}
+	return fault.New(fault.KeyUnknown, "%s", detail)
+}
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -150,6 +150,30 @@
 	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyUnknown))
 }
 
+// Guards against callers who are told that their key or pool doesn't exist by a gateway that has no view yet, or one
+// from before the key or pool was accepted.
+func TestAbsenceNeedsCurrentView(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	gw := zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	newKey := []string{"Authorization", "Bearer new-key"}
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/open/x", "", "Authorization", "").kind, string(fault.KeyFreshnessUnknown))
+
+	zone.publishAt(time.Now().Add(-time.Minute))
+	got := sendRequest(t, gw, "GET", "/v1/pools/desk/x", "", newKey...)
+	assert.Equal(t, got.kind, string(fault.KeyFreshnessUnknown))
+	assert.Equal(t, got.status, fasthttp.StatusServiceUnavailable)
+	got = sendRequest(t, gw, "GET", "/v1/pools/new/x", "")
+	assert.Equal(t, got.kind, string(fault.NotReady))
+	assert.Equal(t, got.status, fasthttp.StatusServiceUnavailable)
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").outcome, "done")
+
+	zone.publish()
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "", newKey...).kind, string(fault.KeyUnknown))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/new/x", "").kind, string(fault.PoolUnknown))
+}
+
 // Guards against a shutdown that cancels requests: running and waiting ones must complete.
 func TestShutdownCompletesRequests(t *testing.T) {
 	zone := newTestZone(t)
--- a/internal/gateway/fleet/snapshot.go
+++ b/internal/gateway/fleet/snapshot.go
@@ -11,6 +11,9 @@
 	"turmericyoke/internal/structs"
 )
 
+// rollOutTime is the time within which an accepted configuration is in force in each zone that reaches the log.
+const rollOutTime = 17 * time.Second
+
 // Snapshot is an indexed view. It must not be modified.
 type Snapshot struct {
 	View *structs.View
@@ -106,3 +109,7 @@
 func (s *Snapshot) Fresh(now time.Time, maxAge time.Duration) bool {
 	return !s.FreshAt.IsZero() && now.Sub(s.FreshAt) <= maxAge
 }
+
+// ProvesAbsence reports whether something that the view doesn't have wasn't accepted long before now. An older view
+// proves nothing about what has been accepted since, and the empty view of a starting gateway nothing at all.
+func (s *Snapshot) ProvesAbsence(now time.Time) bool { return s.Fresh(now, rollOutTime) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.PlaceWaiting, config.Now)
 	filters := []pipe.Filter{
 		authenticate.New(config.Store, config.Now),
-		route.New(config.Store),
+		route.New(config.Store, config.Now),
 		admit.New(config.Admit, config.Store, config.Rights, g.refusing.Load, config.Now),
 	}
 	if config.Submitter != nil {
--- a/internal/gateway/route/route.go
+++ b/internal/gateway/route/route.go
@@ -3,6 +3,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/gateway/fleet"
@@ -33,10 +34,11 @@
 // Filter is the routing filter.
 type Filter struct {
 	store *fleet.Store
+	now   func() time.Time
 }
 
 // New returns the filter.
-func New(store *fleet.Store) *Filter { return &Filter{store: store} }
+func New(store *fleet.Store, now func() time.Time) *Filter { return &Filter{store: store, now: now} }
 
 // Apply implements pipe.Filter. It sets the pool, the share of the team, and whether the request is
 // idempotent. Whether a forwarded request is idempotent was determined by the gateway that accepted it.
@@ -44,11 +46,15 @@
 	snapshot := f.store.Current()
 	pool, ok := snapshot.Pool(r.PoolName)
 	if !ok {
-		return fault.New(fault.PoolUnknown, "no pool %q: want /v1/pools/{pool}/...", r.PoolName)
+		unknown := fault.New(fault.PoolUnknown, "no pool %q: want /v1/pools/{pool}/...", r.PoolName)
+		if r.PoolName == "" {
+			return unknown
+		}
+		return f.notInView(snapshot, unknown)
 	}
 	team, ok := snapshot.Team(r.Team)
 	if !ok {
-		return fault.New(fault.KeyUnknown, "the team of the key isn't declared")
+		return f.notInView(snapshot, fault.New(fault.KeyUnknown, "the team of the key isn't declared"))
 	}
 	r.Pool = pool
 	r.Share = max(team.Share, 1)
@@ -58,6 +64,14 @@
 	return nil
 }
 
+// notInView returns the refusal of a request whose pool or team the view doesn't have.
+func (f *Filter) notInView(snapshot *fleet.Snapshot, unknown *fault.Error) *fault.Error {
+	if !snapshot.ProvesAbsence(f.now()) {
+		return fault.Wrap(fault.NotReady, unknown, "%s; the configuration may be out of date", unknown.Detail)
+	}
+	return unknown
+}
+
 // isIdempotent reports whether the request may run twice: by its method, or by an Idempotency-Key header if
 // the pool permits that.
 func isIdempotent(r *pipe.Request) bool {
