Answer queries only once the state is complete

A gateway took that for a conflict with another submission, and the command line for an empty list or an unchanged document.

Cause: View waits until the follower has folded up to the highest offset that it heard; Query asked only whether there was a state.

Evidence, before; the call returned an answer and no error:

--- FAIL: TestQueryBeforeStateIsComplete (0.00s) currency_test.go:59: assertion failed: unknown (connect.Code) != unavailable (connect.CodeUnavailable): job

Now Query refuses with not_ready in the same condition, and clients ask the next controller.

--- a/internal/controller/serve/query.go
+++ b/internal/controller/serve/query.go
@@ -13,6 +13,9 @@
 
 // Query implements the ControllerService. It returns one section of the state as JSON.
 func (s *Service) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
+	if !s.cfg.Follower.Ready() {
+		return nil, connectError(fault.New(fault.NotReady, "the controller hasn't caught up with the log yet"))
+	}
 	response := &v1.QueryResponse{}
 	var sectionErr error
 	hasState := s.cfg.Follower.Read(func(state *fold.State) {
