Report the freshness of the view that is sent

What gateways saw: a view that was called current at a time when the log already had records that it lacks, by up to 0.5 s. A key with failClosedAfter could be accepted for that much longer after its withdrawal.

Cause: gateways share a view for 0.5 s, but its freshness was read from the newest state, which may have later records.

Evidence, before:

--- FAIL: TestSharedViewHasItsOwnFreshness (0.00s) currency_test.go:82: assertion failed: response.GetFreshnessMs() is less than uint64(age.Milliseconds()): 0 ms

Now the freshness is read before the view is taken and ages with it. A view of the newest state has that state's freshness as before.

--- a/internal/controller/serve/currency_test.go
+++ b/internal/controller/serve/currency_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +21,18 @@
 	ready bool
 }
 
+// applyRecord folds one more record.
+func (f *fakeFollower) applyRecord(t *testing.T) {
+	t.Helper()
+	data, err := fold.EncodeRecord(&v1.Record{
+		Schema: fold.Schema, Proposer: "g1", Incarnation: "g1-1", Seq: uint64(f.state.Offset()) + 1,
+		Payload: &v1.Record_Heartbeat{Heartbeat: &v1.Heartbeat{}},
+	})
+	assert.NilError(t, err)
+	_, err = f.state.Apply(f.state.Offset()+1, data)
+	assert.NilError(t, err)
+}
+
 func (f *fakeFollower) Read(use func(*fold.State)) bool {
 	use(f.state)
 	return true
@@ -48,3 +62,23 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against a gateway that takes a view for current at a time when the log already had the withdrawal of a key,
+// because it gets a shared view with the freshness of a newer state.
+func TestSharedViewHasItsOwnFreshness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower := &fakeFollower{state: fold.New(), ready: true}
+		service := New(Config{Follower: follower, Metrics: NewMetrics(prometheus.NewRegistry(), follower)})
+		follower.applyRecord(t)
+		_, err := service.View(t.Context(), &v1.ViewRequest{Gateway: "g1"})
+		assert.NilError(t, err)
+
+		const age = minViewInterval - 100*time.Millisecond
+		time.Sleep(age)
+		follower.applyRecord(t)
+		response, err := service.View(t.Context(), &v1.ViewRequest{Gateway: "g2"})
+		assert.NilError(t, err)
+		assert.Equal(t, response.GetOffset(), int64(1))
+		assert.Assert(t, response.GetFreshnessMs() >= uint64(age.Milliseconds()), "%d ms", response.GetFreshnessMs())
+	})
+}
--- a/internal/controller/serve/view.go
+++ b/internal/controller/serve/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -58,18 +59,23 @@
 	}
 	response.Offset, response.ConfigVersion = update.offset, update.version
 	response.View, response.Delta = update.view, update.delta
+	if update.offset < status.GetOffset() {
+		// The state was current later than the view, which doesn't have its last records.
+		response.FreshnessMs = update.freshnessMS
+	}
 	s.gateways.recordSent(request.GetGateway(), update.offset, update.version)
 	s.cfg.Metrics.viewBytes.Add(float64(len(update.view) + len(update.delta)))
 	return response, nil
 }
 
-// viewUpdate is an update for a gateway: the whole view or a delta, with the view's offset and document
-// version.
+// viewUpdate is an update for a gateway: the whole view or a delta, with the view's offset, document version and
+// freshness.
 type viewUpdate struct {
-	offset  int64
-	version uint64
-	view    []byte
-	delta   []byte
+	offset      int64
+	version     uint64
+	freshnessMS uint64
+	view        []byte
+	delta       []byte
 }
 
 // viewCache derives a view from the state at most once in minViewInterval, and encodes the view and each
@@ -80,6 +86,8 @@
 	tracker viewdelta.Tracker
 	view    *structs.View
 	builtAt time.Time
+	// builtFreshnessMS is the freshness of the state when the view was taken.
+	builtFreshnessMS uint64
 	// encodedView is the whole view, and encodedDeltas holds the deltas to it by their base offset. Both are
 	// encoded when they are first requested.
 	encodedView   []byte
@@ -94,7 +102,7 @@
 	if err := c.refresh(ctx, follower, request.GetAfterOffset()); err != nil {
 		return viewUpdate{}, err
 	}
-	update := viewUpdate{offset: c.view.Offset, version: c.view.ConfigVersion}
+	update := viewUpdate{offset: c.view.Offset, version: c.view.ConfigVersion, freshnessMS: c.freshnessMS()}
 	var err error
 	if request.GetAcceptDelta() && request.GetAfterOffset() > 0 {
 		update.delta, err = c.encodeDelta(request.GetAfterOffset())
@@ -114,6 +122,8 @@
 	if err := periodic.Pause(ctx, minViewInterval-time.Since(c.builtAt)); err != nil {
 		return err
 	}
+	// The freshness is read first: the view is at least as new as the state that it belongs to.
+	freshnessMS := follower.Status().GetFreshnessMs()
 	var view *structs.View
 	follower.Read(func(state *fold.State) {
 		if c.view == nil || state.Offset() > c.view.Offset {
@@ -126,12 +136,19 @@
 	if view == nil {
 		return nil
 	}
-	c.view, c.builtAt = view, time.Now()
+	c.view, c.builtAt, c.builtFreshnessMS = view, time.Now(), freshnessMS
 	c.tracker.Update(view)
 	c.encodedView, c.encodedDeltas = nil, map[int64][]byte{}
 	return nil
 }
 
+// freshnessMS returns the freshness of the view, in milliseconds.
+func (c *viewCache) freshnessMS() uint64 {
+	// Adding to the freshness of a state that was never current must not overflow.
+	age := uint64(time.Since(c.builtAt).Milliseconds()) + 1
+	return c.builtFreshnessMS + min(age, math.MaxUint64-c.builtFreshnessMS)
+}
+
 // encodeView returns the whole view as JSON.
 func (c *viewCache) encodeView() ([]byte, error) {
 	if c.encodedView != nil {
