Count suspended time in the age of a controller's state

What gateways and operators saw: after the host of a controller had been suspended, its state counted as fresh until the next read of the log failed to confirm it, however long the suspension was. Gateways took keys with failClosedAfter for fresh, controllers relayed to peers as if they reached the log, and planned stops could begin.

Cause: freshness was measured on the monotonic clock, which stands still while the host is suspended.

Evidence, with the boot clock passed but not read:

--- FAIL: TestStateAgesWhileHostIsSuspended (0.00s) suspension_test.go:26: assertion failed: 1s (age time.Duration) != 1h0m1s

Now the age is measured on the clock that also advances during suspension, as that of leases is.

--- a/cmd/controller/run.go
+++ b/cmd/controller/run.go
@@ -16,6 +16,7 @@
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
 	"turmericyoke/internal/auth"
+	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/controller/demand"
 	"turmericyoke/internal/controller/gauges"
 	"turmericyoke/internal/controller/member"
@@ -86,6 +87,7 @@
 	stateFollower := follower.New(follower.Config{
 		Name: config.Name, Incarnation: incarnation, Zone: config.Zone,
 		Log: platform.log, Peers: followerPeers(config, rpcTransport, httpClient), Logger: logger,
+		BootClock: boottime.Now,
 	})
 	recordProposer := proposer.New(config.Name, incarnation, platform.log, stateFollower)
 	registry := telemetry.NewRegistry()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
+	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/fault"
 	"turmericyoke/internal/fold"
 	"turmericyoke/internal/periodic"
@@ -47,6 +48,9 @@
 	Log    Log
 	Peers  []Peer
 	Logger *logrus.Entry
+	// BootClock also advances while the host is suspended, so that the state ages. It is nil if the host is never
+	// suspended.
+	BootClock boottime.Clock
 }
 
 // Follower holds the fleet state of one process. The offset of the state never decreases. It is safe for
@@ -64,8 +68,12 @@
 	stopErr *fault.Error
 	// recoverableErr is the last error from which the follower can still recover, or nil once it has.
 	recoverableErr *fault.Error
-	// freshAsOf is the latest time at which the state is known to have included the head of the log.
-	freshAsOf time.Time
+	// freshAsOf is the latest time of the clock at which the state is known to have included the head of the log, if
+	// freshKnown is set.
+	freshAsOf  time.Duration
+	freshKnown bool
+	// clock is the boot clock, or the time since the follower was made.
+	clock boottime.Clock
 	// logAnsweredAt is the time of the log's last response.
 	logAnsweredAt time.Time
 	// logHead is the head offset in that response.
@@ -89,7 +97,12 @@
 
 // New returns a follower without a state. Run loads one.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, peers: orderPeers(cfg), changed: make(chan struct{}), waiterAdded: make(chan struct{}, 1)}
+	clock := cfg.BootClock
+	if clock == nil {
+		madeAt := time.Now()
+		clock = func() time.Duration { return time.Since(madeAt) }
+	}
+	return &Follower{cfg: cfg, peers: orderPeers(cfg), changed: make(chan struct{}), waiterAdded: make(chan struct{}, 1), clock: clock}
 }
 
 // Run follows the stream until ctx ends. If folding has to stop because of an error, the last state stays
@@ -212,10 +225,10 @@
 
 // freshnessLocked implements Freshness. f.mu must be held.
 func (f *Follower) freshnessLocked() (time.Duration, bool) {
-	if f.freshAsOf.IsZero() {
+	if !f.freshKnown {
 		return 0, false
 	}
-	return time.Since(f.freshAsOf), true
+	return f.clock() - f.freshAsOf, true
 }
 
 // Err returns the error that stopped the follower, or else the one from which it is trying to recover.
--- a/internal/follower/ingest.go
+++ b/internal/follower/ingest.go
@@ -110,13 +110,13 @@
 	return true
 }
 
-// updateFreshness records that offset was the head of the log at the given time. It has no effect while the
+// updateFreshness records that offset was the head of the log at the given time of the clock. It has no effect while the
 // state is below that offset.
-func (f *Follower) updateFreshness(offset int64, asOf time.Time) {
+func (f *Follower) updateFreshness(offset int64, asOf time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.offsetLocked() >= offset && asOf.After(f.freshAsOf) {
-		f.freshAsOf = asOf
+	if f.offsetLocked() >= offset && (!f.freshKnown || asOf > f.freshAsOf) {
+		f.freshAsOf, f.freshKnown = asOf, true
 	}
 }
 
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -50,7 +50,7 @@
 
 // pollLog makes one long poll and folds its records. It returns false if the next poll should back off.
 func (f *Follower) pollLog(ctx context.Context) bool {
-	start := time.Now()
+	start, startedAt := time.Now(), f.clock()
 	response, err := f.readLog(ctx, fold.FleetStream, f.Offset(), maxPageRecords, longPollWait)
 	if err != nil {
 		f.reportRecoverableErr(fault.Wrap(fault.LogUnavailable, err, "fleet stream can't be read"))
@@ -67,7 +67,7 @@
 	// A head below the follower's own offset comes from a lagging replica of the log, and proves no
 	// freshness.
 	if f.Offset() == response.GetHeadOffset() {
-		f.updateFreshness(response.GetHeadOffset(), start)
+		f.updateFreshness(response.GetHeadOffset(), startedAt)
 		f.recordHeadReached()
 		if len(response.GetRecords()) > 0 {
 			f.delayNextPoll(ctx, start)
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -158,7 +158,7 @@
 // returns false if the peer fails or is cut off from the log itself.
 func (f *Follower) pullRecords(ctx context.Context, p *peer) bool {
 	for range maxPagesPerPull {
-		start := time.Now()
+		startedAt := f.clock()
 		response, err := f.requestTail(ctx, p)
 		if err != nil {
 			return false
@@ -171,7 +171,7 @@
 		}
 		f.checkPeerHash(p.Name, response.GetHead(), response.GetStateHash())
 		if f.Offset() >= response.GetHead() || len(response.GetRecords()) == 0 {
-			return f.adoptFreshness(response, start)
+			return f.adoptFreshness(response, startedAt)
 		}
 	}
 	return true
@@ -185,12 +185,12 @@
 
 // adoptFreshness updates the follower's freshness by the peer's, as of the start of the call. It returns
 // false if the peer is cut off from the log.
-func (f *Follower) adoptFreshness(response *v1.TailResponse, start time.Time) bool {
+func (f *Follower) adoptFreshness(response *v1.TailResponse, startedAt time.Duration) bool {
 	if response.GetFreshnessMs() > math.MaxInt64/uint64(time.Millisecond) {
 		return false
 	}
 	age := time.Duration(response.GetFreshnessMs()) * time.Millisecond
-	f.updateFreshness(response.GetHead(), start.Add(-age))
+	f.updateFreshness(response.GetHead(), startedAt-age)
 	return age < maxSourceFreshness
 }
 
