Plan a change from the document that it was made from

Cause: the new document was made from one answer, and the change set from another one, of the same controller a moment later or of the next controller. Its base version was that of the second answer, so the fold found no conflict, and all that the first answer lacked was a change back.

Evidence, before; the share and the utilisation are those of the other operator's change:

--- FAIL: TestWithdrawnKeyKeepsConcurrentChange (0.01s) cli_test.go:212: assertion failed: 3 (controller.Document().Document.Teams[0].Share int) != 5 (int) --- FAIL: TestPublishKeepsConcurrentChange (0.03s) console_test.go:182: assertion failed: 200 != 409 (http.StatusConflict int)

Now both make the change set from the document that the change was made from, and the fold settles the race with version_conflict. apply of a file still takes the accepted document as its base: the file is the whole intent.

--- a/internal/adminclient/publish.go
+++ b/internal/adminclient/publish.go
@@ -31,6 +31,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return PlanFrom(base, id, author, comment, next)
+}
+
+// PlanFrom validates next and compares it with base, the accepted document that next was made from.
+func PlanFrom(base *structs.DocumentStatus, id, author, comment string, next *structs.Document) (*ChangePlan, error) {
+	if err := document.Validate(next); err != nil {
+		return nil, err
+	}
 	changeSet, err := document.NewChangeSet(id, author, comment, base.Version, &base.Document, next)
 	if err != nil {
 		return nil, err
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -14,9 +14,12 @@
 
 	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/document"
+	"turmericyoke/internal/fault"
 	"turmericyoke/internal/standin/controllersvc"
 	"turmericyoke/internal/structs"
+	"turmericyoke/internal/transport"
 )
 
 func testDocument() structs.Document {
@@ -62,6 +65,14 @@
 	return addresses
 }
 
+// newTestClient returns a client of the controllers.
+func newTestClient(t *testing.T, controllers ...http.Handler) *adminclient.Client {
+	t.Helper()
+	link, err := transport.New(transport.TLS{Plaintext: true})
+	assert.NilError(t, err)
+	return adminclient.NewClient(link, startControllers(t, controllers))
+}
+
 func writeDocument(t *testing.T, doc structs.Document) string {
 	t.Helper()
 	data, err := document.Encode(&doc)
@@ -123,6 +134,21 @@
 	assert.Equal(t, usageCode, ExitUsage)
 }
 
+// Guards against a withdrawal that reverts a change of another operator, accepted while it was made.
+func TestWithdrawnKeyKeepsConcurrentChange(t *testing.T) {
+	doc := testDocument()
+	doc.Keys = []structs.Key{{ID: "desk-7", Team: "reconciliation", Hash: strings.Repeat("0", 64)}}
+	changed := testDocument()
+	changed.Keys = doc.Keys
+	changed.Teams[0].Share = 5
+	controller := controllersvc.New(4, doc)
+	controller.ReplaceAfterNextQuery(changed)
+
+	_, err := withdrawKey(t.Context(), newTestClient(t, controller.Handler()), "ada", "desk-7")
+	assert.Equal(t, fault.KindOf(err), fault.VersionConflict)
+	assert.Equal(t, controller.Document().Document.Teams[0].Share, 5)
+}
+
 // abortingController closes the connection of each proposal after it was read.
 type abortingController struct{ *controllersvc.Controller }
 
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -134,6 +135,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !hasKey(base, id) {
+		return base.Version, nil
+	}
 	next := base.Document
 	next.Keys = nil
 	for _, key := range base.Document.Keys {
@@ -141,12 +145,13 @@
 			next.Keys = append(next.Keys, key)
 		}
 	}
-	changePlan, err := client.Plan(ctx, rand.Text(), author, "withdraw key "+id, &next)
+	changePlan, err := adminclient.PlanFrom(base, rand.Text(), author, "withdraw key "+id, &next)
 	if err != nil {
 		return 0, err
 	}
-	if len(changePlan.ChangeSet.GetChanges()) == 0 {
-		return changePlan.Base.Version, nil
-	}
 	return client.Publish(ctx, changePlan)
 }
+
+func hasKey(status *structs.DocumentStatus, id string) bool {
+	return slices.ContainsFunc(status.Document.Keys, func(key structs.Key) bool { return key.ID == id })
+}
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -168,6 +168,21 @@
 	assert.Equal(t, controller.Document().Document.Teams[0].Share, 7)
 }
 
+// Guards against a published draft that reverts a change of another operator, accepted between the check of the version and
+// the proposal.
+func TestPublishKeepsConcurrentChange(t *testing.T) {
+	controller := controllersvc.New(1, testDocument())
+	b := newBrowser(t, controller)
+	b.signIn()
+	preview := b.editTeam("5")
+	changed := testDocument()
+	changed.Policy.TargetUtilisation = 0.5
+	controller.ReplaceAfterNextQuery(changed)
+
+	assert.Equal(t, b.post("/publish", publishForm(preview)).status, http.StatusConflict)
+	assert.Equal(t, controller.Document().Document.Policy.TargetUtilisation, 0.5)
+}
+
 // Guards against a change that is published twice because the response was lost.
 func TestPublishAfterLostResponse(t *testing.T) {
 	controller := controllersvc.New(1, testDocument())
--- a/internal/console/publish.go
+++ b/internal/console/publish.go
@@ -190,7 +190,7 @@
 	if current.Version != d.BaseVersion {
 		page.Others = s.acceptedChangesSince(r, d.BaseVersion)
 	}
-	changePlan, err := s.planDraft(r, current, d)
+	changePlan, err := planDraft(r, current, d)
 	if err != nil {
 		page.Problems = append(page.Problems, errorLines(err)...)
 		r.SetStatusCode(fault.ResponseFor(fault.DocumentInvalid).HTTPStatus)
@@ -207,12 +207,12 @@
 }
 
 // planDraft validates the accepted document with the draft applied and returns the plan of the changes.
-func (s *Server) planDraft(r *request, current *structs.DocumentStatus, d draft) (*adminclient.ChangePlan, error) {
+func planDraft(r *request, current *structs.DocumentStatus, d draft) (*adminclient.ChangePlan, error) {
 	next, err := d.applyTo(&current.Document)
 	if err != nil {
 		return nil, err
 	}
-	return r.client.Plan(r.ctx, d.ID, r.operator, d.Comment, next)
+	return adminclient.PlanFrom(current, d.ID, r.operator, d.Comment, next)
 }
 
 // acceptedChangesSince returns the verdicts on change sets that were accepted after version, or none if the
@@ -254,7 +254,7 @@
 		r.SetStatusCode(fault.ResponseFor(fault.VersionConflict).HTTPStatus)
 		return s.renderPreview(r, current, d, "", conflictErr)
 	}
-	changePlan, err := s.planDraft(r, current, d)
+	changePlan, err := planDraft(r, current, d)
 	if err != nil {
 		return s.renderPreview(r, current, d, "", err)
 	}
--- a/internal/standin/controllersvc/controller.go
+++ b/internal/standin/controllersvc/controller.go
@@ -28,6 +28,7 @@
 	verdicts         []structs.VerdictStatus
 	surrenders       []*v1.Surrender
 	loseNextResponse bool
+	onDocument       func()
 }
 
 // New returns a controller whose accepted document is doc.
@@ -55,6 +56,16 @@
 	c.heldRights[team] = units
 }
 
+// ReplaceAfterNextQuery makes another change set, which turns the document into doc, be accepted right after the next
+// query of the document.
+func (c *Controller) ReplaceAfterNextQuery(doc structs.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onDocument = func() {
+		c.status = structs.DocumentStatus{Version: c.status.Version + 1, Document: doc}
+	}
+}
+
 // Document returns the accepted document.
 func (c *Controller) Document() structs.DocumentStatus {
 	c.mu.Lock()
@@ -82,6 +93,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	data, err := json.Marshal(c.section(request))
+	if request.GetSection() == "document" && c.onDocument != nil {
+		defer c.onDocument()
+		c.onDocument = nil
+	}
 	return &v1.QueryResponse{Json: data, ConfigVersion: c.status.Version}, err
 }
 
