Call nothing absent or unchanged from an old document

What operators saw: `key withdraw` printed `in force: version N` and exited with 0 although the key was valid, `apply` printed `unchanged`, and `diff` exited with 0 although another document had been accepted, when the controller that was asked first was cut off from the log or lagged behind.

Cause: "the document has no such key" and "there are no changes" were concluded from the first answer, whatever its age. With changes, a base that isn't current ends in a version conflict; without changes nothing was proposed that the fold could reject.

Evidence, before:

--- FAIL: TestWithdrawnKeyIsLookedUpInCurrentDocument (0.02s) cli_test.go:164: assertion failed: 4 (version uint64) != 6 (uint64) --- FAIL: TestUnchangedNeedsCurrentDocument (0.01s) cli_test.go:180: assertion failed: 0 (code cli.ExitCode) != 3 (ExitDifferent cli.ExitCode)

Now these conclusions need a document that was the accepted one after the command began. A controller's status tells how long ago its state included the head of the log; once that is after the question, its offset is at least the head that the log had then, and the document is read at that offset or a later one.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -49,14 +49,28 @@
 			errs = append(errs, err)
 			continue
 		}
-		if err := json.Unmarshal(response.GetJson(), out); err != nil {
-			return 0, fault.Wrap(fault.Internal, err, "answer to query %s can't be decoded", section)
-		}
-		return response.GetConfigVersion(), nil
+		return response.GetConfigVersion(), decodeSection(response, section, out)
 	}
 	return 0, noControllerAnswered(errs)
 }
 
+// atOffset returns a check of responses for states that include the record at the offset.
+func atOffset(offset int64) func(*v1.QueryResponse) error {
+	return func(response *v1.QueryResponse) error {
+		if response.GetOffset() < offset {
+			return fault.New(fault.NotReady, "the state is at offset %d: want at least %d", response.GetOffset(), offset)
+		}
+		return nil
+	}
+}
+
+func decodeSection(response *v1.QueryResponse, section string, out any) error {
+	if err := json.Unmarshal(response.GetJson(), out); err != nil {
+		return fault.Wrap(fault.Internal, err, "answer to query %s can't be decoded", section)
+	}
+	return nil
+}
+
 // Propose sends a record to the first controller that is available. A rejection is returned as an error of the
 // verdict's kind. If the outcome of a call is unknown, the record isn't sent to another controller, whose verdict
 // would say nothing about the first copy, and the error is of kind AppendUnsettled.
@@ -113,7 +127,8 @@
 	return statuses
 }
 
-// Document returns the accepted document with its version.
+// Document returns the accepted document with its version, or an earlier one while the controller that responds lags
+// behind the log.
 func (c *Client) Document(ctx context.Context) (*structs.DocumentStatus, error) {
 	status := &structs.DocumentStatus{}
 	_, err := c.Query(ctx, "document", "", status)
--- a/internal/adminclient/publish.go
+++ b/internal/adminclient/publish.go
@@ -22,7 +22,8 @@
 	ChangeSet *v1.ChangeSet
 }
 
-// Plan validates next and compares it with the accepted document. The plan has no changes if the two are equal.
+// Plan validates next and compares it with the accepted document. The plan has no changes if the two are equal, which
+// takes a document that is known to be current. With changes, a base that isn't current leads to a version conflict.
 func (c *Client) Plan(ctx context.Context, id, author, comment string, next *structs.Document) (*ChangePlan, error) {
 	if err := document.Validate(next); err != nil {
 		return nil, err
@@ -31,6 +32,14 @@
 	if err != nil {
 		return nil, err
 	}
+	changePlan, err := PlanFrom(base, id, author, comment, next)
+	if err != nil || len(changePlan.ChangeSet.GetChanges()) > 0 {
+		return changePlan, err
+	}
+	base, err = c.CurrentDocument(ctx)
+	if err != nil {
+		return nil, err
+	}
 	return PlanFrom(base, id, author, comment, next)
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,7 +9,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	v1 "turmericyoke/api/turmericyoke/v1"
@@ -73,6 +75,21 @@
 	return adminclient.NewClient(link, startControllers(t, controllers))
 }
 
+// cutOffController answers queries from its state, but can't propose anything.
+type cutOffController struct{ *controllersvc.Controller }
+
+func (cutOffController) Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error) {
+	return nil, connect.NewError(connect.CodeUnavailable, fault.New(fault.LogUnavailable, "the log can't be reached"))
+}
+
+// newCutOffController returns a controller that has been cut off from the log for an hour.
+func newCutOffController(version uint64, doc structs.Document) http.Handler {
+	controller := controllersvc.New(version, doc)
+	controller.SetFreshness(time.Hour)
+	_, handler := turmericyokev1connect.NewControllerServiceHandler(cutOffController{controller})
+	return handler
+}
+
 func writeDocument(t *testing.T, doc structs.Document) string {
 	t.Helper()
 	data, err := document.Encode(&doc)
@@ -134,6 +151,37 @@
 	assert.Equal(t, usageCode, ExitUsage)
 }
 
+// Guards against a key that stays valid, although its withdrawal is reported as in force, because a controller that is
+// cut off from the log has never heard of it.
+func TestWithdrawnKeyIsLookedUpInCurrentDocument(t *testing.T) {
+	doc := testDocument()
+	doc.Keys = []structs.Key{{ID: "desk-7", Team: "reconciliation", Hash: strings.Repeat("0", 64)}}
+	current := controllersvc.New(5, doc)
+	client := newTestClient(t, newCutOffController(4, testDocument()), current.Handler())
+
+	version, err := withdrawKey(t.Context(), client, "ada", "desk-7")
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(6))
+	assert.Equal(t, len(current.Document().Document.Keys), 0)
+
+	_, err = withdrawKey(t.Context(), newTestClient(t, newCutOffController(4, testDocument())), "ada", "desk-7")
+	assert.Equal(t, fault.KindOf(err), fault.NotReady)
+}
+
+// Guards against a document that is reported as accepted, although another one was accepted after it, because a
+// controller that is cut off from the log still has it.
+func TestUnchangedNeedsCurrentDocument(t *testing.T) {
+	newer := testDocument()
+	newer.Teams[0].Share = 5
+	controllers := []http.Handler{newCutOffController(4, testDocument()), controllersvc.New(5, newer).Handler()}
+	path := writeDocument(t, testDocument())
+
+	_, code := runCommandAt(t, controllers, "diff", path)
+	assert.Equal(t, code, ExitDifferent)
+	_, code = runCommandAt(t, controllers[:1], "apply", path)
+	assert.Equal(t, code, ExitUnavailable)
+}
+
 // Guards against a withdrawal that reverts a change of another operator, accepted while it was made.
 func TestWithdrawnKeyKeepsConcurrentChange(t *testing.T) {
 	doc := testDocument()
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -129,9 +129,12 @@
 }
 
 // withdrawKey publishes the accepted document without the key and returns the version. If the document has no
-// such key, it publishes nothing.
+// such key, which takes a document that is known to be current, it publishes nothing.
 func withdrawKey(ctx context.Context, client *adminclient.Client, author, id string) (uint64, error) {
 	base, err := client.Document(ctx)
+	if err == nil && !hasKey(base, id) {
+		base, err = client.CurrentDocument(ctx)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/standin/controllersvc/controller.go
+++ b/internal/standin/controllersvc/controller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -28,6 +29,7 @@
 	verdicts         []structs.VerdictStatus
 	surrenders       []*v1.Surrender
 	loseNextResponse bool
+	freshness        time.Duration
 	onDocument       func()
 }
 
@@ -56,6 +58,13 @@
 	c.heldRights[team] = units
 }
 
+// SetFreshness sets the age of the state that the controller reports.
+func (c *Controller) SetFreshness(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.freshness = age
+}
+
 // ReplaceAfterNextQuery makes another change set, which turns the document into doc, be accepted right after the next
 // query of the document.
 func (c *Controller) ReplaceAfterNextQuery(doc structs.Document) {
@@ -84,7 +93,10 @@
 func (c *Controller) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &v1.StatusResponse{Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true}, nil
+	return &v1.StatusResponse{
+		Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true,
+		FreshnessMs: uint64(c.freshness.Milliseconds()),
+	}, nil
 }
 
 // Query implements ControllerService for the sections document, verdicts and teams. Other sections are
