Report a version as in force only if all joined gateways have it

What operators saw: `in force: version N`, for instance after a key was withdrawn, while a gateway without that version went on accepting the key. The console showed such a roll-out as complete.

Cause: only gateways that polled one of the named controllers within the last minute were counted. A gateway that is cut off from the controllers, polls one that wasn't named, or polls one that has just started was in no list, and absence from the lists counted as being up to date. The design reports a withdrawal as in force only where hosts have reported it, and the rest as unknown.

Now the joined gateways are read from a controller that has the version, and each of them that isn't suspected must be reported with it. One that joins later admits work only with a view that includes its Join, and so the version.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -40,11 +40,19 @@
 // Query decodes a section of the state into out and returns the configuration version of the controller that
 // responded. If name isn't empty, it selects one object of the section.
 func (c *Client) Query(ctx context.Context, section, name string, out any) (uint64, error) {
+	return c.queryWhere(ctx, section, name, func(*v1.QueryResponse) error { return nil }, out)
+}
+
+// queryWhere is like Query, but also passes over controllers for whose response check returns an error.
+func (c *Client) queryWhere(ctx context.Context, section, name string, check func(*v1.QueryResponse) error, out any) (uint64, error) {
 	var errs []error
 	for _, controller := range c.controllers {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		response, err := controller.Query(callCtx, &v1.QueryRequest{Section: section, Name: name})
 		cancel()
+		if err == nil {
+			err = check(response)
+		}
 		if err != nil {
 			errs = append(errs, err)
 			continue
@@ -54,7 +62,7 @@
 	return 0, noControllerAnswered(errs)
 }
 
-// atOffset returns a check of responses for states that include the record at the offset.
+// atOffset returns a check of queryWhere for states that include the record at the offset.
 func atOffset(offset int64) func(*v1.QueryResponse) error {
 	return func(response *v1.QueryResponse) error {
 		if response.GetOffset() < offset {
--- a/internal/adminclient/rows.go
+++ b/internal/adminclient/rows.go
@@ -43,20 +43,3 @@
 		return "replace"
 	}
 }
-
-// ProcessesBehind returns the controllers, by address, and the gateways, by name, that aren't known to have at
-// least this configuration version. Controllers that didn't respond are among them.
-func ProcessesBehind(statuses []ControllerStatus, version uint64) []string {
-	var behind []string
-	for _, status := range statuses {
-		if status.Status.GetConfigVersion() < version {
-			behind = append(behind, status.Address)
-		}
-		for _, gateway := range status.Status.GetGateways() {
-			if gateway.GetConfigVersion() < version {
-				behind = append(behind, gateway.GetName())
-			}
-		}
-	}
-	return behind
-}
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -71,7 +71,7 @@
 		},
 	}
 	cmd.Flags().StringVarP(&comment, "message", "m", "", "comment for the audit trail")
-	cmd.Flags().BoolVar(&wait, "wait", false, "wait until all named controllers and their gateways have the version")
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until all named controllers and all gateways have the version")
 	return cmd
 }
 
@@ -144,20 +144,22 @@
 	return writeResult(out, format, rows, table)
 }
 
-// waitInForce waits until every controller named by --controller, and every gateway that it serves, has the
-// version.
+// waitInForce waits until every controller named by --controller, and every joined gateway, has the version.
 func waitInForce(ctx context.Context, out io.Writer, client *adminclient.Client, version uint64) error {
 	ticker := time.NewTicker(rolloutPollInterval)
 	defer ticker.Stop()
 	for {
-		behind := adminclient.ProcessesBehind(client.Statuses(ctx), version)
-		if len(behind) == 0 {
+		behind, err := client.ProcessesBehind(ctx, version)
+		if err == nil && len(behind) == 0 {
 			fmt.Fprintf(out, "in force: version %d\n", version)
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fault.Wrap(fault.NotReady, errors.New(fmt.Sprint(behind)), "version %d isn't known to be in force", version)
+			if err == nil {
+				err = errors.New(fmt.Sprint(behind))
+			}
+			return fault.Wrap(fault.NotReady, err, "version %d isn't known to be in force", version)
 		case <-ticker.C:
 		}
 	}
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/html"
 	"gotest.tools/v3/assert"
 
+	v1 "turmericyoke/api/turmericyoke/v1"
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/logreader"
 	"turmericyoke/internal/settings"
@@ -183,6 +184,16 @@
 	assert.Equal(t, controller.Document().Document.Policy.TargetUtilisation, 0.5)
 }
 
+// Guards against a roll-out that looks complete although a gateway that no controller reports may lack the version.
+func TestRolloutCountsUnreportedGatewaysAsUnknown(t *testing.T) {
+	controller := controllersvc.New(1, testDocument())
+	controller.SetGateways([]structs.GatewayEntry{{Name: "g1", Zone: "north"}, {Name: "g2", Zone: "south"}}, &v1.GatewayStatus{Name: "g1", ConfigVersion: 1})
+	b := newBrowser(t, controller)
+	b.signIn()
+	overview := strings.Join(strings.Fields(b.get("/").text), " ")
+	assert.Assert(t, strings.Contains(overview, "north 2 of 2 processes 0 south 0 of 0 processes 1"), overview)
+}
+
 // Guards against a change that is published twice because the response was lost.
 func TestPublishAfterLostResponse(t *testing.T) {
 	controller := controllersvc.New(1, testDocument())
--- a/internal/console/pages.go
+++ b/internal/console/pages.go
@@ -66,14 +66,14 @@
 	// Total is the number of the zone's controllers that responded, and of the gateways that they reported.
 	// InForce is the number of those that have the version.
 	InForce, Total int
-	// Unknown is the number of controllers that didn't respond, so that it isn't known whether they have the
-	// version.
+	// Unknown is the number of controllers that didn't respond, and of joined gateways that no controller reported,
+	// so that it isn't known whether they have the version.
 	Unknown int
 }
 
 // rolloutByZone returns the progress of the version's roll-out, by zone. Controllers that didn't respond are
 // counted in a row of their own, named "unreachable".
-func rolloutByZone(statuses []adminclient.ControllerStatus, version uint64) []zoneRollout {
+func rolloutByZone(statuses []adminclient.ControllerStatus, joined []structs.GatewayEntry, version uint64) []zoneRollout {
 	byZone := map[string]*zoneRollout{}
 	rolloutOf := func(name string) *zoneRollout {
 		if byZone[name] == nil {
@@ -92,6 +92,9 @@
 			zone.countProcess(gateway.GetConfigVersion(), version)
 		}
 	}
+	for _, gateway := range adminclient.UnreportedGateways(statuses, joined) {
+		rolloutOf(gateway.Zone).Unknown++
+	}
 	rollouts := make([]zoneRollout, 0, len(byZone))
 	for _, zone := range byZone {
 		rollouts = append(rollouts, *zone)
@@ -121,13 +124,22 @@
 	if err != nil {
 		return err
 	}
-	statuses := r.client.Statuses(r.ctx)
-	s.render(r, "overview", "Overview", overviewPage{
-		Version: current.Version, Controllers: statuses, Zones: rolloutByZone(statuses, current.Version),
-	})
+	statuses, zones := readRollout(r, current.Version)
+	s.render(r, "overview", "Overview", overviewPage{Version: current.Version, Controllers: statuses, Zones: zones})
 	return nil
 }
 
+// readRollout returns the status of each controller and the progress of the version's roll-out. While no controller has
+// the version, the gateways that no controller reports are left out.
+func readRollout(r *request, version uint64) ([]adminclient.ControllerStatus, []zoneRollout) {
+	statuses := r.client.Statuses(r.ctx)
+	joined, err := r.client.JoinedGateways(r.ctx, version)
+	if err != nil {
+		joined = nil
+	}
+	return statuses, rolloutByZone(statuses, joined, version)
+}
+
 func (s *Server) showHosts(r *request) error {
 	var hosts []structs.HostStatus
 	if _, err := r.client.Query(r.ctx, "hosts", "", &hosts); err != nil {
--- a/internal/console/publish.go
+++ b/internal/console/publish.go
@@ -266,6 +266,7 @@
 	s.config.Logger.WithFields(logrus.Fields{
 		"event": "published", "operator": r.operator, "version": version, "change_set": d.ID,
 	}).Info("change accepted")
-	s.render(r, "published", "Accepted", publishedPage{Version: version, Zones: rolloutByZone(r.client.Statuses(r.ctx), version)})
+	_, zones := readRollout(r, version)
+	s.render(r, "published", "Accepted", publishedPage{Version: version, Zones: zones})
 	return nil
 }
--- a/internal/standin/controllersvc/controller.go
+++ b/internal/standin/controllersvc/controller.go
@@ -30,6 +30,8 @@
 	surrenders       []*v1.Surrender
 	loseNextResponse bool
 	freshness        time.Duration
+	joined           []structs.GatewayEntry
+	polling          []*v1.GatewayStatus
 	onDocument       func()
 }
 
@@ -65,6 +67,13 @@
 	c.freshness = age
 }
 
+// SetGateways sets the gateways that have joined the fleet, and those that the controller reports because they poll it.
+func (c *Controller) SetGateways(joined []structs.GatewayEntry, polling ...*v1.GatewayStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.joined, c.polling = joined, polling
+}
+
 // ReplaceAfterNextQuery makes another change set, which turns the document into doc, be accepted right after the next
 // query of the document.
 func (c *Controller) ReplaceAfterNextQuery(doc structs.Document) {
@@ -95,11 +104,11 @@
 	defer c.mu.Unlock()
 	return &v1.StatusResponse{
 		Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true,
-		FreshnessMs: uint64(c.freshness.Milliseconds()),
+		FreshnessMs: uint64(c.freshness.Milliseconds()), Gateways: c.polling,
 	}, nil
 }
 
-// Query implements ControllerService for the sections document, verdicts and teams. Other sections are
+// Query implements ControllerService for the sections document, holders, verdicts and teams. Other sections are
 // empty.
 func (c *Controller) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
 	c.mu.Lock()
@@ -118,6 +127,8 @@
 		return c.status
 	case "verdicts":
 		return c.verdicts
+	case "holders":
+		return append([]structs.GatewayEntry{}, c.joined...)
 	case "teams":
 		return []structs.TeamStatus{{Name: request.GetName(), Held: c.heldRights[request.GetName()]}}
 	default:
