Resolve a version conflict by verdicts that include it

What operators saw: a draft that was published again in the console, after the response to the first proposal was lost, could be shown as in conflict with another change although it had been accepted.

Cause: the verdicts were searched in the answer of whichever controller responded. An answer from before the first proposal lacks its verdict, and that was taken for a rejection.

Evidence, before:

--- FAIL: TestConflictIsResolvedByVerdictsUpToIt (0.01s) publish_test.go:90: assertion failed: version_conflict (fault.Kind) != append_unsettled

Now the verdicts must reach at least the offset of the conflict, which comes after that of the first proposal. Without such an answer the outcome is append_unsettled.

--- a/internal/adminclient/publish.go
+++ b/internal/adminclient/publish.go
@@ -72,7 +72,7 @@
 	if err == nil {
 		return response.GetConfigVersion(), nil
 	}
-	version, err := c.resolveOutcome(ctx, changePlan, err)
+	version, err := c.resolveOutcome(ctx, changePlan, response.GetOffset(), err)
 	if err != nil && fault.KindOf(err) != fault.AppendUnsettled {
 		return 0, errors.Join(err, c.cancelSurrenders(ctx, changePlan, lowered))
 	}
@@ -81,15 +81,16 @@
 
 // resolveOutcome searches the verdicts for the change set if cause leaves open whether it was accepted. This
 // includes a version conflict, which is also the verdict on a change set that is proposed a second time. It
-// returns cause unless the change set was accepted.
-func (c *Client) resolveOutcome(ctx context.Context, changePlan *ChangePlan, cause error) (uint64, error) {
+// returns cause unless the change set was accepted. The verdicts must include the one on the conflict, at the offset:
+// older ones may lack that on the first proposal.
+func (c *Client) resolveOutcome(ctx context.Context, changePlan *ChangePlan, offset int64, cause error) (uint64, error) {
 	kind := fault.KindOf(cause)
 	if kind != fault.AppendUnsettled && kind != fault.VersionConflict {
 		return 0, cause
 	}
 	var verdicts []structs.VerdictStatus
-	if _, err := c.Query(ctx, "verdicts", "", &verdicts); err != nil {
-		return 0, cause
+	if _, err := c.queryWhere(ctx, "verdicts", "", atOffset(offset), &verdicts); err != nil {
+		return 0, fault.Wrap(fault.AppendUnsettled, errors.Join(cause, err), "the change may have been accepted before")
 	}
 	for _, verdict := range verdicts {
 		// The subject of a verdict on a change set starts with the id, which is random and unique.
--- a/internal/adminclient/publish_test.go
+++ b/internal/adminclient/publish_test.go
@@ -68,6 +68,28 @@
 	assert.Equal(t, fault.KindOf(err), fault.AppendUnsettled)
 }
 
+// conflictingController rejects proposals at an offset that its other answers don't include yet.
+type conflictingController struct{ *controllersvc.Controller }
+
+func (conflictingController) Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error) {
+	return &v1.ProposeResponse{Offset: 20, Kind: string(fault.VersionConflict)}, nil
+}
+
+// Guards against a change set that is reported as rejected when it is published again after a lost response, because
+// the verdicts are read from a state that is older than the first one.
+func TestConflictIsResolvedByVerdictsUpToIt(t *testing.T) {
+	doc := fleetdoc.New(fleetdoc.Size{Hosts: 4, Teams: 2, Pools: 1, Zones: 1})
+	_, lagging := turmericyokev1connect.NewControllerServiceHandler(conflictingController{controllersvc.New(7, *doc)})
+	client := newTestClient(t, lagging)
+	next := *fleetdoc.New(fleetdoc.Size{Hosts: 4, Teams: 2, Pools: 1, Zones: 1})
+	next.Teams[0].Share++
+	changePlan, err := client.Plan(t.Context(), "change", "ada", "", &next)
+	assert.NilError(t, err)
+
+	_, err = client.Publish(t.Context(), changePlan)
+	assert.Equal(t, fault.KindOf(err), fault.AppendUnsettled)
+}
+
 // newTestClient returns a client of the controllers with the handlers.
 func newTestClient(t *testing.T, handlers ...http.Handler) *Client {
 	t.Helper()
