Show sections from a recent state, or say how old it is

What operators saw: jobs, holders, hosts, teams, waves or verdicts that were absent or out of date, without a hint, when the controller that is named first was cut off from the log, even if the next one wasn't.

Cause: the first controller that answers decided, and its answer has no age.

Evidence, before; the output is the header alone:

--- FAIL: TestSectionsAreReadFromRecentState (0.00s) cli_test.go:194: assertion failed: expression is false: strings.Contains(output, "g1")

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -182,6 +182,21 @@
 	assert.Equal(t, code, ExitUnavailable)
 }
 
+// Guards against objects that are shown as absent, without a hint, because the controller that is asked first is cut off
+// from the log.
+func TestSectionsAreReadFromRecentState(t *testing.T) {
+	current := controllersvc.New(5, testDocument())
+	current.SetGateways([]structs.GatewayEntry{{Name: "g1", Zone: "north"}})
+	controllers := []http.Handler{newCutOffController(4, testDocument()), current.Handler()}
+
+	output, code := runCommandAt(t, controllers, "holder", "show")
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(output, "g1"), output)
+	output, code = runCommandAt(t, controllers[:1], "holder", "show")
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(output, "the state may be out of date"), output)
+}
+
 // Guards against a withdrawal that reverts a change of another operator, accepted while it was made.
 func TestWithdrawnKeyKeepsConcurrentChange(t *testing.T) {
 	doc := testDocument()
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -102,14 +103,17 @@
 }
 
 // querySection reads a section of the state into out. If args isn't empty, its first element selects one
-// object.
+// object. A state that isn't recent, of which the section may lack later objects, is reported on standard error.
 func querySection(cmd *cobra.Command, opts *options, section string, args []string, out any) error {
 	name := ""
 	if len(args) > 0 {
 		name = args[0]
 	}
 	return opts.withClient(cmd, func(ctx context.Context, client *adminclient.Client) error {
-		_, err := client.Query(ctx, section, name, out)
+		age, err := client.QueryRecent(ctx, section, name, out)
+		if err == nil && age > adminclient.RecentAge {
+			fmt.Fprintf(cmd.ErrOrStderr(), "the state may be out of date: it was last known to be current %s ago\n", age.Round(time.Second))
+		}
 		return err
 	})
 }
