Take the whole age of a peer's view

Cause: gateways tell each other the age of their views, and a receiver counted an age above one hour as one hour. Two gateways so kept telling each other that their view was current an hour ago.

Now the age counts as it is. One above a year, with which a sum might overflow, is ignored instead of lowered.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -174,6 +174,24 @@
 	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/new/x", "").kind, string(fault.PoolUnknown))
 }
 
+// Guards against keys that never fail closed in a zone that is cut off, because its gateways take the ages of each other's
+// views for lower than they are.
+func TestPeersReportTheWholeAgeOfTheirViews(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	for range 2 {
+		zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	}
+	zone.view.Keys[0].FailClosedAfter = structs.Duration(2 * time.Hour)
+	zone.publishAt(time.Now().Add(-3 * time.Hour))
+	zone.awaitMembers(t.Context())
+	// The gateway with the lower name calls the other one, and learns the age of its view.
+	assert.Equal(t, sendRequest(t, zone.gateways[0], "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+
+	zone.publishAt(time.Now().Add(-time.Hour))
+	assert.Equal(t, sendRequest(t, zone.gateways[0], "GET", "/v1/pools/desk/x", "").outcome, "done")
+}
+
 // Guards against a shutdown that cancels requests: running and waiting ones must complete.
 func TestShutdownCompletesRequests(t *testing.T) {
 	zone := newTestZone(t)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,6 +284,9 @@
 	return load
 }
 
+// maxReportedAge is the largest age of a view that is taken from a peer. Above it, a sum with the age might overflow.
+const maxReportedAge = 365 * 24 * time.Hour
+
 // applyPeerLoad applies the load report of another gateway: its leaving endpoints, and the time at which its
 // view was known to be current, if this gateway has a view at the same offset. sentAt is when the call that
 // returned the report was sent. It is zero if the peer made the call; the age of the view isn't used then.
@@ -291,8 +294,8 @@
 	for _, endpoint := range load.GetLeaving() {
 		g.table.MarkLeaving(endpoint.GetEndpoint(), endpoint.GetHostEpoch())
 	}
-	if load.GetFreshnessKnown() && !sentAt.IsZero() {
-		age := time.Duration(min(load.GetFreshnessMs(), uint64(time.Hour.Milliseconds()))) * time.Millisecond
+	if load.GetFreshnessKnown() && !sentAt.IsZero() && load.GetFreshnessMs() <= uint64(maxReportedAge.Milliseconds()) {
+		age := time.Duration(load.GetFreshnessMs()) * time.Millisecond
 		g.config.Store.Refresh(load.GetOffset(), sentAt.Add(-age))
 	}
 }
