Append the refusals of a gateway that joined again

What auditors saw: nothing of the last refusals of a gateway that was lost after it had joined again under another incarnation, as it does after a pause of 10 s or longer. `explain` named no lost refusals either.

Cause: copies are stored under the incarnation with which the process started, and were looked up under the one that was lost.

Evidence, before:

--- FAIL: TestPeerAppendsRefusalsOfAGatewayThatJoinedAgain (0.00s) refusals_test.go:73: assertion failed: 0 (int) != 1 (int)

Now all copies of the lost gateway's name are appended. A copy of a process that is alive counts once, as after any false suspicion. The total that such a gateway reports beyond its copy still isn't counted as missing.

--- a/cmd/gateway/refusals.go
+++ b/cmd/gateway/refusals.go
@@ -152,10 +152,7 @@
 	}
 	r.mu.Unlock()
 	for _, gateway := range lost {
-		callCtx, cancel := context.WithTimeout(ctx, refusal.AppendTimeout)
-		err := r.peerCopies.AppendCopy(callCtx, gateway.name, gateway.incarnation, r.appender)
-		cancel()
-		if err != nil {
+		if r.appendCopies(ctx, gateway.name) != nil {
 			continue
 		}
 		r.mu.Lock()
@@ -163,3 +160,17 @@
 		r.mu.Unlock()
 	}
 }
+
+// appendCopies appends all copies of the gateway's refusals. The incarnation of a copy is that with which the process
+// started, which isn't the one that is lost if the gateway has joined again since.
+func (r *refusalReplicator) appendCopies(ctx context.Context, gateway string) error {
+	for _, incarnation := range r.peerCopies.Incarnations(gateway) {
+		callCtx, cancel := context.WithTimeout(ctx, refusal.AppendTimeout)
+		err := r.peerCopies.AppendCopy(callCtx, gateway, incarnation, r.appender)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/gateway/refusals_test.go
+++ b/cmd/gateway/refusals_test.go
@@ -47,6 +47,32 @@
 	assert.Equal(t, len(keepingPeer.lostGateways), 0)
 }
 
+// Guards against refusals that are lost without a trace, because their gateway had joined again under another incarnation
+// before it was lost.
+func TestPeerAppendsRefusalsOfAGatewayThatJoinedAgain(t *testing.T) {
+	log := logsvc.New()
+	lostGateway, keepingPeer := newRefusalReplicator("g1", "g1-1", log), newRefusalReplicator("g2", "g2-1", log)
+	zone := gatewayEntries("g1", "g2")
+	keepingPeer.observeMembers(zone)
+	zone[0].Incarnation = "g1-2"
+	lostGateway.observeMembers(zone)
+	keepingPeer.observeMembers(zone)
+	keepingPeer.appendForLostGatewaysOnce(t.Context())
+	id := lostGateway.recorder.Add(refusal.Refusal{Team: "clips", Pool: "counting", Kind: fault.TeamLimit})
+	keepingPeer.StoreRefusalCopy(lostGateway.RefusalsFor("g2"))
+
+	zone[0].Suspected = true
+	keepingPeer.observeMembers(zone)
+	keepingPeer.appendForLostGatewaysOnce(t.Context())
+
+	reader := refusal.NewReader()
+	_, err := refusal.ReadAll(t.Context(), log, reader)
+	assert.NilError(t, err)
+	explained, explainErr := reader.Explain(id)
+	assert.Assert(t, explainErr == nil)
+	assert.Equal(t, len(explained.Entries), 1)
+}
+
 // Checks that a peer goes on trying to append the refusals of a lost gateway while the log is down.
 func TestAppendForLostGatewayRetriesWhileLogIsDown(t *testing.T) {
 	log := logsvc.New()
--- a/internal/refusal/copystore.go
+++ b/internal/refusal/copystore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -76,6 +77,20 @@
 	delete(s.copies, incarnationKey{gateway, incarnation})
 }
 
+// Incarnations returns the incarnations of the gateway of which a copy is held, in ascending order.
+func (s *CopyStore) Incarnations(gateway string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var incarnations []string
+	for key := range s.copies {
+		if key.gateway == gateway {
+			incarnations = append(incarnations, key.incarnation)
+		}
+	}
+	slices.Sort(incarnations)
+	return incarnations
+}
+
 // AppendCopy appends the copy of a lost gateway, and then a batch with the number of refusals that the
 // gateway reported but that the copy lacks. After an error the caller calls AppendCopy again: a batch that is
 // appended twice counts once.
