Say how many refusals a list lacks

What auditors saw: a list of refusals that looked complete although the record itself says that some are lost, or that older ones have expired or were dropped to bound memory.

Cause: the command line printed the entries and how many records of the log had expired, but not the totals.

Evidence, before; the output begins with the table:

--- FAIL: TestRefusalsSayWhatIsNotListed (0.01s) cli_test.go:216: assertion failed: expression is false: strings.HasPrefix(output, "3 refusals are lost...")

Now both numbers are written to standard error. Incarnations of which no batch is left aren't counted, hence "or more".

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -19,7 +19,9 @@
 	"turmericyoke/internal/adminclient"
 	"turmericyoke/internal/document"
 	"turmericyoke/internal/fault"
+	"turmericyoke/internal/refusal"
 	"turmericyoke/internal/standin/controllersvc"
+	"turmericyoke/internal/standin/logsvc"
 	"turmericyoke/internal/structs"
 	"turmericyoke/internal/transport"
 )
@@ -197,6 +199,23 @@
 	assert.Assert(t, strings.Contains(output, "the state may be out of date"), output)
 }
 
+// Guards against a list of refusals that looks complete although refusals are known to be lost, or expired.
+func TestRefusalsSayWhatIsNotListed(t *testing.T) {
+	log := logsvc.New()
+	batch := &v1.RefusalBatch{
+		Schema: refusal.Schema, Gateway: "g1", Incarnation: "g1-1", AppendedBy: "g1", Seq: 2, CumulativeCount: 9, MissingCount: 3,
+		Entries: []*v1.RefusalEntry{{Team: "reconciliation", Rule: "team_limit", Count: 2, FirstNumber: 5, LastNumber: 6}},
+	}
+	assert.NilError(t, refusal.LogAppender{Log: log}.AppendRefusals(t.Context(), batch))
+	mux := http.NewServeMux()
+	mux.Handle(turmericyokev1connect.NewLogServiceHandler(log))
+	address := startControllers(t, []http.Handler{mux})[0]
+
+	output, code := runCommandAt(t, nil, "refusals", "--log", address)
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.HasPrefix(output, "3 refusals are lost\n4 or more older refusals aren't listed\n"), output)
+}
+
 // Guards against a withdrawal that reverts a change of another operator, accepted while it was made.
 func TestWithdrawnKeyKeepsConcurrentChange(t *testing.T) {
 	doc := testDocument()
--- a/internal/cli/record.go
+++ b/internal/cli/record.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"time"
@@ -165,6 +166,21 @@
 	return reader, nil
 }
 
+// reportUnlisted writes how many refusals the entries of the reader don't include, whatever the filter.
+func reportUnlisted(out io.Writer, reader *refusal.Reader) {
+	var lost, older uint64
+	for _, totals := range reader.Totals() {
+		lost += totals.Missing
+		older += totals.BeforeFirst
+	}
+	if lost > 0 {
+		fmt.Fprintf(out, "%d refusals are lost\n", lost)
+	}
+	if older > 0 {
+		fmt.Fprintf(out, "%d or more older refusals aren't listed\n", older)
+	}
+}
+
 func newRefusalsCommand(opts *options) *cobra.Command {
 	var filter refusal.Filter
 	var since time.Duration
@@ -180,6 +196,7 @@
 			if since > 0 {
 				filter.From = time.Now().Add(-since)
 			}
+			reportUnlisted(cmd.ErrOrStderr(), reader)
 			rows := []refusalRow{}
 			for _, match := range reader.Find(filter) {
 				rows = append(rows, newRefusalRow(match))
