Count suspended time in the age of a gateway's view

Cause: the age of the view was measured on the monotonic clock, which stands still while the host is suspended.

Evidence, with the filter on the monotonic clock:

--- FAIL: TestKeyFailsClosedAfterASuspension (0.00s) callers_test.go:187: assertion failed: (kind string) != key_freshness_unknown (string)

Now the times at which a view is known to be current are taken and compared on a clock that is ahead of the monotonic one by the time of suspensions. Deadlines and leases stay on the monotonic clock, and the holder of rights gets the times converted.

--- a/cmd/gateway/holder.go
+++ b/cmd/gateway/holder.go
@@ -25,15 +25,16 @@
 	*rights.Holder
 	*refusalReplicator
 
-	store   *fleet.Store
-	log     *logrus.Entry
-	started time.Time
+	store     *fleet.Store
+	viewClock *fleet.Clock
+	log       *logrus.Entry
+	started   time.Time
 }
 
 // newHolder returns the holder of the process, which is updated whenever the view in store changes. waiting
 // returns the number of waiting requests by team.
-func newHolder(config *settings.Gateway, clients processClients, store *fleet.Store, waiting func() map[string]uint64, log *logrus.Entry) *holder {
-	h := &holder{store: store, log: log, started: time.Now()}
+func newHolder(config *settings.Gateway, clients processClients, store *fleet.Store, viewClock *fleet.Clock, waiting func() map[string]uint64, log *logrus.Entry) *holder {
+	h := &holder{store: store, viewClock: viewClock, log: log, started: time.Now()}
 	h.Holder = rights.New(rights.Config{
 		Name: config.Name, Zone: config.Zone, Address: config.PeerAddress(),
 		Proposer: rights.RemoteProposer{Clients: clients.controllers},
@@ -42,7 +43,7 @@
 	})
 	h.refusalReplicator = newRefusalReplicator(config.Name, h.Incarnation(), clients.log)
 	store.OnChange(func(snapshot *fleet.Snapshot) {
-		h.UpdateView(snapshot.View, snapshot.FreshAt)
+		h.UpdateView(snapshot.View, h.monotonicTime(snapshot.FreshAt))
 		h.observeMembers(snapshot.View.Gateways)
 	})
 	return h
@@ -81,7 +82,12 @@
 
 // followFreshness regularly tells the holder at what time the view was last known to be current.
 func (h *holder) followFreshness(ctx context.Context) {
-	_ = periodic.Every(ctx, freshnessInterval, func(context.Context) { h.UpdateFreshness(h.store.Current().FreshAt) })
+	_ = periodic.Every(ctx, freshnessInterval, func(context.Context) { h.UpdateFreshness(h.monotonicTime(h.store.Current().FreshAt)) })
+}
+
+// monotonicTime converts a time of the clock for views to the monotonic clock of the holder.
+func (h *holder) monotonicTime(freshAt time.Time) time.Time {
+	return freshAt.Add(-h.viewClock.Suspended())
 }
 
 // RecordRefusal implements account.Sink.
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"turmericyoke/api/turmericyoke/v1/turmericyokev1connect"
+	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/controller/schedule"
 	"turmericyoke/internal/gateway"
 	"turmericyoke/internal/gateway/admit"
@@ -35,6 +36,7 @@
 	config       *settings.Gateway
 	log          *logrus.Entry
 	store        *fleet.Store
+	viewClock    *fleet.Clock
 	holder       *holder
 	registry     *prometheus.Registry
 	rpcTransport *transport.Transport
@@ -93,13 +95,13 @@
 	}
 	p := &process{
 		config: config, log: telemetry.NewLogger(out, config.Name, config.Zone),
-		store: fleet.NewStore(), registry: telemetry.NewRegistry(), rpcTransport: rpcTransport,
+		store: fleet.NewStore(), viewClock: fleet.NewClock(time.Now, boottime.Now), registry: telemetry.NewRegistry(), rpcTransport: rpcTransport,
 	}
 	rpcTransport.LogReloads(p.log)
 	peers := peerclient.NewClientPool(rpcTransport.PeerClient(), rpcTransport.URL)
 	p.clients = newClients(config, rpcTransport, peers)
 	waitingByTeam := func() map[string]uint64 { return p.gateway.WaitingByTeam() }
-	p.holder = newHolder(config, p.clients, p.store, waitingByTeam, p.log)
+	p.holder = newHolder(config, p.clients, p.store, p.viewClock, waitingByTeam, p.log)
 	p.gateway = gateway.New(gateway.Config{
 		Name: config.Name, Incarnation: p.holder.Incarnation(), HolderIncarnation: p.holder.Incarnation,
 		Zone: config.Zone, OtherZones: otherZones(config), Seed: rand.Uint64(),
@@ -117,6 +119,7 @@
 		},
 		Store: p.store, Rights: p.holder, RefusalSink: p.holder, Lease: p.holder, PendingRefusals: p.holder,
 		Registry: p.registry, PeerClients: peers, Submitter: p.submitter(), DialEndpoint: dialEndpoint, Now: time.Now,
+		ViewNow: p.viewClock.Now,
 	})
 	p.operator = operator.New(p.registry, p.ready)
 	return p, nil
@@ -186,7 +189,7 @@
 	group.Go(func() error { return p.gateway.Serve(p.callerListener) })
 	group.Go(func() error { return ignoreClosed(p.peerServer.Serve(p.peerListener)) })
 	group.Go(func() error { return ignoreClosed(p.operatorServer.Serve(p.operatorListener)) })
-	viewClient := viewclient.New(p.config.Name, p.viewSources(), p.store, p.log, time.Now)
+	viewClient := viewclient.New(p.config.Name, p.viewSources(), p.store, p.log, p.viewClock.Now)
 	group.Go(func() error { return viewClient.Run(ctx) })
 }
 
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -174,6 +174,19 @@
 	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/new/x", "").kind, string(fault.PoolUnknown))
 }
 
+// Guards against a key that is accepted after its failClosedAfter because the host was suspended, so that the monotonic
+// clock stood still.
+func TestKeyFailsClosedAfterASuspension(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	gw := zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	zone.view.Keys[0].FailClosedAfter = structs.Duration(time.Minute)
+	zone.publish()
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").outcome, "done")
+	gw.suspended.Store(int64(time.Hour))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+}
+
 // Guards against keys that never fail closed in a zone that is cut off, because its gateways take the ages of each other's
 // views for lower than they are.
 func TestPeersReportTheWholeAgeOfTheirViews(t *testing.T) {
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -60,12 +60,14 @@
 	Lease           Lease
 	PendingRefusals PendingRefusals
 	// OnReport is called with each accepted report. If the report came in a response, sentAt is when this
-	// gateway sent the request; it is zero if the report came in a request of the peer.
+	// gateway sent the request, by ViewNow; it is zero if the report came in a request of the peer.
 	OnReport func(report *v1.GatewayLoad, sentAt time.Time)
 	// OnMembers is called with the gateways that own slots, after each round of calls and each report,
 	// even if they haven't changed.
 	OnMembers func(members []string)
 	Now       func() time.Time
+	// ViewNow reads the clock on which the age of views is measured.
+	ViewNow func() time.Time
 }
 
 // Exchange sends reports to the other gateways, and receives their reports and responds to them.
@@ -166,13 +168,13 @@
 		request.Renewed = e.config.Lease.MayRenew(gateway.Name, gateway.Incarnation)
 		request.Pending = e.config.PendingRefusals.RefusalsFor(gateway.Name)
 	}
-	sentAt := e.config.Now()
+	sentAt, viewSentAt := e.config.Now(), e.config.ViewNow()
 	response, err := e.config.Client(gateway.Address).Exchange(ctx, request)
 	if err != nil {
 		return
 	}
 	e.addRoundBytes(proto.Size(request) + proto.Size(response) + callOverhead)
-	e.applyReport(response.GetLoad(), sentAt)
+	e.applyReport(response.GetLoad(), viewSentAt)
 	e.storeRefusals(response.GetPending())
 	if gateway.Zone == e.config.Zone && response.GetRenewed() {
 		e.config.Lease.RecordRenewal(gateway.Name, response.GetLoad().GetIncarnation(), sentAt)
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -114,7 +114,7 @@
 		Client: func(address string) turmericyokev1connect.PeerServiceClient {
 			return fakeClient{target: g.exchanges[address], delay: time.Millisecond, down: &g.down}
 		},
-		Lease: g.leases[name], PendingRefusals: g.leases[name], Now: time.Now,
+		Lease: g.leases[name], PendingRefusals: g.leases[name], Now: time.Now, ViewNow: time.Now,
 		OnReport:  func(*v1.GatewayLoad, time.Time) {},
 		OnMembers: func([]string) {},
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	Submitter    submit.Submitter
 	DialEndpoint endpoints.DialFunc
 	Now          func() time.Time
+	// ViewNow reads the clock on which the age of views is measured, such as that of a fleet.Clock.
+	ViewNow func() time.Time
 }
 
 // Gateway runs the requests of callers on the endpoints of its availability zone.
@@ -97,8 +99,8 @@
 	clients := config.PeerClients
 	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.PlaceWaiting, config.Now)
 	filters := []pipe.Filter{
-		authenticate.New(config.Store, config.Now),
-		route.New(config.Store, config.Now),
+		authenticate.New(config.Store, config.ViewNow),
+		route.New(config.Store, config.ViewNow),
 		admit.New(config.Admit, config.Store, config.Rights, g.refusing.Load, config.Now),
 	}
 	if config.Submitter != nil {
@@ -122,7 +124,7 @@
 		Self: g.config.Name, Zone: g.config.Zone, Incarnation: g.holderIncarnation,
 		Peers: g.peers, Load: g.currentLoad, Client: clients.ExchangeClient,
 		Lease: g.config.Lease, PendingRefusals: g.config.PendingRefusals,
-		OnReport: g.applyPeerLoad, OnMembers: g.setMembers, Now: g.config.Now,
+		OnReport: g.applyPeerLoad, OnMembers: g.setMembers, Now: g.config.Now, ViewNow: g.config.ViewNow,
 	})
 }
 
@@ -264,7 +266,7 @@
 	}
 	if !snapshot.FreshAt.IsZero() {
 		load.FreshnessKnown = true
-		load.FreshnessMs = uint64(max(g.config.Now().Sub(snapshot.FreshAt).Milliseconds()+1, 0))
+		load.FreshnessMs = uint64(max(g.config.ViewNow().Sub(snapshot.FreshAt).Milliseconds()+1, 0))
 	}
 	loads := g.queue.Loads()
 	g.peers.SetLocalRunning(loads)
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -135,7 +135,7 @@
 		Client: func(address string) turmericyokev1connect.PeerServiceClient {
 			return modelClient{target: m.gateway(address)}
 		},
-		Lease: fakeLease{}, PendingRefusals: fakeLease{}, Now: time.Now,
+		Lease: fakeLease{}, PendingRefusals: fakeLease{}, Now: time.Now, ViewNow: time.Now,
 		OnReport: func(*v1.GatewayLoad, time.Time) {}, OnMembers: gw.SetMembers,
 	})
 	m.gateways = append(m.gateways, gw)
--- a/internal/gateway/testbed_test.go
+++ b/internal/gateway/testbed_test.go
@@ -107,6 +107,8 @@
 	rights        *fakeRights
 	sink          *account.CountingSink
 	stop          context.CancelFunc
+	// suspended is the time for which the host of the gateway was suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
 // secretA is the secret of the key of team a.
@@ -177,6 +179,7 @@
 		Endpoints: endpoints.Limits{ConnectTimeout: time.Second, HeaderBytes: 4096, ResponseBytes: 1 << 20},
 		Store:     gw.store, Rights: gw.rights, RefusalSink: gw.sink, Lease: fakeLease{}, PendingRefusals: fakeLease{},
 		Registry: prometheus.NewRegistry(), PeerClients: newPeerClients(z.t), DialEndpoint: dial, Now: time.Now,
+		ViewNow: func() time.Time { return time.Now().Add(time.Duration(gw.suspended.Load())) },
 	})
 	z.serveGateway(gw, zone)
 	z.gateways = append(z.gateways, gw)
