Count unanswered probes only if a host of the zone answers meanwhile

What operators saw: after an outage of the platform's host service, or of a controller's link to it, healthy hosts were reported as failed: they got no work, and the budgets of their pools were spent.

Cause: probes without an answer count while another host of the zone answers. That was taken from the last probe of each host, whenever it was made. When the service answered again, the first hosts that were probed vouched for the zone, and the failures of all hosts that weren't probed yet, which were from the outage, became proof.

Now a failure without an answer counts only if another host of the zone answered in the same pass. So that a silent host is still noticed in three passes, one more host of its zone is probed in each pass. A pause of waves still follows from the last probes, whenever they were made.

--- a/internal/controller/hosts/health.go
+++ b/internal/controller/hosts/health.go
@@ -53,9 +53,9 @@
 	// listedGone is set while the platform's host list shows the host as gone.
 	listedGone  bool
 	nextProbeAt time.Time
-	// consecutiveFailures is the number of consecutive failed probes, and unansweredFailures how many of them
-	// had no answer.
-	consecutiveFailures, unansweredFailures int
+	// consecutiveFailures is the number of consecutive failed probes, unansweredFailures how many of them had no
+	// answer, and witnessedFailures how many of these had none while another host of the zone answered.
+	consecutiveFailures, unansweredFailures, witnessedFailures int
 	// failingSince is the time of the first of the consecutive failures.
 	failingSince time.Time
 	// probed is set once the host has been probed; lastProbeAt is the time of the last probe.
@@ -70,12 +70,15 @@
 // probes healthy hosts at nextProbeAt, and the others one minute later for each rank, which is 12 times the
 // delay of 5 s per rank.
 func (h *hostHealth) probeDue(now time.Time, delay time.Duration) bool {
-	if h.consecutiveFailures > 0 || h.listedGone {
+	if h.suspicious() {
 		return true
 	}
 	return !now.Before(h.nextProbeAt.Add(12 * delay))
 }
 
+// suspicious reports whether the host may be down.
+func (h *hostHealth) suspicious() bool { return h.consecutiveFailures > 0 || h.listedGone }
+
 // recordProbe updates the history with the outcome of a probe. The next probe of a healthy host is due after
 // the given interval.
 func (h *hostHealth) recordProbe(now time.Time, interval time.Duration, outcome probeOutcome) {
@@ -85,7 +88,7 @@
 	h.nextProbeAt = now.Add(interval)
 	switch outcome {
 	case probeHealthy, probeStaleEpoch:
-		h.consecutiveFailures, h.unansweredFailures = 0, 0
+		h.consecutiveFailures, h.unansweredFailures, h.witnessedFailures = 0, 0, 0
 		return
 	case probeUnanswered:
 		h.unansweredFailures++
@@ -96,14 +99,19 @@
 	h.consecutiveFailures++
 }
 
-// provenDown reports whether the failed probes suffice to report the host as down. Unanswered probes count only
-// while another host of the zone answers: if none does, the zone may be cut off from the platform while its
-// hosts still serve.
-func (h *hostHealth) provenDown(zoneUnresponsive bool) bool {
-	failures := h.consecutiveFailures
-	if zoneUnresponsive {
-		failures -= h.unansweredFailures
+// recordWitness records that another host of the zone answered while the last probe was made. An answer from before
+// shows nothing: the zone, the platform's service or this controller may have been cut off since.
+func (h *hostHealth) recordWitness() {
+	if h.lastUnanswered {
+		h.witnessedFailures++
 	}
+}
+
+// provenDown reports whether the failed probes suffice to report the host as down. Unanswered probes count only
+// if another host of the zone answered at the same time: if none did, the zone may be cut off from the platform while
+// its hosts still serve.
+func (h *hostHealth) provenDown() bool {
+	failures := h.consecutiveFailures - h.unansweredFailures + h.witnessedFailures
 	if h.listedGone {
 		return failures >= failuresToConfirmGone
 	}
--- a/internal/controller/hosts/health_test.go
+++ b/internal/controller/hosts/health_test.go
@@ -31,7 +31,10 @@
 		h := &hostHealth{listedGone: tc.listedGone, host: inventory.Host{Zone: "z"}}
 		for _, outcome := range tc.probes {
 			h.recordProbe(time.Unix(0, 0), minHealthyProbeInterval, outcome)
+			if !tc.zoneUnresponsive {
+				h.recordWitness()
+			}
 		}
-		assert.Equal(t, h.provenDown(tc.zoneUnresponsive), tc.wantDown, name)
+		assert.Equal(t, h.provenDown(), tc.wantDown, name)
 	}
 }
--- a/internal/controller/hosts/loop.go
+++ b/internal/controller/hosts/loop.go
@@ -103,7 +103,7 @@
 	if anyHostAnswered(l.health) {
 		l.pauseForUnresponsiveZones(ctx, unresponsive, wavesByPool)
 	}
-	l.proposeHostsDown(ctx, unresponsive)
+	l.proposeHostsDown(ctx)
 }
 
 // rankForPool returns the controller's rank for the pool. It is looked up once in each pass.
@@ -177,35 +177,64 @@
 	l.health = watched
 }
 
-// probeDueHosts probes the hosts that are due, all at the same time.
+// probeDueHosts probes the hosts that are due, all at the same time. It records which of the failures were witnessed:
+// another host of the zone answered in the same pass.
 func (l *Loop) probeDueHosts(ctx context.Context) {
 	group, groupCtx := errgroup.WithContext(ctx)
 	interval := l.probeInterval()
-	for _, health := range l.dueHosts() {
+	due := l.dueHosts()
+	for _, health := range due {
 		group.Go(func() error {
 			l.probeHost(groupCtx, health, interval)
 			return nil
 		})
 	}
 	_ = group.Wait()
+	zoneAnswered := map[string]bool{}
+	for _, health := range due {
+		zoneAnswered[health.host.Zone] = zoneAnswered[health.host.Zone] || !health.lastUnanswered
+	}
+	for _, health := range due {
+		if zoneAnswered[health.host.Zone] {
+			health.recordWitness()
+		}
+	}
 }
 
 // dueHosts returns the hosts to probe in this pass, at most maxProbesPerPass. Hosts whose last probe is oldest
-// come first.
+// come first. In a zone with suspicious hosts, one more host is due as their witness.
 func (l *Loop) dueHosts() []*hostHealth {
 	now := l.deps.Clock()
+	suspicious := map[string]bool{}
+	witnesses := map[string]*hostHealth{}
 	var due []*hostHealth
 	for _, health := range l.health {
-		if rank := l.rankForPool(health.host.Pool); rank.ranked && health.probeDue(now, rank.delay) {
+		zone := health.host.Zone
+		rank := l.rankForPool(health.host.Pool)
+		switch {
+		case !rank.ranked:
+			continue
+		case health.probeDue(now, rank.delay):
 			due = append(due, health)
+			suspicious[zone] = suspicious[zone] || health.suspicious()
+		case witnesses[zone] == nil || compareLastProbes(health, witnesses[zone]) < 0:
+			witnesses[zone] = health
 		}
 	}
-	slices.SortFunc(due, func(a, b *hostHealth) int {
-		return cmp.Or(a.lastProbeAt.Compare(b.lastProbeAt), cmp.Compare(a.host.Name, b.host.Name))
-	})
+	for zone, witness := range witnesses {
+		if suspicious[zone] {
+			due = append(due, witness)
+		}
+	}
+	slices.SortFunc(due, compareLastProbes)
 	return due[:min(len(due), maxProbesPerPass)]
 }
 
+// compareLastProbes orders hosts by the time of their last probe, the oldest first.
+func compareLastProbes(a, b *hostHealth) int {
+	return cmp.Or(a.lastProbeAt.Compare(b.lastProbeAt), cmp.Compare(a.host.Name, b.host.Name))
+}
+
 // probeHost probes the host and records the outcome. A healthy host is next probed after the given interval.
 func (l *Loop) probeHost(ctx context.Context, health *hostHealth, interval time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, fleet.CallTimeout)
@@ -217,11 +246,11 @@
 
 // proposeHostsDown proposes a HostDown record for each host that is proven down, in order of name. A controller
 // that isn't ranked first waits for the delay of its rank.
-func (l *Loop) proposeHostsDown(ctx context.Context, unresponsive map[string]bool) {
+func (l *Loop) proposeHostsDown(ctx context.Context) {
 	var down []*hostHealth
 	for _, health := range l.health {
 		rank := l.rankForPool(health.host.Pool)
-		if rank.ranked && health.provenDown(unresponsive[health.host.Zone]) && l.deps.Clock().Sub(health.failingSince) >= rank.delay {
+		if rank.ranked && health.provenDown() && l.deps.Clock().Sub(health.failingSince) >= rank.delay {
 			down = append(down, health)
 		}
 	}
