Wait for the report of a stopped attempt that had started

Cause: after a refused renewal an attempt is stopped, and a report is read for its outcome. If the report didn't list the attempt, it counted as preempted. But a report leaves out workers to which the platform has no contact, so that absence shows nothing about an attempt that had started and may have succeeded.

Now absence decides only for an attempt whose start was never confirmed, since the stop keeps it from starting. The outcome of others stays open until a report lists it or the lease has lapsed.

--- a/internal/controller/schedule/call.go
+++ b/internal/controller/schedule/call.go
@@ -189,13 +189,16 @@
 				return
 			}
 		}
-		// A refused renewal doesn't prove that the attempt has ended. It is stopped first, which also
-		// keeps it from starting later.
-		if r.action == actionStop {
+		switch {
+		case r.action != actionStop:
+			// A refused renewal doesn't prove that the attempt has ended. It is stopped first, which also
+			// keeps it from starting later.
+			r.task.beginEviction(reasonLeaseLapsed, now)
+		case !r.task.confirmed:
 			r.task.markEnded(r.fallbackOutcome, now)
-			return
 		}
-		r.task.beginEviction(reasonLeaseLapsed, now)
+		// An attempt that was started is in the report of its worker, with its outcome. Without contact to the
+		// worker, the outcome stays open until a later report or until the lease has lapsed.
 	})
 }
 
--- a/internal/controller/schedule/evidence_test.go
+++ b/internal/controller/schedule/evidence_test.go
@@ -135,6 +135,37 @@
 	})
 }
 
+// blindWorkers omits all tasks from reports while the platform has no contact to the workers, but passes other calls.
+type blindWorkers struct {
+	Workers
+	blind atomic.Bool
+}
+
+func (w *blindWorkers) Report(ctx context.Context, request *v1.ReportRequest) (*v1.ReportResponse, error) {
+	if w.blind.Load() {
+		return &v1.ReportResponse{}, nil
+	}
+	return w.Workers.Report(ctx, request)
+}
+
+// Guards against a job that runs to its end twice, because its renewal was refused and it was stopped after its end, while the
+// platform had no report of its worker.
+func TestStoppedJobKeepsItsResult(t *testing.T) {
+	withFakeClock(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		rank := fixedRank(0)
+		workers := &blindWorkers{Workers: f.workers}
+		f.controllers.Go(func() { _ = f.newLoop(&rank, workers).Run(f.ctx) })
+		f.submitAndStart(t, 10)
+		time.Sleep(5 * time.Second)
+		workers.blind.Store(true)
+		waitUntil(t, 10*time.Second, func() bool { return f.workers.Completions("job") == 1 })
+		time.Sleep(3 * time.Second)
+		workers.blind.Store(false)
+		f.checkRanOnce(t)
+	})
+}
+
 // Guards against a job that no controller starts again after its worker was lost and its host was declared failed.
 func TestJobOfLostWorkerRunsElsewhere(t *testing.T) {
 	withFakeClock(t, func(t *testing.T) {
