--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -40,30 +40,53 @@
 // Query decodes a section of the state into out and returns the configuration version of the controller that
 // responded. If name isn't empty, it selects one object of the section.
 func (c *Client) Query(ctx context.Context, section, name string, out any) (uint64, error) {
+	return c.queryWhere(ctx, section, name, func(*v1.QueryResponse) error { return nil }, out)
+}
+
+// queryWhere is like Query, but also passes over controllers for whose response check returns an error.
+func (c *Client) queryWhere(ctx context.Context, section, name string, check func(*v1.QueryResponse) error, out any) (uint64, error) {
 	var errs []error
 	for _, controller := range c.controllers {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		response, err := controller.Query(callCtx, &v1.QueryRequest{Section: section, Name: name})
 		cancel()
+		if err == nil {
+			err = check(response)
+		}
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
-		if err := json.Unmarshal(response.GetJson(), out); err != nil {
-			return 0, fault.Wrap(fault.Internal, err, "answer to query %s can't be decoded", section)
-		}
-		return response.GetConfigVersion(), nil
+		return response.GetConfigVersion(), decodeSection(response, section, out)
 	}
 	return 0, noControllerAnswered(errs)
 }
 
+// atOffset returns a check of queryWhere for states that include the record at the offset.
+func atOffset(offset int64) func(*v1.QueryResponse) error {
+	return func(response *v1.QueryResponse) error {
+		if response.GetOffset() < offset {
+			return fault.New(fault.NotReady, "the state is at offset %d: want at least %d", response.GetOffset(), offset)
+		}
+		return nil
+	}
+}
+
+func decodeSection(response *v1.QueryResponse, section string, out any) error {
+	if err := json.Unmarshal(response.GetJson(), out); err != nil {
+		return fault.Wrap(fault.Internal, err, "answer to query %s can't be decoded", section)
+	}
+	return nil
+}
+
 // Propose sends a record to the first controller that is available. A rejection is returned as an error of the
-// verdict's kind. If the outcome of a call is unknown, the record isn't sent to another controller, and the
-// error is of kind AppendUnsettled.
+// verdict's kind. If the outcome of a call is unknown, the record isn't sent to another controller, whose verdict
+// would say nothing about the first copy, and the error is of kind AppendUnsettled.
 func (c *Client) Propose(ctx context.Context, author string, record *v1.Record) (*v1.ProposeResponse, error) {
 	var errs []error
 	for _, controller := range c.controllers {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var trace transport.CallTrace
+		callCtx, cancel := context.WithTimeout(trace.Context(ctx), callTimeout)
 		response, err := controller.Propose(callCtx, &v1.ProposeRequest{Record: record, Author: author})
 		cancel()
 		switch {
@@ -71,7 +94,7 @@
 			return response, verdictError(response)
 		case connect.CodeOf(err) == connect.CodeUnauthenticated:
 			return nil, err
-		case connect.CodeOf(err) == connect.CodeUnavailable:
+		case trace.Unsent(err) || transport.IsUnavailableAnswer(err):
 			errs = append(errs, err)
 		default:
 			return nil, fault.Wrap(fault.AppendUnsettled, err, "the proposal may or may not have been accepted")
@@ -112,7 +135,8 @@
 	return statuses
 }
 
-// Document returns the accepted document with its version.
+// Document returns the accepted document with its version, or an earlier one while the controller that responds lags
+// behind the log.
 func (c *Client) Document(ctx context.Context) (*structs.DocumentStatus, error) {
 	status := &structs.DocumentStatus{}
 	_, err := c.Query(ctx, "document", "", status)
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -128,12 +129,18 @@
 }
 
 // withdrawKey publishes the accepted document without the key and returns the version. If the document has no
-// such key, it publishes nothing.
+// such key, which takes a document that is known to be current, it publishes nothing.
 func withdrawKey(ctx context.Context, client *adminclient.Client, author, id string) (uint64, error) {
 	base, err := client.Document(ctx)
+	if err == nil && !hasKey(base, id) {
+		base, err = client.CurrentDocument(ctx)
+	}
 	if err != nil {
 		return 0, err
 	}
+	if !hasKey(base, id) {
+		return base.Version, nil
+	}
 	next := base.Document
 	next.Keys = nil
 	for _, key := range base.Document.Keys {
@@ -141,12 +148,13 @@
 			next.Keys = append(next.Keys, key)
 		}
 	}
-	changePlan, err := client.Plan(ctx, rand.Text(), author, "withdraw key "+id, &next)
+	changePlan, err := adminclient.PlanFrom(base, rand.Text(), author, "withdraw key "+id, &next)
 	if err != nil {
 		return 0, err
 	}
-	if len(changePlan.ChangeSet.GetChanges()) == 0 {
-		return changePlan.Base.Version, nil
-	}
 	return client.Publish(ctx, changePlan)
 }
+
+func hasKey(status *structs.DocumentStatus, id string) bool {
+	return slices.ContainsFunc(status.Document.Keys, func(key structs.Key) bool { return key.ID == id })
+}
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -150,6 +150,61 @@
 	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyUnknown))
 }
 
+// Guards against callers who are told that their key or pool doesn't exist by a gateway that has no view yet, or one
+// from before the key or pool was accepted.
+func TestAbsenceNeedsCurrentView(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	gw := zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	newKey := []string{"Authorization", "Bearer new-key"}
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/open/x", "", "Authorization", "").kind, string(fault.KeyFreshnessUnknown))
+
+	zone.publishAt(time.Now().Add(-time.Minute))
+	got := sendRequest(t, gw, "GET", "/v1/pools/desk/x", "", newKey...)
+	assert.Equal(t, got.kind, string(fault.KeyFreshnessUnknown))
+	assert.Equal(t, got.status, fasthttp.StatusServiceUnavailable)
+	got = sendRequest(t, gw, "GET", "/v1/pools/new/x", "")
+	assert.Equal(t, got.kind, string(fault.NotReady))
+	assert.Equal(t, got.status, fasthttp.StatusServiceUnavailable)
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").outcome, "done")
+
+	zone.publish()
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "", newKey...).kind, string(fault.KeyUnknown))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/new/x", "").kind, string(fault.PoolUnknown))
+}
+
+// Guards against a key that is accepted after its failClosedAfter because the host was suspended, so that the monotonic
+// clock stood still.
+func TestKeyFailsClosedAfterASuspension(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	gw := zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	zone.view.Keys[0].FailClosedAfter = structs.Duration(time.Minute)
+	zone.publish()
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").outcome, "done")
+	gw.suspended.Store(int64(time.Hour))
+	assert.Equal(t, sendRequest(t, gw, "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+}
+
+// Guards against keys that never fail closed in a zone that is cut off, because its gateways take the ages of each other's
+// views for lower than they are.
+func TestPeersReportTheWholeAgeOfTheirViews(t *testing.T) {
+	zone := newTestZone(t)
+	zone.addEndpoint("desk", endpointsvc.Config{})
+	for range 2 {
+		zone.addGateway("z1", map[string]uint64{"a": 1}, nil)
+	}
+	zone.view.Keys[0].FailClosedAfter = structs.Duration(2 * time.Hour)
+	zone.publishAt(time.Now().Add(-3 * time.Hour))
+	zone.awaitMembers(t.Context())
+	// The gateway with the lower name calls the other one, and learns the age of its view.
+	assert.Equal(t, sendRequest(t, zone.gateways[0], "GET", "/v1/pools/desk/x", "").kind, string(fault.KeyFreshnessUnknown))
+
+	zone.publishAt(time.Now().Add(-time.Hour))
+	assert.Equal(t, sendRequest(t, zone.gateways[0], "GET", "/v1/pools/desk/x", "").outcome, "done")
+}
+
 // Guards against a shutdown that cancels requests: running and waiting ones must complete.
 func TestShutdownCompletesRequests(t *testing.T) {
 	zone := newTestZone(t)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	Submitter    submit.Submitter
 	DialEndpoint endpoints.DialFunc
 	Now          func() time.Time
+	// ViewNow reads the clock on which the age of views is measured, such as that of a fleet.Clock.
+	ViewNow func() time.Time
 }
 
 // Gateway runs the requests of callers on the endpoints of its availability zone.
@@ -97,8 +99,8 @@
 	clients := config.PeerClients
 	forwarder := peerclient.NewForwarder(clients, g.peers, g.queue.PlaceWaiting, config.Now)
 	filters := []pipe.Filter{
-		authenticate.New(config.Store, config.Now),
-		route.New(config.Store),
+		authenticate.New(config.Store, config.ViewNow),
+		route.New(config.Store, config.ViewNow),
 		admit.New(config.Admit, config.Store, config.Rights, g.refusing.Load, config.Now),
 	}
 	if config.Submitter != nil {
@@ -122,7 +124,7 @@
 		Self: g.config.Name, Zone: g.config.Zone, Incarnation: g.holderIncarnation,
 		Peers: g.peers, Load: g.currentLoad, Client: clients.ExchangeClient,
 		Lease: g.config.Lease, PendingRefusals: g.config.PendingRefusals,
-		OnReport: g.applyPeerLoad, OnMembers: g.setMembers, Now: g.config.Now,
+		OnReport: g.applyPeerLoad, OnMembers: g.setMembers, Now: g.config.Now, ViewNow: g.config.ViewNow,
 	})
 }
 
@@ -264,7 +266,7 @@
 	}
 	if !snapshot.FreshAt.IsZero() {
 		load.FreshnessKnown = true
-		load.FreshnessMs = uint64(max(g.config.Now().Sub(snapshot.FreshAt).Milliseconds()+1, 0))
+		load.FreshnessMs = uint64(max(g.config.ViewNow().Sub(snapshot.FreshAt).Milliseconds()+1, 0))
 	}
 	loads := g.queue.Loads()
 	g.peers.SetLocalRunning(loads)
@@ -284,6 +286,9 @@
 	return load
 }
 
+// maxReportedAge is the largest age of a view that is taken from a peer. Above it, a sum with the age might overflow.
+const maxReportedAge = 365 * 24 * time.Hour
+
 // applyPeerLoad applies the load report of another gateway: its leaving endpoints, and the time at which its
 // view was known to be current, if this gateway has a view at the same offset. sentAt is when the call that
 // returned the report was sent. It is zero if the peer made the call; the age of the view isn't used then.
@@ -291,8 +296,8 @@
 	for _, endpoint := range load.GetLeaving() {
 		g.table.MarkLeaving(endpoint.GetEndpoint(), endpoint.GetHostEpoch())
 	}
-	if load.GetFreshnessKnown() && !sentAt.IsZero() {
-		age := time.Duration(min(load.GetFreshnessMs(), uint64(time.Hour.Milliseconds()))) * time.Millisecond
+	if load.GetFreshnessKnown() && !sentAt.IsZero() && load.GetFreshnessMs() <= uint64(maxReportedAge.Milliseconds()) {
+		age := time.Duration(load.GetFreshnessMs()) * time.Millisecond
 		g.config.Store.Refresh(load.GetOffset(), sentAt.Add(-age))
 	}
 }
--- a/internal/standin/controllersvc/controller.go
+++ b/internal/standin/controllersvc/controller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -28,6 +29,10 @@
 	verdicts         []structs.VerdictStatus
 	surrenders       []*v1.Surrender
 	loseNextResponse bool
+	freshness        time.Duration
+	joined           []structs.GatewayEntry
+	polling          []*v1.GatewayStatus
+	onDocument       func()
 }
 
 // New returns a controller whose accepted document is doc.
@@ -55,6 +60,30 @@
 	c.heldRights[team] = units
 }
 
+// SetFreshness sets the age of the state that the controller reports.
+func (c *Controller) SetFreshness(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.freshness = age
+}
+
+// SetGateways sets the gateways that have joined the fleet, and those that the controller reports because they poll it.
+func (c *Controller) SetGateways(joined []structs.GatewayEntry, polling ...*v1.GatewayStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.joined, c.polling = joined, polling
+}
+
+// ReplaceAfterNextQuery makes another change set, which turns the document into doc, be accepted right after the next
+// query of the document.
+func (c *Controller) ReplaceAfterNextQuery(doc structs.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onDocument = func() {
+		c.status = structs.DocumentStatus{Version: c.status.Version + 1, Document: doc}
+	}
+}
+
 // Document returns the accepted document.
 func (c *Controller) Document() structs.DocumentStatus {
 	c.mu.Lock()
@@ -73,15 +102,22 @@
 func (c *Controller) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &v1.StatusResponse{Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true}, nil
+	return &v1.StatusResponse{
+		Name: "controller-1", Zone: "north", ConfigVersion: c.status.Version, Ready: true,
+		FreshnessMs: uint64(c.freshness.Milliseconds()), Gateways: c.polling,
+	}, nil
 }
 
-// Query implements ControllerService for the sections document, verdicts and teams. Other sections are
+// Query implements ControllerService for the sections document, holders, verdicts and teams. Other sections are
 // empty.
 func (c *Controller) Query(_ context.Context, request *v1.QueryRequest) (*v1.QueryResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	data, err := json.Marshal(c.section(request))
+	if request.GetSection() == "document" && c.onDocument != nil {
+		defer c.onDocument()
+		c.onDocument = nil
+	}
 	return &v1.QueryResponse{Json: data, ConfigVersion: c.status.Version}, err
 }
 
@@ -91,6 +127,8 @@
 		return c.status
 	case "verdicts":
 		return c.verdicts
+	case "holders":
+		return append([]structs.GatewayEntry{}, c.joined...)
 	case "teams":
 		return []structs.TeamStatus{{Name: request.GetName(), Held: c.heldRights[request.GetName()]}}
 	default:
