Fence the states of waves by the term

Operators could see a wave as running for ever after it had completed. The states of waves were appended to their topic without a writer, so that the log carried out whatever a leader of an earlier term had sent: a call that had no response and was carried out seconds later, or a change that was planned before the process was paused, replaced the state that its successor had published meanwhile.

A refusal ends the term, as one of the scheduler's records does. A repeated append keeps its sequence number, so that it has no second effect. The changes of one plan are one append, of which the plan doesn't wait for the response: the planning of hosts used to stand still for the time limit of the call.

Before the change, with a test double whose PutWave appends as that of package platform did:

--- FAIL: TestLateWaveStateDoesNotReplaceThatOfTheNextTerm running (states[len(states)-1] string) != completed (string): published: [completed running] --- FAIL: TestRefusedWaveStateEndsTheTerm published: completed, running, completed; want: completed

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -8,6 +8,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -54,9 +55,11 @@
 	termKey = "term"
 )
 
-// WaveStatus publishes the state of waves to operators.
+// WaveStatus encodes the states of waves that are published to operators.
 type WaveStatus interface {
-	PutWave(ctx context.Context, wave int64, state infra.WaveState) error
+	// Topic returns the topic of the log on which the states are published.
+	Topic() string
+	Record(wave int64, state infra.WaveState) infra.Record
 }
 
 // Config holds the dependencies and settings of sessions. It is shared by the sessions of all terms.
@@ -89,11 +92,15 @@
 // session is the state of the scheduler process during one term. Its core is used in this term only.
 type session struct {
 	Config
-	term      int64
-	core      *scheduler.Core
-	writer    *journal.Writer
-	startedAt time.Duration
-	stages    stages
+	term   int64
+	core   *scheduler.Core
+	writer *journal.Writer
+	// statusWriter publishes the states of waves. Like writer, its first append of a term fences earlier terms: a state
+	// that one of them sent may arrive late. publishing is set while an append of it is in progress.
+	statusWriter *journal.Writer
+	publishing   atomic.Bool
+	startedAt    time.Duration
+	stages       stages
 	// endTerm ends the term because of an error.
 	endTerm context.CancelCauseFunc
 	// stops and paces hold the orders of these kinds that wait to be sent.
@@ -115,6 +122,10 @@
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.LogLimits, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
+	if config.Status != nil {
+		topic := config.Status.Topic()
+		s.statusWriter = journal.New(config.Log, topic, term, config.LogLimits, config.Clock, logger.WithField("topic", topic))
+	}
 	s.Logger = logger
 	s.stages = newStages(config.Usage)
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
@@ -396,16 +407,33 @@
 			return nil
 		})
 	}
-	for _, change := range waveChanges {
-		if err := s.Status.PutWave(ctx, change.Wave, change.State); err != nil {
-			s.Logger.WithFields(logrus.Fields{"event": "wave_state_unwritten", "wave": change.Wave}).WithError(err).Warn("can't publish the state of a wave; trying again")
-			continue
-		}
-		s.core.WaveStatePublished(change)
-	}
+	s.publishWaves(ctx, group, waveChanges)
 	return readTime
 }
 
+// publishWaves publishes changes of waves in one append, without waiting for it. While an append is in progress it does
+// nothing: the core plans the changes again. A refused append ends the term.
+func (s *session) publishWaves(ctx context.Context, group *errgroup.Group, changes []scheduler.WaveStateChange) {
+	if len(changes) == 0 || !s.publishing.CompareAndSwap(false, true) {
+		return
+	}
+	s.goGuarded(group, func() error {
+		defer s.publishing.Store(false)
+		var records []infra.Record
+		for _, change := range changes {
+			records = append(records, s.Status.Record(change.Wave, change.State))
+		}
+		// States that the log never accepts aren't published again.
+		if _, err := s.statusWriter.Append(ctx, records); err != nil {
+			return err
+		}
+		for _, change := range changes {
+			s.core.WaveStatePublished(change)
+		}
+		return nil
+	})
+}
+
 // planHosts passes the list of hosts that was requested at the given time to the core, and returns the orders and the
 // changes of waves that it plans.
 func (s *session) planHosts(hosts []infra.Host, requestedAt time.Duration) ([]scheduler.HostOrder, []scheduler.WaveStateChange) {
