Send orders to hosts once they are recorded

Two leaders could order the same host within the time in which the platform regards the first one as its controller, and a wave could take down more hosts than it may. A new term holds back the hosts that earlier terms have ordered, and counts them as down, by the records of these orders. An order was sent while its record was still being written: a leader that was cut off from the log, or replaced before the append, ordered hosts of which no record told.

The core now numbers its records of waves and orders, and a batch that is committed tells up to which number they are durable. The session waits for that before it sends an order, and gives the order up if that takes more than a second after it was planned, since the next term counts from the time in the record. The age of the last confirmed append is checked after the wait. No call is added: the record was written before as well, and an order is later by an append. The simulation of the scheduler sends orders in the same way.

Before the change:

--- FAIL: TestNextTermKnowsOfAllHostOrders term 2 orders the host 1.2s after term 1

--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -23,6 +23,8 @@
 	waiters []jobWaiter
 	// durableEnds maps workers to their highest run end whose effect the batch makes durable.
 	durableEnds map[*worker]processEnd
+	// fleetRecords is fleetState.records at the time of the batch.
+	fleetRecords int64
 }
 
 // jobWaiter waits for records of a job to become durable.
@@ -47,7 +49,7 @@
 	c.maintainOccurrences(now)
 	c.plan(now)
 	c.observeSuspects(now)
-	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords}
+	batch := Batch{durableEnds: map[*worker]processEnd{}, Records: c.pendingRecords, fleetRecords: c.fleet.records}
 	c.pendingRecords = nil
 	// A job may have been submitted under an ID whose earlier records are deleted.
 	batch.Records = append(batch.Records, c.deletions...)
@@ -109,6 +111,7 @@
 		}
 	}
 	c.releaseStarts(batch.heldStarts)
+	c.fleet.noteDurable(batch.fleetRecords)
 	for w, end := range batch.durableEnds {
 		// If a record was rejected, the ends wait for the next batch, which records that its job has failed.
 		if len(unrecorded) == 0 && end.process == w.restarts && end.number <= w.appliedEnd {
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -49,6 +49,22 @@
 	lateMoveUntil map[string]time.Duration
 	// idleSince holds, by host, when an idle host became idle.
 	idleSince map[string]time.Duration
+	// records is the number of records of waves and host orders of this term, and durableRecords that of those that are
+	// durable. durableChanged is closed, and replaced, when more of them are.
+	records, durableRecords int64
+	durableChanged          chan struct{}
+	// orderRecords holds, by host, the number of the record of the last order.
+	orderRecords map[string]int64
+}
+
+// noteDurable records that the first records of this term are durable, as many as given.
+func (f *fleetState) noteDurable(records int64) {
+	if records == f.durableRecords {
+		return
+	}
+	f.durableRecords = records
+	close(f.durableChanged)
+	f.durableChanged = make(chan struct{})
 }
 
 // moveOrder is an order to move a host to a pool.
@@ -67,7 +83,8 @@
 
 func newFleetState() fleetState {
 	return fleetState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pendingMaintenance: map[string]bool{},
-		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, lateMoveUntil: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{}}
+		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, lateMoveUntil: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{},
+		durableChanged: make(chan struct{}), orderRecords: map[string]int64{}}
 }
 
 // awaitsMaintenance reports whether the worker's host still has to go down in a wave.
@@ -213,7 +230,7 @@
 }
 
 // PlanHosts cordons and drains the hosts that are next in a wave, and plans the sizes of the pools. It
-// returns the orders to hosts, and the states of waves to publish.
+// returns the orders to hosts, and the states of waves to publish. An order may be sent once HostOrderRecorded.
 func (c *Core) PlanHosts() ([]HostOrder, []WaveStateChange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,8 +286,23 @@
 		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
 		return
 	}
-	c.pendingRecords = append(c.pendingRecords, infra.Record{Key: hostOrderPrefix + host, Value: value})
+	c.fleet.orderRecords[host] = c.addFleetRecord(infra.Record{Key: hostOrderPrefix + host, Value: value})
+}
+
+// addFleetRecord adds a record of a wave or a host order to the next batch, and returns its number.
+func (c *Core) addFleetRecord(record infra.Record) int64 {
+	c.pendingRecords = append(c.pendingRecords, record)
+	c.fleet.records++
 	c.wakeUp()
+	return c.fleet.records
+}
+
+// HostOrderRecorded reports whether the last order to the host is durable, so that a later term knows of it. Otherwise
+// changed is closed when more records are.
+func (c *Core) HostOrderRecorded(host string) (recorded bool, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fleet.orderRecords[host] <= c.fleet.durableRecords, c.fleet.durableChanged
 }
 
 // ApplyHostOrderResult applies the result of an order to a host.
--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -72,16 +72,25 @@
 	return hosts
 }
 
-// planHosts does what a session does with the waves: it passes them to the core, and sends the orders to hosts.
+// planHosts does what a session does with the waves: it passes them to the core, whose orders sendHostOrders sends.
 func (s *sim) planHosts(scheduler *simScheduler) {
 	if len(s.waves) == 0 {
 		return
 	}
 	scheduler.core.SetWaves(s.waves)
 	orders, _ := scheduler.core.PlanHosts()
-	for _, order := range orders {
-		scheduler.core.ApplyHostOrderResult(order, s.executeHostOrder(scheduler, order))
-	}
+	scheduler.hostOrders = append(scheduler.hostOrders, orders...)
+}
+
+// sendHostOrders sends the orders to hosts that are recorded.
+func (s *sim) sendHostOrders(scheduler *simScheduler) {
+	scheduler.hostOrders = slices.DeleteFunc(scheduler.hostOrders, func(order HostOrder) bool {
+		recorded, _ := scheduler.core.HostOrderRecorded(order.Host)
+		if recorded {
+			scheduler.core.ApplyHostOrderResult(order, s.executeHostOrder(scheduler, order))
+		}
+		return recorded
+	})
 }
 
 // executeHostOrder takes a host down for maintenance. It checks that the order doesn't follow an order of
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -201,6 +201,8 @@
 	commitDueAt time.Duration
 	// sentAt is when batch was sent to the log, and confirmedAt is when the last committed batch was sent.
 	confirmedAt, sentAt time.Duration
+	// hostOrders are the orders to hosts that haven't been sent yet.
+	hostOrders []HostOrder
 }
 
 // sim is a simulated fleet with a log, workers and successive schedulers, on a simulated clock.
@@ -441,6 +443,7 @@
 		}
 	}
 	s.commitBatch(scheduler)
+	s.sendHostOrders(scheduler)
 }
 
 // sendRenewal sends a lease renewal to a worker, and passes the result to the core.
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -247,6 +247,5 @@
 		c.logger.WithFields(logrus.Fields{"event": "wave_unencodable", "wave": w.ID}).WithError(err).Error("record of a wave can't be encoded; its progress isn't recorded")
 		return
 	}
-	c.pendingRecords = append(c.pendingRecords, infra.Record{Key: wavePrefix + strconv.FormatInt(w.ID, 10), Value: value})
-	c.wakeUp()
+	c.addFleetRecord(infra.Record{Key: wavePrefix + strconv.FormatInt(w.ID, 10), Value: value})
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -43,6 +43,9 @@
 	// maxHostOrderConfirmationAge is how long after its last confirmed append a term may still send orders to
 	// hosts.
 	maxHostOrderConfirmationAge = time.Second
+	// maxHostOrderAge is how long after it was planned an order to a host may still be sent. It is below the margin of
+	// scheduler.Options.HostOrderDelay.
+	maxHostOrderAge = time.Second
 	// hostPlanInterval is the pause between reads of the list of hosts, each of which is followed by the orders to hosts
 	// that are then planned. After a read that takes long, the pause is hostPauseFactor times as long as the read, up to
 	// maxHostPlanInterval: the list grows with the fleet, and the calls to workers share the link with it.
@@ -367,10 +370,16 @@
 	return s.Clock()-s.writer.ConfirmedAt() <= maxHostOrderConfirmationAge
 }
 
-// orderHost sends one order to a host, unless the last confirmed append of the term is too old: a later term
-// may have started by then. The later term waits before its own first order, so that the two terms don't
-// alternate as the host's controller.
-func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder) error {
+// errHostOrderLate is the outcome of an order to a host that isn't sent since it wasn't recorded in time.
+var errHostOrderLate = &infra.Error{Kind: infra.Refused, Op: "order", Detail: "the order wasn't recorded in time, and wasn't sent"}
+
+// orderHost sends one order to a host once it is recorded, unless the order or the last confirmed append of the term is too
+// old by then: a later term may have started. The later term waits before its own first order to that host, counted from
+// the time in the record, so that the two terms don't alternate as the host's controller.
+func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder, plannedAt time.Duration) error {
+	if s.awaitHostOrderRecord(ctx, order.Host) != nil || s.Clock()-plannedAt > maxHostOrderAge {
+		return errHostOrderLate
+	}
 	if !s.mayOrderHosts() {
 		return errTermUnconfirmed
 	}
@@ -380,6 +389,21 @@
 	return s.Hosts.StartMaintenance(ctx, order.Host, order.Wave, s.term)
 }
 
+// awaitHostOrderRecord waits until the last order to the host is recorded.
+func (s *session) awaitHostOrderRecord(ctx context.Context, host string) error {
+	for {
+		recorded, changed := s.core.HostOrderRecorded(host)
+		if recorded {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // manageHosts carries out maintenance waves and moves hosts between pools, every hostPlanInterval or less often.
 func (s *session) manageHosts(ctx context.Context, group *errgroup.Group) error {
 	for ctx.Err() == nil {
@@ -400,10 +424,11 @@
 		s.Logger.WithField("event", "hosts_unlisted").WithError(err).Warn("can't read the list of hosts; maintenance waves and host moves wait until it can be read")
 		return readTime
 	}
+	plannedAt := s.Clock()
 	orders, waveChanges := s.planHosts(hosts, requestedAt)
 	for _, order := range orders {
 		s.goGuarded(group, func() error {
-			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
+			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order, plannedAt))
 			return nil
 		})
 	}
--- a/internal/session/wave_test.go
+++ b/internal/session/wave_test.go
@@ -195,3 +195,24 @@
 		assert.Assert(t, endedAfter < 2*unansweredCallLimit, "the term ended only after %s", endedAfter)
 	})
 }
+
+// Guards against two leaders that order the same host within the time in which the platform regards the first one as its
+// controller: the first one was cut off from the log, which has no record of its order.
+func TestNextTermKnowsOfAllHostOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &infratest.Log{}
+		own := &cutOffLog{Log: log}
+		hosts := &standbyHosts{names: []string{"host-0"}, unanswered: 1}
+		config := newWaveConfig(own, hosts, time.Now())
+		config.AttachCore = func(*scheduler.Core) { own.cutOff.Store(true) }
+		runTerm(t, config, 1, 900*time.Millisecond)
+		config.Log, config.AttachCore = log, func(*scheduler.Core) {}
+		runTerm(t, config, 2, 10*time.Second)
+		orders := hosts.orders
+		assert.Assert(t, len(orders) > 0 && orders[len(orders)-1].token == 2, "the next term gave no order")
+		for n := 1; n < len(orders); n++ {
+			gap := orders[n].at.Sub(orders[n-1].at)
+			assert.Assert(t, orders[n].token == orders[n-1].token || gap >= config.Options.HostOrderDelay, "term %d orders the host %s after term %d", orders[n].token, gap, orders[n-1].token)
+		}
+	})
+}
