Publish that a wave has completed once it is recorded

Operators could see a wave as completed and then as running again. A leader published the completion while its record was still being written. If it was cut off from the log or replaced before that, its successor took the wave up again and published that it runs.

A plan of the hosts now returns the state completed only when the record of the wave is durable, so that each later term loads it.

TestStandbyHostsReceiveMaintenance expected the completion from the plan right after the order. It now checks that this plan publishes nothing, and expects the completion after a commit.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -140,8 +140,12 @@
 	assert.DeepEqual(t, orders[0], HostOrder{Host: "host-0", Wave: 1})
 	assert.DeepEqual(t, changes, []WaveStateChange{{Wave: 1, State: infra.WaveRunning}})
 	tc.ApplyHostOrderResult(orders[0], nil)
+	tc.WaveStatePublished(changes[0])
 	tc.SetHosts([]infra.Host{{ID: "host-0", Pool: "rest", State: infra.HostMaintenance}}, tc.now)
 	_, changes = tc.PlanHosts()
+	assert.Equal(t, len(changes), 0, "a later term wouldn't know that the wave has completed")
+	tc.commit()
+	_, changes = tc.PlanHosts()
 	assert.DeepEqual(t, changes, []WaveStateChange{{Wave: 1, State: infra.WaveCompleted}})
 }
 
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -230,7 +230,8 @@
 }
 
 // PlanHosts cordons and drains the hosts that are next in a wave, and plans the sizes of the pools. It
-// returns the orders to hosts, and the states of waves to publish. An order may be sent once HostOrderRecorded.
+// returns the orders to hosts, and the states of waves to publish. An order may be sent once HostOrderRecorded. That a wave
+// has completed is published once it is recorded, since a later term would take the wave up again.
 func (c *Core) PlanHosts() ([]HostOrder, []WaveStateChange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -246,7 +247,7 @@
 			orders = append(orders, c.planWave(w, now)...)
 		}
 		state := infra.WaveRunning
-		if w.completed {
+		if w.completed && w.record <= c.fleet.durableRecords {
 			state = infra.WaveCompleted
 		}
 		if w.publishedState != state {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -45,6 +45,8 @@
 	retryAt map[string]time.Duration
 	// completed is set once the maintenance of all hosts has begun.
 	completed bool
+	// record is the number of the last record of the wave, see fleetState.records.
+	record int64
 	// publishedState is the last state that was published to operators.
 	publishedState infra.WaveState
 	// firstSeen is when this term first learned of the wave.
@@ -247,5 +249,5 @@
 		c.logger.WithFields(logrus.Fields{"event": "wave_unencodable", "wave": w.ID}).WithError(err).Error("record of a wave can't be encoded; its progress isn't recorded")
 		return
 	}
-	c.addFleetRecord(infra.Record{Key: wavePrefix + strconv.FormatInt(w.ID, 10), Value: value})
+	w.record = c.addFleetRecord(infra.Record{Key: wavePrefix + strconv.FormatInt(w.ID, 10), Value: value})
 }
--- a/internal/session/wave_test.go
+++ b/internal/session/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -216,3 +217,24 @@
 		}
 	})
 }
+
+// Guards against a wave that operators see as completed and then as running again: the leader that had completed it was cut
+// off from the log, which has no record of that.
+func TestCompletedWaveStaysCompletedInTheNextTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &infratest.Log{}
+		own := &cutOffLog{Log: log}
+		hosts := &standbyHosts{names: []string{"host-0"}, ordered: func() { own.cutOff.Store(true) }}
+		config := newWaveConfig(own, hosts, time.Now())
+		runTerm(t, config, 1, 900*time.Millisecond)
+		assert.Equal(t, len(hosts.orders), 1)
+		config.Log = log
+		runTerm(t, config, 2, 10*time.Second)
+		states := publishedStates(t, log)
+		completed := slices.Index(states, string(infra.WaveCompleted))
+		assert.Assert(t, completed >= 0, "the wave wasn't completed: %v", states)
+		for _, state := range states[completed:] {
+			assert.Equal(t, state, string(infra.WaveCompleted), "published: %v", states)
+		}
+	})
+}
