Count late maintenance orders of earlier terms as down

A wave could take down more hosts than it may after a change of the leader.

The record of an order now names its wave. Until the call can't be carried out any more, the host counts as down, and it is the one that the next term orders again: once an order has succeeded, the late one has no further effect. If there are more such records than the wave allows hosts to be down, some of the hosts refused, and the records don't tell which; the wave then waits until few enough may still go down. Records of earlier releases name no wave and are treated as before.

Before the change:

--- FAIL: TestWaveCountsLateOrdersOfEarlierTerms ordered host-0 while the order of the earlier term to host-1 may still be carried out --- FAIL: TestWaveWaitsForLateOrdersBeyondItsLimit 1 (int) != 0 (int)

--- a/internal/scheduler/crash_bounds_test.go
+++ b/internal/scheduler/crash_bounds_test.go
@@ -119,7 +119,7 @@
 // Guards against counting the end of a host that an earlier term ordered away as a known crash.
 func TestOrderOfAnEarlierTermIsNoKnownCrash(t *testing.T) {
 	first := newTestCore(1)
-	first.recordHostOrder("host-0")
+	first.recordHostOrder(HostOrder{Host: "host-0"})
 	records := first.Collect().Records
 
 	tc := newTestCore(2)
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -112,15 +112,17 @@
 	for _, record := range records {
 		if host, ok := strings.CutPrefix(record.Key, hostOrderPrefix); ok && record.Value != nil {
 			var body hostOrderRecord
-			delay := c.options.HostOrderDelay
+			sinceOrder := time.Duration(0)
 			if err := cbor.Unmarshal(record.Value, &body); err != nil {
 				c.logger.WithFields(logrus.Fields{"event": "host_record_skipped", "key": record.Key}).WithError(err).Error("can't decode the record of a host order; the host gets no orders for the full delay")
 			} else {
 				// The difference is limited before the subtractions, since it is that of any two times.
-				sinceOrder := max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs))) - maxClockSkew
-				delay -= min(max(0, sinceOrder), delay)
+				sinceOrder = max(0, max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs)))-maxClockSkew)
+			}
+			c.fleet.heldBackUntil[host] = c.clock() + max(0, c.options.HostOrderDelay-sinceOrder)
+			if body.Wave > 0 {
+				c.waveByID(body.Wave).lateOrderUntil[host] = c.clock() + max(0, maxCallDelay-sinceOrder)
 			}
-			c.fleet.heldBackUntil[host] = c.clock() + delay
 			continue
 		}
 		name, ok := strings.CutPrefix(record.Key, wavePrefix)
@@ -260,7 +262,7 @@
 	}
 	orders = append(orders, c.planPoolSizes(now)...)
 	for _, order := range orders {
-		c.recordHostOrder(order.Host)
+		c.recordHostOrder(order)
 	}
 	return orders, changes
 }
@@ -278,16 +280,18 @@
 // still regard the term that gave the order as the host's controller, and later terms give the host no order.
 type hostOrderRecord struct {
 	AtMs int64 `cbor:"1,keyasint"`
+	// Wave is that of HostOrder.
+	Wave int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// recordHostOrder adds the record of an order to the host, given now, to the next batch.
-func (c *Core) recordHostOrder(host string) {
-	value, err := recordEncoding.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli()})
+// recordHostOrder adds the record of an order to a host, given now, to the next batch.
+func (c *Core) recordHostOrder(order HostOrder) {
+	value, err := recordEncoding.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli(), Wave: order.Wave})
 	if err != nil {
-		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
+		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": order.Host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
 		return
 	}
-	c.fleet.orderRecords[host] = c.addFleetRecord(infra.Record{Key: hostOrderPrefix + host, Value: value})
+	c.fleet.orderRecords[order.Host] = c.addFleetRecord(infra.Record{Key: hostOrderPrefix + order.Host, Value: value})
 }
 
 // addFleetRecord adds a record of a wave or a host order to the next batch, and returns its number.
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -18,9 +18,9 @@
 // not from the start of the term.
 func TestNewTermHoldsBackRecentlyOrderedHosts(t *testing.T) {
 	first := newTestCore(1)
-	first.recordHostOrder("host-old")
+	first.recordHostOrder(HostOrder{Host: "host-old"})
 	first.now += 6 * time.Second
-	first.recordHostOrder("host-new")
+	first.recordHostOrder(HostOrder{Host: "host-new"})
 	records := first.Collect().Records
 
 	second := newTestCore(2)
@@ -196,6 +196,71 @@
 	assert.Equal(t, countMaintenanceOrders(orders), 1)
 }
 
+// newTermOfWave returns the core of a second term that has loaded the records, and that lists the hosts as up after the time
+// in which it gives no orders to hosts of the first term.
+func newTermOfWave(wave infra.Wave, records []infra.Record, now time.Duration) *testCore {
+	second := newTestCore(2)
+	second.now = now
+	second.LoadHostRecords(records)
+	second.SetWaves([]infra.Wave{wave})
+	second.now += simOptions().HostOrderDelay + time.Second
+	second.listStandbyHosts(wave.Hosts, "")
+	return second
+}
+
+// listStandbyHosts lists the hosts as up in standby, but one that is moving.
+func (tc *testCore) listStandbyHosts(names []string, moving string) {
+	var hosts []infra.Host
+	for _, name := range names {
+		host := infra.Host{ID: name, Pool: "rest", State: infra.HostUp}
+		if name == moving {
+			host.State = infra.HostMoving
+		}
+		hosts = append(hosts, host)
+	}
+	tc.SetHosts(hosts, tc.now)
+}
+
+// planMaintenance returns the orders to take hosts down that PlanHosts plans.
+func (tc *testCore) planMaintenance() []HostOrder {
+	orders, _ := tc.PlanHosts()
+	return slices.DeleteFunc(orders, func(order HostOrder) bool { return order.Wave == 0 })
+}
+
+// Guards against more hosts being down than a wave allows after a takeover: the order of the earlier term to one host had
+// no response and is carried out seconds later, when the next term has taken another one down.
+func TestWaveCountsLateOrdersOfEarlierTerms(t *testing.T) {
+	wave := infra.Wave{ID: 1, Hosts: []string{"host-0", "host-1"}, MaxDown: 1, TimeLimit: time.Minute}
+	first := newTestCore(1)
+	first.SetWaves([]infra.Wave{wave})
+	first.listStandbyHosts(wave.Hosts, "host-0")
+	assert.DeepEqual(t, first.planMaintenance(), []HostOrder{{Host: "host-1", Wave: 1}})
+
+	second := newTermOfWave(wave, first.Collect().Records, first.now)
+	assert.DeepEqual(t, second.planMaintenance(), []HostOrder{{Host: "host-1", Wave: 1}})
+}
+
+// Guards against more hosts being down than a wave allows after a takeover when the earlier term has ordered more hosts than
+// that, of which some refused: the records don't tell which.
+func TestWaveWaitsForLateOrdersBeyondItsLimit(t *testing.T) {
+	wave := infra.Wave{ID: 1, Hosts: []string{"host-0", "host-1"}, MaxDown: 1, TimeLimit: time.Minute}
+	first := newTestCore(1)
+	first.SetWaves([]infra.Wave{wave})
+	for _, moving := range []string{"host-0", "host-1"} {
+		first.listStandbyHosts(wave.Hosts, moving)
+		orders := first.planMaintenance()
+		assert.Equal(t, len(orders), 1)
+		first.ApplyHostOrderResult(orders[0], &infra.Error{Kind: infra.Busy, Op: "upkeep"})
+		first.now += hostOrderRetryDelay
+	}
+
+	second := newTermOfWave(wave, first.Collect().Records, first.now)
+	assert.Equal(t, len(second.planMaintenance()), 0)
+	second.now += maxCallDelay
+	second.listStandbyHosts(wave.Hosts, "")
+	assert.Equal(t, len(second.planMaintenance()), 1)
+}
+
 // Guards against repeating a maintenance order that had no response while work runs on the host: the host may
 // have a new worker by then.
 func TestRetriedMaintenanceOrderWaitsUntilTheHostIsEmpty(t *testing.T) {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -39,6 +39,9 @@
 	// outcomeUnknown holds the hosts whose order had no response. The order may still be carried out, so these
 	// hosts count as down until an order succeeds.
 	outcomeUnknown map[string]bool
+	// lateOrderUntil holds, by host, until when an order of an earlier term may still be carried out whose success isn't
+	// recorded. Until then the host counts as down.
+	lateOrderUntil map[string]time.Duration
 	// cordoned holds the hosts that get no new work because of this wave.
 	cordoned map[string]bool
 	// retryAt holds when an unsuccessful order may be repeated.
@@ -83,7 +86,7 @@
 func (c *Core) waveByID(id int64) *wave {
 	w := c.fleet.waves[id]
 	if w == nil {
-		w = &wave{orderedAt: map[string]time.Duration{}, inFlight: map[string]bool{}, orderedWorker: map[string]string{}, outcomeUnknown: map[string]bool{}, cordoned: map[string]bool{}, retryAt: map[string]time.Duration{}, firstSeen: c.clock()}
+		w = &wave{orderedAt: map[string]time.Duration{}, inFlight: map[string]bool{}, orderedWorker: map[string]string{}, outcomeUnknown: map[string]bool{}, lateOrderUntil: map[string]time.Duration{}, cordoned: map[string]bool{}, retryAt: map[string]time.Duration{}, firstSeen: c.clock()}
 		w.ID = id
 		c.fleet.waves[id] = w
 	}
@@ -100,7 +103,7 @@
 // planWave drains hosts of the wave and returns the maintenance orders for hosts that may go down now.
 func (c *Core) planWave(w *wave, now time.Duration) []HostOrder {
 	down, remaining := 0, 0
-	var candidates []string
+	var candidates, lateOrders []string
 	var repeated []HostOrder
 	for _, id := range w.Hosts {
 		host, exists := c.fleet.hosts[id]
@@ -130,6 +133,13 @@
 			if host.State == infra.HostUp && now >= w.retryAt[id] && c.drainHost(w, id) {
 				repeated = append(repeated, HostOrder{Wave: w.ID, Host: id, Worker: w.orderedWorker[id]})
 			}
+		case now < w.lateOrderUntil[id]:
+			down++
+			remaining++
+			c.fleet.pendingMaintenance[id] = true
+			if host.State == infra.HostUp && now >= w.retryAt[id] && c.fleet.moves[id] == nil {
+				lateOrders = append(lateOrders, id)
+			}
 		default:
 			remaining++
 			c.fleet.pendingMaintenance[id] = true
@@ -146,6 +156,14 @@
 		c.completeWave(w)
 		return nil
 	}
+	if down <= w.MaxDown {
+		// Each of these hosts may go down in any case. If they are too many, some of them refused the order.
+		for _, id := range lateOrders {
+			if c.drainHost(w, id) {
+				repeated = append(repeated, HostOrder{Wave: w.ID, Host: id, Worker: c.fleet.hosts[id].WorkerID})
+			}
+		}
+	}
 	return append(repeated, c.drainHosts(w, candidates, w.MaxDown-down)...)
 }
 
