--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -86,27 +86,33 @@
 func (s *sim) sendHostOrders(scheduler *simScheduler) {
 	scheduler.hostOrders = slices.DeleteFunc(scheduler.hostOrders, func(order HostOrder) bool {
 		recorded, _ := scheduler.core.HostOrderRecorded(order.Host)
-		if recorded {
-			scheduler.core.ApplyHostOrderResult(order, s.executeHostOrder(scheduler, order))
+		switch {
+		case !recorded:
+		case s.delayedHostOrderShare > 0 && s.rng.Float64() < s.delayedHostOrderShare:
+			s.after(time.Duration(s.rng.Int64N(int64(maxCallDelay))), func() { _ = s.executeHostOrder(scheduler, order, true) }) // Nobody waits for it.
+			scheduler.core.ApplyHostOrderResult(order, &infra.Error{Kind: infra.Unknown, Op: "upkeep"})
+		default:
+			scheduler.core.ApplyHostOrderResult(order, s.executeHostOrder(scheduler, order, false))
 		}
 		return recorded
 	})
 }
 
 // executeHostOrder takes a host down for maintenance. It checks that the order doesn't follow an order of
-// another term within simHolderChangeGap, and that the wave doesn't take down more hosts than it may.
-func (s *sim) executeHostOrder(scheduler *simScheduler, order HostOrder) error {
+// another term within simHolderChangeGap, and that the wave doesn't take down more hosts than it may. An order that is
+// carried out late was held up, and only has to keep to the limit of the wave.
+func (s *sim) executeHostOrder(scheduler *simScheduler, order HostOrder, late bool) error {
 	refuse := func(kind infra.ErrorKind) error { return &infra.Error{Kind: kind, Op: "upkeep"} }
 	h := s.host(order.Host)
 	switch {
-	case s.now-scheduler.confirmedAt > simMaxConfirmationAge:
+	case !late && s.now-scheduler.confirmedAt > simMaxConfirmationAge:
 		return refuse(infra.Refused)
 	case scheduler.term < h.highestToken:
 		return refuse(infra.Fenced)
 	case h.completedWaves[order.Wave]:
 		return nil
 	}
-	if h.lastTerm > 0 && h.lastTerm != scheduler.term && s.now-h.orderedAt < simHolderChangeGap {
+	if !late && h.lastTerm > 0 && h.lastTerm != scheduler.term && s.now-h.orderedAt < simHolderChangeGap {
 		s.t.Fatalf("%s: term %d orders %s only %s after term %d", s.now, scheduler.term, order.Host, s.now-h.orderedAt, h.lastTerm)
 	}
 	h.highestToken, h.lastTerm, h.orderedAt = scheduler.term, scheduler.term, s.now
@@ -124,7 +130,9 @@
 			continue
 		}
 		for id, r := range w.running {
-			s.checkAvailabilityBudget(id, r, "maintenance")
+			if !late {
+				s.checkAvailabilityBudget(id, r, "maintenance")
+			}
 		}
 		w.up = false
 	}
@@ -250,6 +258,18 @@
 	})
 }
 
+// Guards against a wave that takes down more hosts than it may because an order of an earlier term is carried out seconds
+// late.
+func TestWaveWithLateOrdersWhileTheSchedulerIsKilled(t *testing.T) {
+	simulateWave(t, func(s *sim) { s.delayedHostOrderShare = 0.3 }, func(s *sim, second int) {
+		if second%7 == 6 {
+			s.leader().ended = true
+			s.advance(time.Duration(s.rng.IntN(1500)) * time.Millisecond)
+			s.takeOver()
+		}
+	})
+}
+
 // Guards against the same faults as TestWaveWhileTheSchedulerIsKilled when the log takes no records before the
 // change of term, so that the last orders aren't recorded.
 func TestWaveWhileTheLogRefusesTheScheduler(t *testing.T) {
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -248,6 +248,8 @@
 	// or seconds late, delayedRenewalShare is the share of lease renewals that are executed seconds late, and
 	// failedRunShare is the share of runs that fail.
 	lostResponseShare, delayedOrderShare, delayedRenewalShare, failedRunShare float64
+	// delayedHostOrderShare is the share of orders to hosts that have no response and are carried out up to maxCallDelay later.
+	delayedHostOrderShare float64
 	// delayedActions are the functions that run at a later time.
 	delayedActions []simAction
 	// stopTime is how long a stop takes, and listDown is set while the list of workers can't be read.
