--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -49,6 +49,22 @@
 	lateMoveUntil map[string]time.Duration
 	// idleSince holds, by host, when an idle host became idle.
 	idleSince map[string]time.Duration
+	// records is the number of records of waves and host orders of this term, and durableRecords that of those that are
+	// durable. durableChanged is closed, and replaced, when more of them are.
+	records, durableRecords int64
+	durableChanged          chan struct{}
+	// orderRecords holds, by host, the number of the record of the last order.
+	orderRecords map[string]int64
+}
+
+// noteDurable records that the first records of this term are durable, as many as given.
+func (f *fleetState) noteDurable(records int64) {
+	if records == f.durableRecords {
+		return
+	}
+	f.durableRecords = records
+	close(f.durableChanged)
+	f.durableChanged = make(chan struct{})
 }
 
 // moveOrder is an order to move a host to a pool.
@@ -67,7 +83,8 @@
 
 func newFleetState() fleetState {
 	return fleetState{hosts: map[string]infra.Host{}, byWorker: map[string]string{}, waves: map[int64]*wave{}, pendingMaintenance: map[string]bool{},
-		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, lateMoveUntil: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{}}
+		moves: map[string]*moveOrder{}, idleSince: map[string]time.Duration{}, lateMoveUntil: map[string]time.Duration{}, heldBackUntil: map[string]time.Duration{},
+		durableChanged: make(chan struct{}), orderRecords: map[string]int64{}}
 }
 
 // awaitsMaintenance reports whether the worker's host still has to go down in a wave.
@@ -95,15 +112,17 @@
 	for _, record := range records {
 		if host, ok := strings.CutPrefix(record.Key, hostOrderPrefix); ok && record.Value != nil {
 			var body hostOrderRecord
-			delay := c.options.HostOrderDelay
+			sinceOrder := time.Duration(0)
 			if err := cbor.Unmarshal(record.Value, &body); err != nil {
 				c.logger.WithFields(logrus.Fields{"event": "host_record_skipped", "key": record.Key}).WithError(err).Error("can't decode the record of a host order; the host gets no orders for the full delay")
 			} else {
 				// The difference is limited before the subtractions, since it is that of any two times.
-				sinceOrder := max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs))) - maxClockSkew
-				delay -= min(max(0, sinceOrder), delay)
+				sinceOrder = max(0, max(0, c.wallClock().Sub(time.UnixMilli(body.AtMs)))-maxClockSkew)
+			}
+			c.fleet.heldBackUntil[host] = c.clock() + max(0, c.options.HostOrderDelay-sinceOrder)
+			if body.Wave > 0 {
+				c.waveByID(body.Wave).lateOrderUntil[host] = c.clock() + max(0, maxCallDelay-sinceOrder)
 			}
-			c.fleet.heldBackUntil[host] = c.clock() + delay
 			continue
 		}
 		name, ok := strings.CutPrefix(record.Key, wavePrefix)
@@ -213,7 +232,8 @@
 }
 
 // PlanHosts cordons and drains the hosts that are next in a wave, and plans the sizes of the pools. It
-// returns the orders to hosts, and the states of waves to publish.
+// returns the orders to hosts, and the states of waves to publish. An order may be sent once HostOrderRecorded. That a wave
+// has completed is published once it is recorded, since a later term would take the wave up again.
 func (c *Core) PlanHosts() ([]HostOrder, []WaveStateChange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -229,7 +249,7 @@
 			orders = append(orders, c.planWave(w, now)...)
 		}
 		state := infra.WaveRunning
-		if w.completed {
+		if w.completed && w.record <= c.fleet.durableRecords {
 			state = infra.WaveCompleted
 		}
 		if w.publishedState != state {
@@ -242,7 +262,7 @@
 	}
 	orders = append(orders, c.planPoolSizes(now)...)
 	for _, order := range orders {
-		c.recordHostOrder(order.Host)
+		c.recordHostOrder(order)
 	}
 	return orders, changes
 }
@@ -260,17 +280,34 @@
 // still regard the term that gave the order as the host's controller, and later terms give the host no order.
 type hostOrderRecord struct {
 	AtMs int64 `cbor:"1,keyasint"`
+	// Wave is that of HostOrder.
+	Wave int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// recordHostOrder adds the record of an order to the host, given now, to the next batch.
-func (c *Core) recordHostOrder(host string) {
-	value, err := recordEncoding.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli()})
+// recordHostOrder adds the record of an order to a host, given now, to the next batch.
+func (c *Core) recordHostOrder(order HostOrder) {
+	value, err := recordEncoding.Marshal(hostOrderRecord{AtMs: c.wallClock().UnixMilli(), Wave: order.Wave})
 	if err != nil {
-		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
+		c.logger.WithFields(logrus.Fields{"event": "host_order_unencodable", "host": order.Host}).WithError(err).Error("can't encode the record of a host order; the order stays unrecorded")
 		return
 	}
-	c.pendingRecords = append(c.pendingRecords, infra.Record{Key: hostOrderPrefix + host, Value: value})
+	c.fleet.orderRecords[order.Host] = c.addFleetRecord(infra.Record{Key: hostOrderPrefix + order.Host, Value: value})
+}
+
+// addFleetRecord adds a record of a wave or a host order to the next batch, and returns its number.
+func (c *Core) addFleetRecord(record infra.Record) int64 {
+	c.pendingRecords = append(c.pendingRecords, record)
+	c.fleet.records++
 	c.wakeUp()
+	return c.fleet.records
+}
+
+// HostOrderRecorded reports whether the last order to the host is durable, so that a later term knows of it. Otherwise
+// changed is closed when more records are.
+func (c *Core) HostOrderRecorded(host string) (recorded bool, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fleet.orderRecords[host] <= c.fleet.durableRecords, c.fleet.durableChanged
 }
 
 // ApplyHostOrderResult applies the result of an order to a host.
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -201,6 +201,8 @@
 	commitDueAt time.Duration
 	// sentAt is when batch was sent to the log, and confirmedAt is when the last committed batch was sent.
 	confirmedAt, sentAt time.Duration
+	// hostOrders are the orders to hosts that haven't been sent yet.
+	hostOrders []HostOrder
 }
 
 // sim is a simulated fleet with a log, workers and successive schedulers, on a simulated clock.
@@ -246,6 +248,8 @@
 	// or seconds late, delayedRenewalShare is the share of lease renewals that are executed seconds late, and
 	// failedRunShare is the share of runs that fail.
 	lostResponseShare, delayedOrderShare, delayedRenewalShare, failedRunShare float64
+	// delayedHostOrderShare is the share of orders to hosts that have no response and are carried out up to maxCallDelay later.
+	delayedHostOrderShare float64
 	// delayedActions are the functions that run at a later time.
 	delayedActions []simAction
 	// stopTime is how long a stop takes, and listDown is set while the list of workers can't be read.
@@ -441,6 +445,7 @@
 		}
 	}
 	s.commitBatch(scheduler)
+	s.sendHostOrders(scheduler)
 }
 
 // sendRenewal sends a lease renewal to a worker, and passes the result to the core.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -8,6 +8,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,9 @@
 	// maxHostOrderConfirmationAge is how long after its last confirmed append a term may still send orders to
 	// hosts.
 	maxHostOrderConfirmationAge = time.Second
+	// maxHostOrderAge is how long after it was planned an order to a host may still be sent. It is below the margin of
+	// scheduler.Options.HostOrderDelay.
+	maxHostOrderAge = time.Second
 	// hostPlanInterval is the pause between reads of the list of hosts, each of which is followed by the orders to hosts
 	// that are then planned. After a read that takes long, the pause is hostPauseFactor times as long as the read, up to
 	// maxHostPlanInterval: the list grows with the fleet, and the calls to workers share the link with it.
@@ -57,9 +61,11 @@
 	termKey = "term"
 )
 
-// WaveStatus publishes the state of waves to operators.
+// WaveStatus encodes the states of waves that are published to operators.
 type WaveStatus interface {
-	PutWave(ctx context.Context, wave int64, state infra.WaveState) error
+	// Topic returns the topic of the log on which the states are published.
+	Topic() string
+	Record(wave int64, state infra.WaveState) infra.Record
 }
 
 // Config holds the dependencies and settings of sessions. It is shared by the sessions of all terms.
@@ -92,11 +98,15 @@
 // session is the state of the scheduler process during one term. Its core is used in this term only.
 type session struct {
 	Config
-	term      int64
-	core      *scheduler.Core
-	writer    *journal.Writer
-	startedAt time.Duration
-	stages    stages
+	term   int64
+	core   *scheduler.Core
+	writer *journal.Writer
+	// statusWriter publishes the states of waves. Like writer, its first append of a term fences earlier terms: a state
+	// that one of them sent may arrive late. publishing is set while an append of it is in progress.
+	statusWriter *journal.Writer
+	publishing   atomic.Bool
+	startedAt    time.Duration
+	stages       stages
 	// endTerm ends the term because of an error.
 	endTerm context.CancelCauseFunc
 	// stops and paces hold the orders of these kinds that wait to be sent.
@@ -118,6 +128,10 @@
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.LogLimits, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
+	if config.Status != nil {
+		topic := config.Status.Topic()
+		s.statusWriter = journal.New(config.Log, topic, term, config.LogLimits, config.Clock, logger.WithField("topic", topic))
+	}
 	s.Logger = logger
 	s.stages = newStages(config.Usage)
 	logger.WithField("event", "term_started").Info("this process is now the scheduler")
@@ -363,10 +377,16 @@
 	return s.Clock()-s.writer.ConfirmedAt() <= maxHostOrderConfirmationAge
 }
 
-// orderHost sends one order to a host, unless the last confirmed append of the term is too old: a later term
-// may have started by then. The later term waits before its own first order, so that the two terms don't
-// alternate as the host's controller.
-func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder) error {
+// errHostOrderLate is the outcome of an order to a host that isn't sent since it wasn't recorded in time.
+var errHostOrderLate = &infra.Error{Kind: infra.Refused, Op: "order", Detail: "the order wasn't recorded in time, and wasn't sent"}
+
+// orderHost sends one order to a host once it is recorded, unless the order or the last confirmed append of the term is too
+// old by then: a later term may have started. The later term waits before its own first order to that host, counted from
+// the time in the record, so that the two terms don't alternate as the host's controller.
+func (s *session) orderHost(ctx context.Context, order scheduler.HostOrder, plannedAt time.Duration) error {
+	if s.awaitHostOrderRecord(ctx, order.Host) != nil || s.Clock()-plannedAt > maxHostOrderAge {
+		return errHostOrderLate
+	}
 	if !s.mayOrderHosts() {
 		return errTermUnconfirmed
 	}
@@ -376,6 +396,21 @@
 	return s.Hosts.StartMaintenance(ctx, order.Host, order.Wave, s.term)
 }
 
+// awaitHostOrderRecord waits until the last order to the host is recorded.
+func (s *session) awaitHostOrderRecord(ctx context.Context, host string) error {
+	for {
+		recorded, changed := s.core.HostOrderRecorded(host)
+		if recorded {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // manageHosts carries out maintenance waves and moves hosts between pools, every hostPlanInterval or less often.
 func (s *session) manageHosts(ctx context.Context, group *errgroup.Group) error {
 	for ctx.Err() == nil {
@@ -396,23 +431,41 @@
 		s.Logger.WithField("event", "hosts_unlisted").WithError(err).Warn("can't read the list of hosts; maintenance waves and host moves wait until it can be read")
 		return readTime
 	}
+	plannedAt := s.Clock()
 	orders, waveChanges := s.planHosts(hosts, requestedAt)
 	for _, order := range orders {
 		s.goGuarded(group, func() error {
-			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order))
+			s.core.ApplyHostOrderResult(order, s.orderHost(ctx, order, plannedAt))
 			return nil
 		})
 	}
-	for _, change := range waveChanges {
-		if err := s.Status.PutWave(ctx, change.Wave, change.State); err != nil {
-			s.Logger.WithFields(logrus.Fields{"event": "wave_state_unwritten", "wave": change.Wave}).WithError(err).Warn("can't publish the state of a wave; trying again")
-			continue
-		}
-		s.core.WaveStatePublished(change)
-	}
+	s.publishWaves(ctx, group, waveChanges)
 	return readTime
 }
 
+// publishWaves publishes changes of waves in one append, without waiting for it. While an append is in progress it does
+// nothing: the core plans the changes again. A refused append ends the term.
+func (s *session) publishWaves(ctx context.Context, group *errgroup.Group, changes []scheduler.WaveStateChange) {
+	if len(changes) == 0 || !s.publishing.CompareAndSwap(false, true) {
+		return
+	}
+	s.goGuarded(group, func() error {
+		defer s.publishing.Store(false)
+		var records []infra.Record
+		for _, change := range changes {
+			records = append(records, s.Status.Record(change.Wave, change.State))
+		}
+		// States that the log never accepts aren't published again.
+		if _, err := s.statusWriter.Append(ctx, records); err != nil {
+			return err
+		}
+		for _, change := range changes {
+			s.core.WaveStatePublished(change)
+		}
+		return nil
+	})
+}
+
 // planHosts passes the list of hosts that was requested at the given time to the core, and returns the orders and the
 // changes of waves that it plans.
 func (s *session) planHosts(hosts []infra.Host, requestedAt time.Duration) ([]scheduler.HostOrder, []scheduler.WaveStateChange) {
