--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -59,7 +61,11 @@
 }
 
 func (l localService) Submit(ctx context.Context, request *peer.SubmitRequest) (*peer.OutcomeResponse, error) {
-	return awaitOutcome(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.Submit(request.Job, outcomes) })
+	timeLeft := time.Duration(math.MaxInt64)
+	if deadline, limited := ctx.Deadline(); limited {
+		timeLeft = time.Until(deadline)
+	}
+	return awaitOutcome(ctx, func(outcomes chan<- scheduler.Outcome) { l.core.SubmitWithin(request.Job, timeLeft, outcomes) })
 }
 
 func (l localService) Cancel(ctx context.Context, request *peer.CancelRequest) (*peer.OutcomeResponse, error) {
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Reads of what isn't there are linearizable: a statement that there is no such job holds only if no later term has changed
 // the state without this one knowing. Its answer waits for an append of this term that is sent after the question arrived,
@@ -10,6 +13,14 @@
 // maxPendingAge is how old the state may be from which pending jobs are counted. Callers allow for 2 s.
 const maxPendingAge = 2 * time.Second
 
+const (
+	// maxRejectionWait is how long a rejection waits for its append, which takes some milliseconds unless the log is slow.
+	maxRejectionWait = 50 * time.Millisecond
+	// rejectionMargin is the time that a caller must have left for its rejection to wait: rejections that have waited long
+	// enough are sent with a delay. A caller whose time has passed can only be told that the outcome isn't known.
+	rejectionMargin = maxRejectionWait + 100*time.Millisecond
+)
+
 // longestUnconfirmedRun is how long after the last confirmed append work may still run: until then its leases are extended.
 func (c *Core) longestUnconfirmedRun() time.Duration {
 	return LeaderLease + time.Duration(float64(c.options.Lease)/minClockRate)
@@ -20,6 +31,8 @@
 	waiter chan<- Outcome
 	// send sends the answer to waiter once the append is confirmed. It is called with the lock of the core held.
 	send func()
+	// rejectAt is when a rejection is sent even if no append is confirmed; 0 for other answers.
+	rejectAt time.Duration
 	// tombstone is that of the ID whose cancellation is answered; nil for other answers.
 	tombstone *tombstone
 }
@@ -62,6 +75,19 @@
 	}
 }
 
+// sendOverdueRejections sends the rejections that have waited for maxRejectionWait.
+func (c *Core) sendOverdueRejections(now time.Duration) {
+	for _, answers := range []*[]pendingAnswer{&c.answersInAppend, &c.nextAnswers} {
+		*answers = slices.DeleteFunc(*answers, func(answer pendingAnswer) bool {
+			overdue := answer.rejectAt > 0 && now >= answer.rejectAt
+			if overdue {
+				answer.send()
+			}
+			return overdue
+		})
+	}
+}
+
 // failAnswers sends the outcome instead of all answers that wait for an append. Cancellations that the append in progress
 // records may take effect, and others don't.
 func (c *Core) failAnswers(outcome Outcome) {
--- a/internal/scheduler/stall.go
+++ b/internal/scheduler/stall.go
@@ -23,13 +23,14 @@
 	return c.appendStartedAt > 0 && now-c.appendStartedAt > logStallTimeout
 }
 
-// RejectWaitingRequests rejects the jobs whose records aren't part of any append yet, and answers that wait for an append,
-// if the append in progress has taken longer than logStallTimeout. Such jobs certainly don't run, so that their callers can
+// RejectWaitingRequests sends rejections that have waited too long for an append. If the append in progress has taken longer
+// than logStallTimeout, it rejects the jobs whose records aren't part of any append yet, and fails the answers that wait. Such jobs certainly don't run, so that their callers can
 // submit them again at once, whereas the outcome of the append in progress isn't known.
 func (c *Core) RejectWaitingRequests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
+	c.sendOverdueRejections(now)
 	if !c.logStalled(now) {
 		return
 	}
--- a/internal/scheduler/stall_test.go
+++ b/internal/scheduler/stall_test.go
@@ -78,3 +78,24 @@
 	assert.Equal(t, awaitedOutcome(t, written).Kind, OutcomeUnknown)
 	assert.Equal(t, awaitedOutcome(t, unwritten).Kind, OutcomeTermOver)
 }
+
+// Guards against rejections that wait for a slow log until their callers' time has passed, so that these are told an unknown
+// outcome.
+func TestRejectionsDoNotWaitForASlowLog(t *testing.T) {
+	tc := newTestCore(1)
+	tc.addWorker(1, 8)
+	written := tc.submitAsync("written")
+	batch := tc.Collect()
+	tc.ObserveDelay(maxDelay + time.Millisecond)
+	rejected := tc.submitAsync("rejected")
+	tc.RejectWaitingRequests()
+	assert.Equal(t, len(rejected), 0, "the rejection isn't confirmed yet")
+	tc.now += maxRejectionWait
+	tc.RejectWaitingRequests()
+	assert.Equal(t, awaitedOutcome(t, rejected).Kind, OutcomeRejected)
+	late := make(chan Outcome, 1)
+	tc.SubmitWithin(&work.Job{ID: "late", Queue: tc.config.Queues[0], Steps: []work.Step{{Count: 1}}}, 20*time.Millisecond, late)
+	assert.Equal(t, awaitedOutcome(t, late).Kind, OutcomeRejected)
+	tc.Committed(&batch)
+	assert.Equal(t, awaitedOutcome(t, written).Kind, OutcomeDone)
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,11 @@
 // Submit submits a job. It is idempotent: a job with a known ID isn't added again. The outcome is sent to waiter: an
 // acceptance when it is durable, and a rejection when it is certain that no later term has accepted the job.
 func (c *Core) Submit(def *work.Job, waiter chan<- Outcome) {
+	c.SubmitWithin(def, math.MaxInt64, waiter)
+}
+
+// SubmitWithin is Submit for a caller that has the given time left.
+func (c *Core) SubmitWithin(def *work.Job, timeLeft time.Duration, waiter chan<- Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -28,7 +34,7 @@
 		return
 	}
 	if c.tombstones.byID[def.ID] != nil && !c.logStalled(c.clock()) && c.isRecordable(def) {
-		c.submitCancelled(def, waiter)
+		c.submitCancelled(def, timeLeft, waiter)
 		return
 	}
 	if !c.isRecordable(def) || c.exceedsMemory(def) {
@@ -44,7 +50,7 @@
 		c.metrics.jobRejected("busy")
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": "busy",
 			"delay_ms": c.delay.Milliseconds()}).Info("job rejected: this process is too far behind")
-		c.rejectAsBusy(def.ID, now, waiter)
+		c.rejectAsBusy(def.ID, now, timeLeft, waiter)
 		return
 	}
 	if c.logStalled(now) {
@@ -57,7 +63,7 @@
 		c.metrics.jobRejected(decision.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": decision.reason,
 			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).Info("job rejected")
-		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: decision.retryAfter, Reason: decision.reason}, waiter)
+		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: decision.retryAfter, Reason: decision.reason}, timeLeft, waiter)
 		return
 	}
 	j := newJob(def)
@@ -95,27 +101,31 @@
 	}
 }
 
-// rejectOnceConfirmed sends the rejection once it is confirmed, unless the job has been accepted by then: its caller may
-// have submitted it more than once.
-func (c *Core) rejectOnceConfirmed(id string, rejection Outcome, waiter chan<- Outcome) {
-	c.answerOnceConfirmed(waiter, func() {
+// rejectOnceConfirmed sends the rejection once it is confirmed, or has waited for maxRejectionWait, unless the job has been
+// accepted by then: its caller may have submitted it more than once. A caller that has little time left doesn't wait.
+func (c *Core) rejectOnceConfirmed(id string, rejection Outcome, timeLeft time.Duration, waiter chan<- Outcome) {
+	if timeLeft < rejectionMargin {
+		waiter <- rejection
+		return
+	}
+	c.addAnswer(pendingAnswer{waiter: waiter, rejectAt: c.clock() + maxRejectionWait, send: func() {
 		if j := c.jobs[id]; j != nil {
 			c.joinSubmission(j, waiter)
 			return
 		}
 		waiter <- rejection
-	})
+	}})
 }
 
 // rejectAsBusy rejects a job since this process is too far behind. If the append in progress is overdue for that reason, the
 // caller doesn't wait for it.
-func (c *Core) rejectAsBusy(id string, now time.Duration, waiter chan<- Outcome) {
+func (c *Core) rejectAsBusy(id string, now, timeLeft time.Duration, waiter chan<- Outcome) {
 	rejection := Outcome{Kind: OutcomeRejected, RetryAfter: busyRetryAfter, Reason: "busy"}
 	if c.logStalled(now) {
 		waiter <- rejection
 		return
 	}
-	c.rejectOnceConfirmed(id, rejection, waiter)
+	c.rejectOnceConfirmed(id, rejection, timeLeft, waiter)
 }
 
 // offeredJobRetention is how long offeredJobs keeps a job. Callers retry a rejected job for a few seconds
--- a/internal/scheduler/tombstone.go
+++ b/internal/scheduler/tombstone.go
@@ -131,10 +131,10 @@
 }
 
 // submitCancelled adds a job whose cancellation came before it. It is kept like any cancelled job.
-func (c *Core) submitCancelled(def *work.Job, waiter chan<- Outcome) {
+func (c *Core) submitCancelled(def *work.Job, timeLeft time.Duration, waiter chan<- Outcome) {
 	now := c.clock()
 	if !c.hasMemoryFor(definitionBytes(def)) {
-		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: memoryRetryAfter, Reason: "memory"}, waiter)
+		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: memoryRetryAfter, Reason: "memory"}, timeLeft, waiter)
 		return
 	}
 	def.Accepted = c.wallClock()
