--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -16,7 +16,8 @@
 const busyRetryAfter = time.Second
 
 // Submit submits a job. It is idempotent: a job with a known ID isn't added again. The outcome is sent to waiter: an
-// acceptance when it is durable, and a rejection when it is certain that no later term has accepted the job.
+// acceptance when it is durable, and a rejection when it is certain that no later term has accepted the job, unless that takes
+// too long.
 func (c *Core) Submit(def *work.Job, waiter chan<- Outcome) {
 	c.SubmitWithin(def, math.MaxInt64, waiter)
 }
--- a/internal/session/answers_test.go
+++ b/internal/session/answers_test.go
@@ -82,15 +82,22 @@
 // the log.
 func (f *answeringFleet) lead(ctx context.Context, term int64) (peer.Service, *severedLog) {
 	log := &severedLog{Log: f.log}
+	service, _ := f.leadOver(ctx, term, log, 0)
+	return service, log
+}
+
+// leadOver is lead with a given access to the log, which takes at most callBytes in one append; 0 means no limit. It also
+// returns the core.
+func (f *answeringFleet) leadOver(ctx context.Context, term int64, log infra.Log, callBytes int) (service peer.Service, core *scheduler.Core) {
 	config := newTestConfig(f.workers, f.begin, answersQueue)
-	config.Log = log
+	config.Log, config.LogLimits.Call = log, callBytes
 	process := &entry.Entry{Logger: config.Logger}
 	configure := config.ConfigureCore
-	config.AttachCore = func(core *scheduler.Core) { process.AttachCore(core); configure(core) }
+	config.AttachCore = func(attached *scheduler.Core) { core = attached; process.AttachCore(attached); configure(attached) }
 	config.DetachCore = process.DetachCore
 	go Run(ctx, config, term)
 	synctest.Wait()
-	return process.PeerService(), log
+	return process.PeerService(), core
 }
 
 func answersJob(id string) *peer.SubmitRequest {
@@ -209,19 +216,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := contextOfSessions(t)
 		f := newAnsweringFleet()
-		config := newTestConfig(f.workers, f.begin, answersQueue)
-		config.Log = f.log
-		process := &entry.Entry{Logger: config.Logger}
-		var core *scheduler.Core
-		configure := config.ConfigureCore
-		config.AttachCore = func(c *scheduler.Core) { core = c; process.AttachCore(c); configure(c) }
-		config.DetachCore = process.DetachCore
-		go Run(ctx, config, 1)
-		synctest.Wait()
+		former, core := f.leadOver(ctx, 1, f.log, 0)
 		successor, _ := f.lead(ctx, 2)
 		submitDone(t, successor, "job")
 		core.ObserveDelay(time.Second)
-		response, err := process.PeerService().Submit(t.Context(), answersJob("job"))
+		response, err := former.Submit(t.Context(), answersJob("job"))
 		assert.Check(t, err != nil || response.Kind != scheduler.OutcomeRejected, "an accepted job was rejected (%s)", responseReason(response))
 	})
 }
@@ -247,16 +246,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := contextOfSessions(t)
 		f := newAnsweringFleet()
-		config := newTestConfig(f.workers, f.begin, answersQueue)
-		config.Log = &tornLog{severedLog: severedLog{Log: f.log}, definition: "d/job"}
-		config.LogLimits.Call = 64
-		process := &entry.Entry{Logger: config.Logger}
-		configure := config.ConfigureCore
-		config.AttachCore = func(c *scheduler.Core) { process.AttachCore(c); configure(c) }
-		config.DetachCore = process.DetachCore
-		go Run(ctx, config, 1)
-		synctest.Wait()
-		former := process.PeerService()
+		former, _ := f.leadOver(ctx, 1, &tornLog{severedLog: severedLog{Log: f.log}, definition: "d/job"}, 64)
 		cancelled, err := former.Cancel(t.Context(), &peer.CancelRequest{Job: "job"})
 		assert.NilError(t, err)
 		assert.Equal(t, cancelled.Kind, scheduler.OutcomeNotFound)
