Add a policy file for the scheduling rules of a deployment

New scheduling rules must take effect only where a deployment asks for them, and the platform's settings file has no field for them. No rule is implemented yet.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericyoke/internal/policy"
 	"turmericyoke/platform"
 )
 
@@ -25,6 +26,7 @@
 // environment variable.
 func newCommand() *cobra.Command {
 	var checkOnly bool
+	var policyPath string
 	cmd := &cobra.Command{
 		Use: "entry", Short: "Serve callers, and schedule the fleet while this process is the leader", Version: version,
 		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
@@ -33,13 +35,18 @@
 			if err != nil {
 				return err
 			}
+			rules, err := policy.Load(policyPath)
+			if err != nil {
+				return err
+			}
 			if checkOnly {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			return run(cmd.Context(), settings, os.Stdout)
+			return run(cmd.Context(), settings, rules, os.Stdout)
 		},
 	}
 	cmd.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings file named by "+platform.SettingsVariable+", and exit")
+	cmd.Flags().StringVar(&policyPath, "policy", "", "policy file, which chooses scheduling rules; without it, all rules have their defaults")
 	return cmd
 }
--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -25,6 +25,7 @@
 	"turmericyoke/internal/entry/peer"
 	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/policy"
 	"turmericyoke/internal/relay"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/session"
@@ -76,6 +77,7 @@
 // process holds the components of a running entry process.
 type process struct {
 	settings *platform.Settings
+	policy   policy.Policy
 	logger   *logrus.Entry
 	entry    *entry.Entry
 	elector  *election.Elector
@@ -94,7 +96,7 @@
 }
 
 // run starts all components and serves until SIGTERM or an interrupt.
-func run(_ context.Context, settings *platform.Settings, out io.Writer) error {
+func run(_ context.Context, settings *platform.Settings, rules policy.Policy, out io.Writer) error {
 	signals := catchSignals()
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(settings.Limits.MemoryMb) * (1 << 20)))
@@ -109,7 +111,7 @@
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
-	p := &process{settings: settings, logger: logger, signals: signals, group: &leavableGroup{Group: services.Group}}
+	p := &process{settings: settings, policy: rules, logger: logger, signals: signals, group: &leavableGroup{Group: services.Group}}
 	p.peerCalls = usage.Stage("peer")
 	p.terms, p.endTerms = context.WithCancel(context.Background())
 	defer p.endTerms()
@@ -126,6 +128,7 @@
 			HostMoveTime:      platform.Seconds(settings.Bounds.MoveS),
 			HostOrderDelay:    platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
 			MaxStateBytes:     int64(stateFraction * float64(settings.Limits.MemoryMb) * (1 << 20)),
+			Policy:            rules,
 		},
 		ConfigureCore: p.entry.ConfigureCore, AttachCore: p.entry.AttachCore, DetachCore: p.entry.DetachCore, Usage: usage,
 	}
@@ -143,7 +146,7 @@
 		session.Run(ctx, config, term)
 	}
 	p.elector.Eligible = func() bool { return !p.draining.Load() && p.entry.Config() != nil }
-	logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": incarnation, "listen": settings.Listen.Front}).Info("entry started")
+	logger.WithFields(logrus.Fields{"event": "started", "version": version, "incarnation": incarnation, "listen": settings.Listen.Front, "predictions": rules.Predictions.By, "overload": rules.Overload.Order, "placement": rules.Zones.Placement, "readiness": rules.Zones.Readiness}).Info("entry started")
 	err := p.serve(registry)
 	logger.WithField("event", "stopped").WithError(err).Info("entry stopped")
 	return err
--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -28,6 +28,7 @@
 	"turmericyoke/internal/entry/peer"
 	"turmericyoke/internal/infra"
 	"turmericyoke/internal/infra/infratest"
+	"turmericyoke/internal/policy"
 	"turmericyoke/internal/relay"
 	"turmericyoke/internal/scheduler"
 	"turmericyoke/internal/work"
@@ -280,7 +281,7 @@
 	settings := &platform.Settings{PortRange: []int{7000, 7015}}
 	settings.Limits.MemoryMb = 1000
 	settings.Listen.Front = "no address"
-	assert.ErrorContains(t, run(t.Context(), settings, io.Discard), "no address")
+	assert.ErrorContains(t, run(t.Context(), settings, policy.Policy{}, io.Discard), "no address")
 	for _, sent := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
 		assert.NilError(t, syscall.Kill(os.Getpid(), sent))
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -9,6 +9,7 @@
 	"turmericyoke/internal/boottime"
 	"turmericyoke/internal/infra"
 	"turmericyoke/internal/periodic"
+	"turmericyoke/internal/policy"
 	"turmericyoke/internal/work"
 )
 
@@ -62,6 +63,8 @@
 	MaxRecordBytes int
 	// MaxStateBytes limits the size of the state of all jobs in memory; 0 means no limit.
 	MaxStateBytes int64
+	// Policy holds the rules that operators chose for the deployment.
+	Policy policy.Policy
 }
 
 // OrderKind is the action that an order requests.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,10 +31,10 @@
 known_red='^TestReplacedLeaderDoesNotPromiseThatAnAcceptedJobNeverRuns$'
 go test -race -timeout 20m -skip "$known_red" $packages
 
-# Builds with the command in the deploy file, and checks that the program accepts the example settings.
+# Builds with the command in the deploy file, and checks that the program accepts the example settings and the policy.
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
 bash -c "$build"
-TURMERICYOKE_NODE_FILE=examples/platform/node.toml target/entry --check-config
+TURMERICYOKE_NODE_FILE=examples/platform/node.toml target/entry --policy deploy/policy.yaml --check-config
 
 if [ -s KNOWN-RED.txt ]; then
   echo "known to fail:" && cat KNOWN-RED.txt
