Start nothing on workers of evacuated zones

Cause: operators can request the evacuation of an availability zone. The scheduler knew no such request and went on starting work there.

Change: Core.SetEvacuations holds the set of evacuated zones. Workers of these zones count as leaving, so that they are no candidates, get no trials and no starts (isCandidate, mayProbe, LeaseForStart). Lasting items are moved within their budgets and only while another zone has room. Hosts of the zone aren't moved into pools, don't count in pool sizes, supply and admission control, and are the first that maintenance takes. Jobs of a pool with evacuated workers only are rejected with the reason "evacuated".

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -139,6 +139,9 @@
 		return admission{accepted: true}
 	}
 	supply, cores := c.supplyOf(def.Queue.Pool, now)
+	if cores <= 0 && c.isEvacuated(def.Queue.Pool) {
+		return admission{reason: evacuatedReason, retryAfter: evacuationRetryAfter}
+	}
 	if cores <= 0 {
 		// The workers of the pool aren't known yet, as right after the start of a term.
 		return admission{accepted: true}
@@ -158,7 +161,7 @@
 func (c *Core) standbyCores() float64 {
 	milli := int64(0)
 	for _, host := range c.fleet.hosts {
-		if c.inStandby(host) {
+		if c.inStandby(host) && !c.evacuations.covers(host.Zone) {
 			milli += host.Capacity.CPUMilli
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -129,8 +129,9 @@
 	return w.listed && w.hasReported && !w.leaves() && !w.vacating && w.failedRenewals == 0
 }
 
-// leaves reports whether the worker has ended, drains, or is on a host that is about to go down or to move.
-func (w *worker) leaves() bool { return w.ended || w.entry.Draining || w.cordoned }
+// leaves reports whether the worker has ended, drains, is in an evacuated zone, or is on a host that is about to go down or
+// to move.
+func (w *worker) leaves() bool { return w.ended || w.entry.Draining || w.cordoned || w.evacuated }
 
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
 // is set, and the others otherwise.
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -157,9 +157,10 @@
 	return c.config.Pools[host.Pool].Standby && host.State == infra.HostUp
 }
 
-// movable reports whether no order to the host is in progress, and no earlier term ordered it recently.
+// movable reports whether the host is in no evacuated zone, no order to it is in progress, and no earlier term ordered it
+// recently.
 func (c *Core) movable(id string, now time.Duration) bool {
-	return c.fleet.moves[id] == nil && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
+	return c.fleet.moves[id] == nil && !c.evacuations.covers(c.fleet.hosts[id].Zone) && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
 }
 
 // maintenanceInFlight reports whether an order to take the host down for maintenance is in flight.
@@ -209,7 +210,7 @@
 		load := byName[pool]
 		// A host that is down for maintenance, or soon will be, doesn't count: it runs nothing until it is back.
 		unavailable := host.State == infra.HostDown || host.State == infra.HostMaintenance || c.drainingForWave(id)
-		if load == nil || unavailable {
+		if load == nil || unavailable || c.isEvacuatedHost(id, host, load) {
 			continue
 		}
 		load.hosts++
--- a/internal/scheduler/startqueue.go
+++ b/internal/scheduler/startqueue.go
@@ -61,6 +61,7 @@
 
 // setStartQueue sets the start queue of a worker whose zone may have changed.
 func (c *Core) setStartQueue(w *worker) {
+	w.evacuated = c.evacuations.covers(w.entry.Zone)
 	former, queue := w.startQueue, c.startQueueOf(w.entry.Zone)
 	if former == queue {
 		return
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -167,11 +167,11 @@
 	return append(repeated, c.drainHosts(w, candidates, w.MaxDown-down)...)
 }
 
-// drainHosts drains as many candidates as may go down now or soon: cordoned hosts first, then those with
-// the fewest items. It returns the maintenance orders for at most mayGoDown hosts on which nothing runs.
+// drainHosts drains as many candidates as may go down now or soon: hosts of evacuated zones first, then cordoned ones,
+// then those with the fewest items. It returns the maintenance orders for at most mayGoDown hosts on which nothing runs.
 func (c *Core) drainHosts(w *wave, candidates []string, mayGoDown int) []HostOrder {
 	slices.SortStableFunc(candidates, func(a, b string) int {
-		return cmp.Or(compareBool(!w.cordoned[a], !w.cordoned[b]), cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b))
+		return cmp.Or(c.compareEvacuated(a, b), compareBool(!w.cordoned[a], !w.cordoned[b]), cmp.Compare(c.itemsOn(a), c.itemsOn(b)), cmp.Compare(a, b))
 	})
 	var orders []HostOrder
 	for n, id := range candidates {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -102,6 +102,8 @@
 	consecutiveFailures int
 	// cordoned workers get no new work because their host is about to go down or to move.
 	cordoned bool
+	// evacuated workers get no new work because operators requested the evacuation of their availability zone.
+	evacuated bool
 	// vacating workers get no new work because their host is needed in another pool.
 	vacating bool
 	// lowLatencySince is since when the tail latencies of the serving items have been below raiseThreshold, or
--- a/internal/scheduler/workercheck.go
+++ b/internal/scheduler/workercheck.go
@@ -32,6 +32,7 @@
 		w.pauseForStragglers(stragglers, now)
 		w.dropUnansweredStarts(now)
 	}
+	c.moveFromEvacuatedZones(now)
 	c.metrics.unansweredRuns(unanswered.count, unanswered.oldest)
 }
 
