Follow the operators' requests to evacuate zones

Cause: the keys evacuate/ZONE of the operators' topic were ignored.

An update says whether it is the complete set, and up to which offset it was read. Each entry process holds the set with that offset and passes it to the scheduler core. A process that can't read the log gets the set from peers, also without a newer configuration, and applies the one of the highest offset; records that this set includes are skipped when the log can be read again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,8 @@
 	mu sync.Mutex
 	// waves holds all published maintenance waves by ID.
 	waves map[int64]infra.Wave
+	// evacuations holds the evacuated availability zones.
+	evacuations evacuations
 }
 
 // publishedConfig is a configuration with its published encoding.
@@ -104,6 +106,7 @@
 		waves = append(waves, wave)
 	}
 	core.SetWaves(waves)
+	core.SetEvacuations(e.evacuations.names())
 }
 
 // AttachCore makes this process serve requests from core. DetachCore ends that.
@@ -159,9 +162,11 @@
 	for _, wave := range update.Waves {
 		e.waves[wave.ID] = wave
 	}
+	e.applyEvacuations(update)
 	if core := e.core.Load(); core != nil {
 		core.SetConfig(e.Config())
 		core.SetWaves(update.Waves)
+		core.SetEvacuations(e.evacuations.names())
 	}
 }
 
@@ -183,7 +188,11 @@
 	for _, member := range peers[:min(len(peers), maxConfigPeers)] {
 		requests.Go(func() {
 			response, err := e.PeerClients.At(member.Address).Config(ctx, &peer.ConfigRequest{Version: version})
-			if err != nil || len(response.Source) == 0 {
+			if err != nil {
+				return
+			}
+			e.applyPeerEvacuations(member.Name, response)
+			if len(response.Source) == 0 {
 				return
 			}
 			config, err := e.DecodeConfig(response.Source)
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -157,11 +157,13 @@
 	return local.Pending(ctx, request)
 }
 
-// Config implements peer.Service. The response is empty if this process has no newer configuration.
+// Config implements peer.Service. The response has no configuration if this process has no newer one.
 func (s peerServer) Config(_ context.Context, request *peer.ConfigRequest) (*peer.ConfigResponse, error) {
 	published := s.entry.current.Load()
+	response := s.entry.evacuationsForPeer()
 	if published == nil || published.config.Version <= request.Version {
-		return &peer.ConfigResponse{}, nil
+		return response, nil
 	}
-	return &peer.ConfigResponse{Source: published.raw}, nil
+	response.Source = published.raw
+	return response, nil
 }
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -86,6 +86,10 @@
 // ConfigResponse holds the published encoding of the configuration. Source is empty if there is no newer one.
 type ConfigResponse struct {
 	Source []byte
+	// Evacuated are the evacuated availability zones as of EvacuationOffset in the operators' topic, which is 0 if the
+	// process doesn't know them.
+	Evacuated        []string `json:",omitempty"`
+	EvacuationOffset int64    `json:",omitempty"`
 }
 
 // Service is the interface that an entry process offers to other entry processes.
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -177,6 +177,21 @@
 	// RawConfig is the published encoding of Config. Processes that can't reach the log get it from a peer.
 	RawConfig []byte
 	Waves     []Wave
+	// Evacuations are the changes of zone evacuations, in the order of the log. If Complete is set, they are instead all
+	// evacuations in force.
+	Evacuations []EvacuationChange
+	Complete    bool
+	// Offset is the offset in the operators' topic up to which the update was read; 0 if it isn't known. It orders
+	// updates from different processes.
+	Offset int64
+}
+
+// EvacuationChange begins or ends the evacuation of an availability zone.
+type EvacuationChange struct {
+	Zone  string
+	Ended bool
+	// Offset is that of the record in the operators' topic.
+	Offset int64
 }
 
 // Wave is a request for maintenance of a set of hosts.
