Give cold workers only work that warm ones have no room for

Cause: WorkerEntry.WarmupLeft was read and ignored, so that work started on workers that are slow after their start although warm ones were free.

Change: the time counts down from when the entry was read first. A planning cycle places work on warm workers first, and what is left on cold ones, the least urgent first and the warmest first. A pool with cold workers only uses them as before. Nothing changes without workers that report a remaining warm-up time.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -27,6 +27,8 @@
 	overdue bool
 	// probes are further workers that get no work but trials, see mayProbe.
 	probes []*worker
+	// cold are further workers that get only work for which the others have no capacity, see planOnColdWorkers.
+	cold []*worker
 	// onTrial is the number of further workers of the pool, on which trials of earlier cycles are in progress.
 	onTrial int
 	// tooLargeForTrials holds the needs of suspects that fitted on no worker that admits a trial in this cycle.
@@ -59,7 +61,7 @@
 	if p == nil {
 		return 0
 	}
-	return len(p.workers)
+	return len(p.workers) + len(p.cold)
 }
 
 // withinCapacity reports whether the runs on the worker are known to need no more than its capacity, which shrinks
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -44,6 +44,7 @@
 			c.planJob(placeable.job, placeable.pool, false, now)
 		}
 	}
+	c.planOnColdWorkers(held, now)
 }
 
 // countHeld returns the number of ready jobs that are held back if inherited jobs are.
@@ -92,19 +93,24 @@
 // candidatesOf sets pool to the workers of the named pool that may get new work, sorted by ID, and returns it; nil if
 // there are none.
 func (c *Core) candidatesOf(name string, pool *candidatePool, now time.Duration) *candidatePool {
-	*pool = candidatePool{workers: pool.workers[:0], probes: pool.probes[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
+	*pool = candidatePool{workers: pool.workers[:0], probes: pool.probes[:0], cold: pool.cold[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
 	for _, w := range c.workerLists.byPool[name] {
 		probe := c.mayProbe(w, now)
 		switch {
 		case probe && w.trial == nil:
 			pool.probes = append(pool.probes, w)
 		case probe || !c.isCandidate(w, now):
+		case w.trial == nil && w.isCold(now):
+			pool.cold = append(pool.cold, w)
 		case w.trial == nil:
 			pool.add(w)
 		default:
 			pool.onTrial++
 		}
 	}
+	if len(pool.workers) == 0 {
+		pool.admitCold()
+	}
 	if len(pool.workers)+len(pool.probes)+pool.onTrial == 0 {
 		return nil
 	}
@@ -365,6 +371,7 @@
 	if i.avoidedWorker == w {
 		score += avoidedWorkerPenalty
 	}
+	score += w.warmupPenalty(now)
 	if step.def.Lasting && c.fleet.awaitsMaintenance(w.entry.ID) {
 		score += maintenancePenalty
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -104,6 +104,8 @@
 	cordoned bool
 	// evacuated workers get no new work because operators requested the evacuation of their availability zone.
 	evacuated bool
+	// warmAt is until when the worker is slow after its start; 0 if it isn't.
+	warmAt time.Duration
 	// vacating workers get no new work because their host is needed in another pool.
 	vacating bool
 	// lowLatencySince is since when the tail latencies of the serving items have been below raiseThreshold, or
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -43,6 +43,7 @@
 		w = newWorker(entry)
 		w.listed, w.addedAt, w.lastReportAt = true, c.clock(), c.clock()
 		w.leavesAt = w.addedAt + entry.MinTimeLeft
+		w.observeWarmup(entry, w.addedAt)
 		c.addWorker(w)
 		c.logger.WithFields(logrus.Fields{"event": "worker_listed", "worker": entry.ID, "pool": entry.Pool, "zone": entry.Zone, "rack": w.rack}).Info("new worker in the platform's list")
 		return true
@@ -65,6 +66,7 @@
 	if entry.Draining {
 		w.observeTimeLeft(entry, c.clock())
 	}
+	w.observeWarmup(entry, c.clock())
 	moved := entry.Pool != w.entry.Pool
 	if moved {
 		c.workerLists.remove(w)
