--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -44,6 +44,7 @@
 			c.planJob(placeable.job, placeable.pool, false, now)
 		}
 	}
+	c.planOnColdWorkers(held, now)
 }
 
 // countHeld returns the number of ready jobs that are held back if inherited jobs are.
@@ -92,19 +93,24 @@
 // candidatesOf sets pool to the workers of the named pool that may get new work, sorted by ID, and returns it; nil if
 // there are none.
 func (c *Core) candidatesOf(name string, pool *candidatePool, now time.Duration) *candidatePool {
-	*pool = candidatePool{workers: pool.workers[:0], probes: pool.probes[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
+	*pool = candidatePool{workers: pool.workers[:0], probes: pool.probes[:0], cold: pool.cold[:0], tooLarge: pool.tooLarge[:0], tooLargeForTrials: pool.tooLargeForTrials[:0], separateStarts: c.hasRecentCrash(name, now)}
 	for _, w := range c.workerLists.byPool[name] {
 		probe := c.mayProbe(w, now)
 		switch {
 		case probe && w.trial == nil:
 			pool.probes = append(pool.probes, w)
 		case probe || !c.isCandidate(w, now):
+		case w.trial == nil && w.isCold(now):
+			pool.cold = append(pool.cold, w)
 		case w.trial == nil:
 			pool.add(w)
 		default:
 			pool.onTrial++
 		}
 	}
+	if len(pool.workers) == 0 {
+		pool.admitCold()
+	}
 	if len(pool.workers)+len(pool.probes)+pool.onTrial == 0 {
 		return nil
 	}
@@ -129,8 +135,9 @@
 	return w.listed && w.hasReported && !w.leaves() && !w.vacating && w.failedRenewals == 0
 }
 
-// leaves reports whether the worker has ended, drains, or is on a host that is about to go down or to move.
-func (w *worker) leaves() bool { return w.ended || w.entry.Draining || w.cordoned }
+// leaves reports whether the worker has ended, drains, is in an evacuated zone, or is on a host that is about to go down or
+// to move.
+func (w *worker) leaves() bool { return w.ended || w.entry.Draining || w.cordoned || w.evacuated }
 
 // planJob places the waiting work items of the job whose steps are ready to start: those that need a trial if trials
 // is set, and the others otherwise.
@@ -364,6 +371,7 @@
 	if i.avoidedWorker == w {
 		score += avoidedWorkerPenalty
 	}
+	score += w.warmupPenalty(now)
 	if step.def.Lasting && c.fleet.awaitsMaintenance(w.entry.ID) {
 		score += maintenancePenalty
 	}
