Report isolated entry processes as not ready

While a zone is partitioned, its entry processes kept reporting that they were ready, so that callers of the zone got no outcome until the partition ended. With zones.readiness set to isolation, a process that has had no response from the log, the group or a process of another zone for 600 ms reports 503. Other processes are probed only after 350 ms of silence of the log and the group. Without the rule nothing is observed or probed.

Run: go test -race ./internal/entry ./cmd/entry: ok.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -23,6 +23,7 @@
 	"turmericyoke/internal/election"
 	"turmericyoke/internal/entry"
 	"turmericyoke/internal/entry/peer"
+	"turmericyoke/internal/infra"
 	"turmericyoke/internal/journal"
 	"turmericyoke/internal/periodic"
 	"turmericyoke/internal/policy"
@@ -87,6 +88,8 @@
 	relay *relay.Server
 	// peerCalls measures the calls of other entry processes.
 	peerCalls *telemetry.Stage
+	// isolation is nil unless an isolated process reports that it isn't ready.
+	isolation *entry.Isolation
 	// signals receives the signals of catchSignals.
 	signals  <-chan os.Signal
 	draining atomic.Bool
@@ -111,12 +114,22 @@
 	self := settings.GroupMember()
 	incarnation := structs.NewIncarnation(time.Now(), "")
 
-	p := &process{settings: settings, policy: rules, logger: logger, signals: signals, group: &leavableGroup{Group: services.Group}}
+	p := &process{settings: settings, policy: rules, logger: logger, signals: signals}
+	if rules.Zones.UnlessIsolated() {
+		p.isolation = &entry.Isolation{Self: self, Clock: boottime.Now, Logger: logger, Metrics: entry.NewIsolationMetrics(registry)}
+	}
+	p.group = &leavableGroup{Group: p.isolation.ObserveGroup(services.Group)}
 	p.peerCalls = usage.Stage("peer")
 	p.terms, p.endTerms = context.WithCancel(context.Background())
 	defer p.endTerms()
-	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: services.Log, Group: p.group, Logger: logger, Clock: boottime.Now}
+	p.elector = &election.Elector{Self: self, Nonce: incarnation, Log: p.isolation.ObserveLog(services.Log), Group: p.group, Logger: logger, Clock: boottime.Now}
 	p.entry = &entry.Entry{Self: self, Election: p.elector, PeerClients: peer.NewClients(), ConfigSource: services.ConfigSource, DecodeConfig: platform.DecodeConfig, Logger: logger}
+	if p.isolation != nil {
+		p.isolation.Election = p.elector
+		p.isolation.Reachable = func(ctx context.Context, m infra.Member) bool {
+			return p.entry.PeerClients.At(m.Address).Reachable(ctx)
+		}
+	}
 	p.relay = &relay.Server{Workers: services.Workers, NewDirectory: services.Directory, NewestTerm: func() int64 { return p.elector.Current().Term }, Clock: boottime.Now, Logger: logger}
 	config := session.Config{
 		Log: services.Log, LogLimits: journal.Limits{Record: settings.Platform.RecordBytes, Call: settings.Platform.CallBytes}, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
@@ -185,6 +198,9 @@
 		})
 	}
 	group.Go(func() error { return p.entry.FollowConfig(ctx) })
+	if p.isolation != nil {
+		group.Go(func() error { return p.isolation.Run(ctx) })
+	}
 	group.Go(func() error {
 		if err := p.elector.Run(ctx); ctx.Err() == nil && !p.draining.Load() {
 			return err
@@ -316,10 +332,10 @@
 	}
 }
 
-// handleReadiness responds to the platform's load balancer: 503 while the process is stopping or has no
-// fleet configuration yet, and 200 otherwise.
+// handleReadiness responds to the platform's load balancer: 503 while the process is stopping, has no fleet
+// configuration yet or is isolated, and 200 otherwise.
 func (p *process) handleReadiness(ctx *fasthttp.RequestCtx) {
-	if p.draining.Load() || p.entry.Config() == nil {
+	if p.draining.Load() || p.entry.Config() == nil || p.isolation.Isolated() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/cmd/entry/run_test.go
+++ b/cmd/entry/run_test.go
@@ -306,3 +306,47 @@
 	signal.Stop(guard)
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 }
+
+// readiness returns the status with which the process responds to the platform's load balancer.
+func readiness(p *process) int {
+	var ctx fasthttp.RequestCtx
+	p.handleReadiness(&ctx)
+	return ctx.Response.StatusCode()
+}
+
+// Guards against new connections to a process whose zone is partitioned, and against a rule that takes effect where
+// operators haven't enabled it: there, the process stays ready.
+func TestIsolatedProcessIsNotReady(t *testing.T) {
+	for _, enabled := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newProcess(t, &infratest.Log{}, io.Discard)
+			p.elector.Self.Zone = "a"
+			if enabled {
+				p.isolation = &entry.Isolation{Self: p.elector.Self, Election: partitioned{p.elector}, Clock: clockFrom(time.Now()), Logger: p.logger,
+					Reachable: func(ctx context.Context, _ infra.Member) bool { <-ctx.Done(); return false }}
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error)
+				go func() { ended <- p.isolation.Run(ctx) }()
+				t.Cleanup(func() { cancel(); <-ended })
+			}
+			assert.Equal(t, readiness(p), fasthttp.StatusOK)
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			want := fasthttp.StatusOK
+			if enabled {
+				want = fasthttp.StatusServiceUnavailable
+			}
+			assert.Equal(t, readiness(p), want)
+			_, err := p.isolation.ObserveLog(&infratest.Log{}).Read(t.Context(), "t", 0, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, readiness(p), fasthttp.StatusOK)
+		})
+	}
+}
+
+// partitioned is an election whose members are all in other zones.
+type partitioned struct{ *election.Elector }
+
+func (partitioned) Peers() []infra.Member {
+	return []infra.Member{{Name: "b-0", Zone: "b"}, {Name: "c-0", Zone: "c"}}
+}
