Place the work items of a job in one availability zone

A job needs all its work items. They were spread over the zones, so that the partition of any zone delayed nearly all jobs. With zones.placement set to home, each job has a home zone, chosen by a hash of its ID weighted by the capacity of the zones, and workers of other zones get a penalty of 1.25 in score. It is chosen again once the zone has no usable worker. Lasting work is placed as before, and without the rule nothing changes.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -27,6 +27,8 @@
 	overdue bool
 	// probes are further workers that get no work but trials, see mayProbe.
 	probes []*worker
+	// zones is the result of zoneCapacities.
+	zones []zoneCapacity
 	// onTrial is the number of further workers of the pool, on which trials of earlier cycles are in progress.
 	onTrial int
 	// tooLargeForTrials holds the needs of suspects that fitted on no worker that admits a trial in this cycle.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -136,6 +136,7 @@
 // is set, and the others otherwise.
 func (c *Core) planJob(j *job, pool *candidatePool, trials bool, now time.Duration) {
 	wallTime := c.wallClock()
+	c.setHomeZone(j, pool)
 	for _, step := range j.openSteps() {
 		switch {
 		case !j.isDue(step, wallTime):
@@ -245,6 +246,7 @@
 	i.placedAt, i.progressedAt = now, now
 	i.beginTrial(now)
 	c.enterStartQueue(i, now)
+	c.metrics.placedByZone(i.step, i.worker)
 	j := i.step.job
 	i.worker.lastStartJob, i.worker.lastStartAt = j, now
 	j.started = true
@@ -351,7 +353,7 @@
 // score rates a worker for an item; the lowest score is the best.
 func (c *Core) score(i *item, w *worker, now time.Duration) float64 {
 	step := i.step
-	score := 0.0
+	score := step.homeZonePenalty(w)
 	if step.def.DataRack != "" && step.def.DataRack != w.rack {
 		score += remoteRackPenalty
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -208,6 +208,9 @@
 	steps       []*stepInstance
 	// done tells which occurrences are done.
 	done doneOccurrences
+	// homeZone is where the work items are placed while there is room; empty before the first placement, and if home zones
+	// aren't enabled.
+	homeZone string
 	// needsAdvice is set if the work items start only with a ticket of the advice service.
 	needsAdvice bool
 	// reserved is set while there is room in memory for at least one occurrence, and memoryUsed is the room that the job
