--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -29,6 +29,8 @@
 	probes []*worker
 	// cold are further workers that get only work for which the others have no capacity, see planOnColdWorkers.
 	cold []*worker
+	// zones is the result of zoneCapacities.
+	zones []zoneCapacity
 	// onTrial is the number of further workers of the pool, on which trials of earlier cycles are in progress.
 	onTrial int
 	// tooLargeForTrials holds the needs of suspects that fitted on no worker that admits a trial in this cycle.
