Answer peers about evacuations without the lock of the entry process

Cause: the lock is held while the scheduler core is configured, and peers also use the call to probe the process, which waited for neither before.

Change: the answer is published with each update.

Run: go test -race ./internal/entry/... ./cmd/entry passed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,8 @@
 	waves map[int64]infra.Wave
 	// evacuations holds the evacuated availability zones.
 	evacuations evacuations
+	// peerEvacuations is the response to peers about evacuations.
+	peerEvacuations atomic.Pointer[peer.ConfigResponse]
 }
 
 // publishedConfig is a configuration with its published encoding.
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -55,17 +55,22 @@
 
 // applyEvacuations applies the evacuations that operators began or ended. The caller holds e.mu.
 func (e *Entry) applyEvacuations(update infra.ConfigUpdate) {
-	if e.evacuations.apply(update) {
+	changed := e.evacuations.apply(update)
+	e.peerEvacuations.Store(&peer.ConfigResponse{Evacuated: e.evacuations.names(), EvacuationOffset: e.evacuations.offset})
+	if changed {
 		e.Logger.WithFields(logrus.Fields{"event": "evacuations_in_force", "zones": e.evacuations.names(), "offset": e.evacuations.offset}).Info(
 			"the set of evacuated zones has changed in this process")
 	}
 }
 
-// evacuationsForPeer returns a response with the evacuated zones for a process that can't read the log.
+// evacuationsForPeer returns a response with the evacuated zones for a process that can't read the log. It doesn't take
+// e.mu, which is held while the scheduler core is configured: peers also use the call to probe the process.
 func (e *Entry) evacuationsForPeer() *peer.ConfigResponse {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return &peer.ConfigResponse{Evacuated: e.evacuations.names(), EvacuationOffset: e.evacuations.offset}
+	response := peer.ConfigResponse{}
+	if published := e.peerEvacuations.Load(); published != nil {
+		response = *published
+	}
+	return &response
 }
 
 // applyPeerEvacuations applies the evacuated zones that a peer knows, if the peer has read further in the operators' topic
