Predict run times and waits by kind of work where the policy asks for it

One ratio of actual to declared run times for a pool can't tell kinds apart and follows the last runs, and the predicted wait divided all work of the pool by its cores and all of standby, for each pool. With the rule predictions.by: kind, sums of work use the mean of the kind, deadlines and critical paths the median of the longest item of a step, a straggler is a run beyond the quantile 0.995 of its kind, and slow workers have a penalty in score. The predicted wait is that of the work ahead in the order of compareRanked; hosts in transit count when they arrive, and standby is divided by what the pools lack. Runs that began on a cold worker aren't learned from. Without the rule nothing changes but that the accuracy of predictions is measured and logged in both modes.

The test of kept sums of work runs in both modes; by kind its upper bound for placed work allows for the items of one step that ended since a computation, by pool it is unchanged.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -56,6 +56,7 @@
 // observeRunTime updates the run-time statistics with an item that is done. Inherited items don't count,
 // since it isn't known when they started.
 func (c *Core) observeRunTime(i *item, now time.Duration) {
+	c.runTimes.observe(i, now)
 	if i.startConfirmedAt == 0 || i.step.def.Estimate <= 0 || i.inherited {
 		return
 	}
@@ -71,6 +72,9 @@
 
 // predictRunTime returns the expected run time of a work item of the step.
 func (c *Core) predictRunTime(def *work.Job, step *work.Step) time.Duration {
+	if c.runTimes != nil {
+		return c.runTimes.expected(def, step)
+	}
 	return scaledRunTime(step, c.statsOf(def.Queue.Pool).runTimeRatio)
 }
 
@@ -90,7 +94,7 @@
 		if done(number) {
 			return 0
 		}
-		return c.predictRunTime(def, &def.Steps[number])
+		return c.pathRunTime(def, &def.Steps[number])
 	})
 }
 
@@ -125,6 +129,7 @@
 	// the completed job is still of use.
 	predictedWait, maxWait time.Duration
 	retryAfter             time.Duration
+	forecast               forecast
 }
 
 // admit decides whether a job is accepted that was first submitted at offeredAt.
@@ -146,9 +151,9 @@
 	path := c.criticalPath(def, func(int) bool { return false })
 	runTime := path + time.Duration(len(def.Steps))*stepOverhead
 	maxWait := latenessCutoff*relativeDeadline(def, path) - runTime - (now - offeredAt)
-	predictedWait := supply.waitAt(c.overuseLevel(def, now), cores)
+	predictedWait := c.predictWait(supply, cores, def, path, offeredAt, now)
 	if predictedWait <= maxWait {
-		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait}
+		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait, forecast: c.forecastFor(def, predictedWait)}
 	}
 	return admission{reason: "overload", predictedWait: predictedWait, maxWait: maxWait, retryAfter: max(minRetryAfter, predictedWait-maxWait)}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -178,6 +178,8 @@
 	closed bool
 
 	statsByPool map[string]*poolStats
+	// runTimes predicts run times by kind of work; nil if they are predicted by pool.
+	runTimes    *runTimeModel
 	fleet       fleetState
 	peakTracker peakTracker
 	// nextJobExpiry and nextWorkerCheck are when the checks of jobExpiryInterval and workerCheckInterval are due, and
@@ -212,7 +214,7 @@
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), confirmedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
-		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, tombstones: newTombstones(), supply: supplyCache{expiresAt: -1},
+		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, tombstones: newTombstones(), supply: supplyCache{expiresAt: -1}, runTimes: newRunTimeModel(&options),
 	}
 }
 
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -22,6 +22,7 @@
 	adviceCalls, advisedWorkers *prometheus.CounterVec
 	adviceWaits                 *prometheus.GaugeVec
 	stages                      stageMetrics
+	accuracy                    accuracyMetrics
 	// rejectedRecords counts the records that the log never accepts, and omittedCheckpoints the records without a checkpoint
 	// that is too long for them.
 	rejectedRecords, omittedCheckpoints prometheus.Counter
@@ -50,6 +51,7 @@
 		advisedWorkers:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_advised_workers_total", Help: "Workers in the answers of the advice service."}, []string{"answer"}),
 		adviceWaits:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "scheduler_starts_awaiting_advice", Help: "Work items for which there is room, but no ticket, by reason."}, []string{"reason"}),
 		stages:             newStageMetrics(registry),
+		accuracy:           newAccuracyMetrics(registry),
 		stateBytes:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_state_bytes", Help: "Estimated size of the state of all jobs in memory."}),
 		fullStartQueues:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_start_queues_full_total", Help: "How often so many starts to an availability zone waited to be sent that no more work items were placed there."}),
 		delayedOccurrences: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_occurrences_delayed_total", Help: "Checks that found no room in memory for an occurrence that was due."}),
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -14,6 +14,7 @@
 	if c.config == nil || c.fenced {
 		return
 	}
+	c.advanceRunTimes(now)
 	c.adviceRequests, c.startsAwaitingAdvice, c.startsWithoutGrant = nil, 0, 0
 	defer c.publishAdviceRequests()
 	if now >= c.nextWorkerCheck {
@@ -247,6 +248,7 @@
 	c.enterStartQueue(i, now)
 	j := i.step.job
 	i.worker.lastStartJob, i.worker.lastStartAt = j, now
+	c.observeFirstStart(j, now)
 	j.started = true
 	order := Order{Kind: OrderStart, Worker: i.worker.ref(), Zone: i.worker.entry.Zone, Item: i.id(), Run: i.run, Spec: j.def.Spec, Checkpoint: i.checkpoint}
 	if i.step.advice != nil {
@@ -380,7 +382,7 @@
 	if step.def.Lasting != w.hasLasting() {
 		score += mixedWorkPenalty
 	}
-	return score + free
+	return score + free + w.slownessPenalty
 }
 
 // freeFraction returns the free fraction of the scarcer of processor and memory.
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -35,8 +35,8 @@
 	return declared
 }
 
-// prediction is what the plan needs to know of a job's run time.
-type prediction struct {
+// jobPrediction is what the plan needs to know of a job's run time.
+type jobPrediction struct {
 	// relativeDeadline is the time from its first submission in which the job should be completed, and remainingPath the
 	// critical path of the unfinished steps of its last occurrence.
 	relativeDeadline, remainingPath time.Duration
@@ -51,13 +51,16 @@
 }
 
 // predict predicts the run time of the job.
-func (c *Core) predict(j *job) prediction {
+func (c *Core) predict(j *job) jobPrediction {
+	if c.runTimes != nil {
+		return c.runTimes.predict(j)
+	}
 	if j.total == nil {
 		j.total = declaredWorkOf(j.def, func(int) bool { return false })
 	}
 	if !j.total.complete {
 		path := c.criticalPath(j.def, func(int) bool { return false })
-		return prediction{relativeDeadline: relativeDeadline(j.def, path), remainingPath: c.criticalPath(j.def, j.lastStepDone), coreSeconds: c.predictCoreSeconds(j.def)}
+		return jobPrediction{relativeDeadline: relativeDeadline(j.def, path), remainingPath: c.criticalPath(j.def, j.lastStepDone), coreSeconds: c.predictCoreSeconds(j.def)}
 	}
 	if j.remaining == nil {
 		j.remaining = declaredWorkOf(j.def, j.lastStepDone)
@@ -66,7 +69,7 @@
 		j.stats = c.statsOf(j.def.Queue.Pool)
 	}
 	ratio := j.stats.runTimeRatio
-	return prediction{
+	return jobPrediction{
 		relativeDeadline: relativeDeadline(j.def, time.Duration(ratio*float64(j.total.path))),
 		remainingPath:    time.Duration(ratio * float64(j.remaining.path)),
 		coreSeconds:      ratio * j.total.coreSeconds,
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -278,7 +278,7 @@
 	j.completed, j.endedAt = true, now
 	c.metrics.jobCompleted(now - j.acceptedAt)
 	c.logger.WithFields(logrus.Fields{"event": "job_completed", "job": j.def.ID, "queue": j.def.Queue.Name, "customer": j.def.Customer,
-		"took_ms": (now - j.acceptedAt).Milliseconds()}).Info("job completed")
+		"took_ms": (now - j.acceptedAt).Milliseconds()}).WithFields(c.observeBand(j, now)).Info("job completed")
 	c.markDirty(j)
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -241,8 +241,14 @@
 	// total and remaining are the cached work of all steps of one occurrence, and of the unfinished steps of the
 	// last one; nil if they have to be computed.
 	total, remaining *declaredWork
+	// kept are the predictions that the job keeps if run times are predicted by kind. total and remaining follow from them.
+	kept keptPredictions
+	// forecast is what was predicted when this term accepted the job.
+	forecast forecast
 	// supply is the entry of the supplyCache that includes the job's work; nil if none does.
 	supply *poolSupply
+	// waitingWork are the core-seconds of the waiting items as of the last computation of the supply.
+	waitingWork float64
 	// itemCount is the number of work items, and occurrenceItems that of one occurrence.
 	itemCount, occurrenceItems int
 	// changedGroups holds the groups of work items that have changed since they were last encoded, and recordedGroups those
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -33,6 +33,7 @@
 		return false
 	}
 	i.avoidedWorker = i.worker
+	c.runTimes.observe(i, now)
 	c.logger.WithFields(logrus.Fields{"event": "straggler_stopped", "item": i.id().String(), "run": i.run, "worker": i.worker.entry.ID,
 		"took_ms": (now - i.startConfirmedAt).Milliseconds(), "predicted_ms": c.predictRunTime(i.step.job.def, i.step.def).Milliseconds()}).Info("run takes far longer than predicted; stopping it to start it on another worker")
 	c.orderStop(i)
@@ -56,6 +57,5 @@
 	if now-i.startConfirmedAt <= stragglerGrace || now-i.worker.lastReportAt > maxReportAge {
 		return false
 	}
-	limit := time.Duration(stragglerFactor*float64(c.predictRunTime(i.step.job.def, i.step.def))) + stragglerGrace
-	return now-i.startConfirmedAt > limit
+	return now-i.startConfirmedAt > c.stragglerLimit(i)
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -60,7 +60,8 @@
 		return
 	}
 	def.Accepted = c.wallClock()
-	if decision := c.admit(def, offeredAt, now); !decision.accepted {
+	decision := c.admit(def, offeredAt, now)
+	if !decision.accepted {
 		c.metrics.jobRejected(decision.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": decision.reason,
 			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).Info("job rejected")
@@ -69,10 +70,11 @@
 	}
 	j := newJob(def)
 	c.applyAdvicePolicy(j)
-	j.acceptedAt, j.offeredAt = now, offeredAt
+	j.acceptedAt, j.offeredAt, j.forecast = now, offeredAt, decision.forecast
 	j.overuseLevel = c.overuseLevel(def, now)
 	supply, cores := c.supplyOf(def.Queue.Pool, now)
 	j.booked = c.bookWork(def, cores, now)
+	c.runTimes.renew(j)
 	if def.Recurrence.Times == 0 {
 		supply.addJob(j, now)
 	}
@@ -82,7 +84,7 @@
 	c.createOccurrences(j)
 	j.submitters = append(j.submitters, waiter)
 	c.metrics.jobAccepted()
-	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.overuseLevel}).Info("job accepted")
+	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.overuseLevel}).WithFields(j.forecast.fields()).Info("job accepted")
 	c.markDirty(j)
 }
 
--- a/internal/scheduler/supply.go
+++ b/internal/scheduler/supply.go
@@ -18,6 +18,8 @@
 	waiting [maxOveruseLevel + 1]float64
 	// runTimeRatio is the pool's ratio of actual to declared run times at the time of the sums.
 	runTimeRatio float64
+	// forecast is nil if run times are predicted by pool.
+	forecast *waitForecast
 }
 
 // supplyCache holds the supply of each pool until it expires.
@@ -44,6 +46,9 @@
 		c.computeSupply(now)
 	}
 	supply := c.cachedSupply(pool)
+	if supply.forecast != nil {
+		return supply, supply.forecast.reachableCores()
+	}
 	return supply, supply.cores + c.supply.standbyCores
 }
 
@@ -70,14 +75,17 @@
 			j.supply = nil
 			continue
 		}
+		c.runTimes.renew(j)
 		c.cachedSupply(j.def.Queue.Pool).addJob(j, now)
 	}
+	c.forecastWaits(now)
 }
 
 // addJob adds the work of the job.
 func (s *poolSupply) addJob(j *job, now time.Duration) {
 	j.supply = s
 	waiting, placed := j.remainingWork(s.runTimeRatio, now)
+	j.waitingWork = waiting
 	s.waiting[j.overuseLevel] += waiting
 	s.placed += placed
 }
@@ -94,7 +102,7 @@
 		if step.def.Lasting || step.done() {
 			continue
 		}
-		runTime := scaledRunTime(step.def, ratio)
+		runTime := step.expectedRunTime(ratio)
 		waiting += float64(step.countInState(itemWaiting)) * step.coreSeconds(runTime)
 		if step.countInState(itemPlaced) == 0 {
 			continue
@@ -126,7 +134,7 @@
 	if supply == nil {
 		return
 	}
-	coreSeconds := i.step.coreSeconds(scaledRunTime(i.step.def, supply.runTimeRatio))
+	coreSeconds := i.step.coreSeconds(i.step.expectedRunTime(supply.runTimeRatio))
 	if !waits {
 		coreSeconds = -coreSeconds
 	}
@@ -136,14 +144,14 @@
 // addPlaced adds the work of an item that has just been placed to the placed work of its pool.
 func (i *item) addPlaced() {
 	if supply := i.countedSupply(); supply != nil {
-		supply.placed += i.step.coreSeconds(scaledRunTime(i.step.def, supply.runTimeRatio))
+		supply.placed += i.step.coreSeconds(i.step.expectedRunTime(supply.runTimeRatio))
 	}
 }
 
 // removePlaced takes the work of an item that is released off the placed work of its pool.
 func (i *item) removePlaced(now time.Duration) {
 	if supply := i.countedSupply(); supply != nil {
-		supply.placed -= i.step.coreSeconds(i.remainingTime(scaledRunTime(i.step.def, supply.runTimeRatio), now))
+		supply.placed -= i.step.coreSeconds(i.remainingTime(i.step.expectedRunTime(supply.runTimeRatio), now))
 	}
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -96,6 +96,11 @@
 	// pausedUntil is when the worker may get new work again. Until probeUntil a suspect may start there on trial: a start
 	// that wasn't confirmed is the only reason for the pause.
 	pausedUntil, probeUntil time.Duration
+	// warmAt is when the worker is as fast as usual after its start, seenWarmup the entry.WarmupLeft from which that follows,
+	// and slownessPenalty the penalty in score of a worker on which runs take longer than elsewhere. They are 0 if run times
+	// are predicted by pool.
+	warmAt, seenWarmup time.Duration
+	slownessPenalty    float64
 	// lastStragglerPause is the length of the last pause for stragglers; 0 after a successful run.
 	lastStragglerPause time.Duration
 	// consecutiveFailures is the number of failed runs since the last successful one.
