Bound the backlog in admission by kind, and learn before longest items count

Jobs that had become late were left unfinished 20 s after an overload (TestCapacityShrinksAndGrowsWhileJobsRun): the predicted wait doesn't count late jobs, so that new ones were always accepted before them. Admission now also compares the time in which the pool starts all of its work. Work accepted since the last computation counted as ahead of customers within their share, which were rejected (TestHotCustomerDoesNotBlockAdmissionOfOthers). And before any run was known, the assumed spread made deadlines 1.8 times as long as declared (TestAdmissionUnderOverload). A wait of 0 is predicted only if the work ahead leaves the room.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -152,10 +152,11 @@
 	runTime := path + time.Duration(len(def.Steps))*stepOverhead
 	maxWait := latenessCutoff*relativeDeadline(def, path) - runTime - (now - offeredAt)
 	predictedWait := c.predictWait(supply, cores, def, path, offeredAt, now)
-	if predictedWait <= maxWait {
+	requiredWait := max(predictedWait, supply.forecast.backlogWait(supply, c.overuseLevel(def, now)))
+	if requiredWait <= maxWait {
 		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait, forecast: c.forecastFor(def, predictedWait)}
 	}
-	return admission{reason: "overload", predictedWait: predictedWait, maxWait: maxWait, retryAfter: max(minRetryAfter, predictedWait-maxWait)}
+	return admission{reason: "overload", predictedWait: requiredWait, maxWait: maxWait, retryAfter: max(minRetryAfter, requiredWait-maxWait)}
 }
 
 // standbyCores returns the cores of the hosts in standby. No work runs on them, and any pool that lacks
--- a/internal/scheduler/predictedwait.go
+++ b/internal/scheduler/predictedwait.go
@@ -51,8 +51,8 @@
 	// later steps of jobs that run, and jobs that have no rank yet.
 	ranked   []rankedWork
 	unranked waitingWork
-	// total is the sum of the waiting and the placed work at the time of the computation.
-	total float64
+	// totals are the results of poolSupply.totalUpTo at the time of the computation, by overuse level.
+	totals [maxOveruseLevel + 1]float64
 }
 
 // reachableCores returns the cores that the pool has, and those that it will have.
@@ -116,23 +116,34 @@
 		return supply.waitAt(level, cores)
 	}
 	need, runTime := c.firstNeed(def)
-	// Between two computations only new jobs change the sum by much, and they are ahead of this one.
-	added := max(0, supply.total()-f.total)
-	if need.Fits(f.roomiest) && f.freeCores-added/runTime.Seconds() >= float64(need.CPUMilli)/1000 {
-		return 0
-	}
 	r := rankedJob{job: &job{def: def}, ready: true, priority: def.Queue.Priority, overuseLevel: level}
 	deadline := relativeDeadline(def, path)
 	r.slack = offeredAt + deadline - now - path
 	if r.tier = latenessTier(deadline, r.slack); r.slack < 0 {
 		r.slack = time.Duration(c.predictCoreSeconds(def) * float64(time.Second))
 	}
-	// The job also waits until runs have ended on as many cores as it needs.
+	// Between two computations only new jobs change the sum by much. Those of customers with a higher level get capacity later.
 	ahead := f.ahead(&r)
-	ahead.open += added + runTime.Seconds()*float64(need.CPUMilli)/1000
+	ahead.open += max(0, supply.totalUpTo(level)-f.totals[level])
+	// Free capacity that the work ahead doesn't take, although it could, isn't usable for another reason.
+	if need.Fits(f.roomiest) && f.freeCores-ahead.open/runTime.Seconds() >= float64(need.CPUMilli)/1000 {
+		return 0
+	}
+	// The job also waits until runs have ended on as many cores as it needs.
+	ahead.open += runTime.Seconds() * float64(need.CPUMilli) / 1000
 	return f.waitBehind(ahead, runTime)
 }
 
+// backlogWait returns the time in which the pool starts all of its work up to the overuse level, also that of late jobs, which
+// wait behind new ones; 0 if run times are predicted by pool. Without a limit for it, jobs that become late would never run
+// while new ones are accepted.
+func (f *waitForecast) backlogWait(supply *poolSupply, level int) time.Duration {
+	if f == nil {
+		return 0
+	}
+	return f.waitFor(supply.totalUpTo(level), 0)
+}
+
 // firstNeed returns the least need of the first steps of the job, and their mean run time.
 func (c *Core) firstNeed(def *work.Job) (need work.Resources, runTime time.Duration) {
 	for n := range def.Steps {
@@ -148,9 +159,12 @@
 }
 
 // total returns the waiting and the placed work, in core-seconds.
-func (s *poolSupply) total() float64 {
+func (s *poolSupply) total() float64 { return s.totalUpTo(maxOveruseLevel) }
+
+// totalUpTo is total without the waiting work of jobs with a higher overuse level.
+func (s *poolSupply) totalUpTo(level int) float64 {
 	total := s.placed
-	for _, waiting := range s.waiting {
+	for _, waiting := range s.waiting[:level+1] {
 		total += waiting
 	}
 	return total
@@ -162,7 +176,10 @@
 		return
 	}
 	for _, supply := range c.supply.byPool {
-		supply.forecast = &waitForecast{cores: supply.cores, total: supply.total()}
+		supply.forecast = &waitForecast{cores: supply.cores}
+		for level := range supply.forecast.totals {
+			supply.forecast.totals[level] = supply.totalUpTo(level)
+		}
 	}
 	for _, w := range c.sortedWorkers() {
 		if supply := c.supply.byPool[w.entry.Pool]; supply != nil && w.schedulable(now) {
--- a/internal/scheduler/predictedwait_test.go
+++ b/internal/scheduler/predictedwait_test.go
@@ -131,3 +131,19 @@
 	_, second := tc.supplyOf("other", tc.now)
 	assert.Assert(t, math.Abs(first+second-40) < 1e-6 && first > 8 && second > 8, "the pools count on %f and %f cores of 8 and 32 in standby", first, second)
 }
+
+// Guards against a backlog without bounds, since work that is late waits behind new jobs, and against customers that are
+// turned away for the jobs of one that exceeds its share. Load: 40 jobs of one customer at once.
+func TestAdmissionByKindBoundsTheBacklog(t *testing.T) {
+	tc := newKindCore(1)
+	tc.addWorker(0, 8)
+	step := work.Step{Count: 4, Need: work.Resources{CPUMilli: 2000}, Estimate: time.Second}
+	accepted := 0
+	for n := range 40 {
+		if tc.submit("big-"+string(rune('a'+n)), "big", step).Kind == OutcomeDone {
+			accepted++
+		}
+	}
+	assert.Assert(t, accepted > 4 && accepted < 12, "accepted %d jobs", accepted)
+	assert.Equal(t, tc.submit("small", "small", step).Kind, OutcomeDone)
+}
--- a/internal/scheduler/runtimes.go
+++ b/internal/scheduler/runtimes.go
@@ -26,6 +26,9 @@
 	// largest of many is likely to be one of the rare long items, and a deadline that counts on it is too late. Besides,
 	// the items of a step are alike, and off in the same direction from what their caller declared.
 	maxDeadlineQuantile = 0.75
+	// deadlineQuantilePrior is the number of runs after which half of that is taken into account: the assumed spread of a
+	// kind without runs says nothing of its items.
+	deadlineQuantilePrior = 50
 	// toleratedSlowness is the factor by which a worker may be slower than usual without a penalty: speeds of healthy
 	// workers vary by about a tenth over 40 runs.
 	toleratedSlowness = 1.25
@@ -103,8 +106,12 @@
 	if step.Lasting {
 		return declaredRunTime(step)
 	}
-	q := math.Pow(0.5, 1/float64(max(1, step.Count)))
-	return m.model.Quantile(kindOf(def, step), declaredRunTime(step), min(maxDeadlineQuantile, q))
+	kind := kindOf(def, step)
+	q := min(maxDeadlineQuantile, math.Pow(0.5, 1/float64(max(1, step.Count))))
+	// The less is known of the kind, the nearer the prediction is to the declared run time.
+	runs := m.model.Runs(kind)
+	q = 0.5 + (q-0.5)*runs/(runs+deadlineQuantilePrior)
+	return m.model.Quantile(kind, declaredRunTime(step), q)
 }
 
 // pathRunTime returns the run time of the step by which deadlines and critical paths are predicted.
