--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -24,6 +24,7 @@
 	stages                      stageMetrics
 	evacuations                 evacuationMetrics
 	zones                       zoneMetrics
+	accuracy                    accuracyMetrics
 	// rejectedRecords counts the records that the log never accepts, and omittedCheckpoints the records without a checkpoint
 	// that is too long for them.
 	rejectedRecords, omittedCheckpoints prometheus.Counter
@@ -54,6 +55,7 @@
 		stages:             newStageMetrics(registry),
 		evacuations:        newEvacuationMetrics(registry),
 		zones:              newZoneMetrics(registry),
+		accuracy:           newAccuracyMetrics(registry),
 		stateBytes:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_state_bytes", Help: "Estimated size of the state of all jobs in memory."}),
 		fullStartQueues:    prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_start_queues_full_total", Help: "How often so many starts to an availability zone waited to be sent that no more work items were placed there."}),
 		delayedOccurrences: prometheus.NewCounter(prometheus.CounterOpts{Name: "scheduler_occurrences_delayed_total", Help: "Checks that found no room in memory for an occurrence that was due."}),
