Answer 502 when no scheduler is reached for a submission

Cause: an entry process that reached no scheduler answered 503, which promises that the job never runs, at once if it wasn't following the claims. After a lost response it repeated a submission that was then rejected until the time of its caller was over.

OutcomeUnavailable of a scheduler of an earlier version counts as unconfirmed. Missing responses and OutcomeUnknown are repeated as before; cancellations and queries are unchanged.

The test of the limit on connecting fails without the limit, and if the limit also ends calls that were sent.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -221,57 +221,87 @@
 	return e.PeerClients.At(claim.Holder.Address), true
 }
 
+// lookup tells for how long callScheduler looks for a scheduler.
+type lookup uint8
+
+const (
+	// lookUpWhileFollowing is for schedulerLookupTimeout, but not in a process that is cut off from the log as well, since it
+	// wouldn't learn of another scheduler.
+	lookUpWhileFollowing lookup = iota
+	// lookUpAnyway is for schedulerLookupTimeout, including the time to connect to a process: the link to the scheduler may
+	// return before the log does.
+	lookUpAnyway
+)
+
 // callScheduler calls the scheduler. After an error for which mayRepeat returns true, it looks up the scheduler again and
-// retries until schedulerLookupTimeout has passed. A process that is cut off from the log as well doesn't wait, since it
-// wouldn't learn of another scheduler.
-func callScheduler[Response any](ctx context.Context, e *Entry, mayRepeat func(error) bool, call func(peer.Service) (*Response, error)) (*Response, error) {
+// retries for as long as lookup says.
+func callScheduler[Response any](ctx context.Context, e *Entry, lookup lookup, mayRepeat func(error) bool, call func(context.Context, peer.Service) (*Response, error)) (*Response, error) {
 	deadline := time.Now().Add(schedulerLookupTimeout)
+	callCtx := ctx
+	if lookup == lookUpAnyway {
+		callCtx = peer.ConnectBefore(ctx, deadline)
+	}
 	for {
 		var err error
 		if service, known := e.schedulerService(); !known {
 			err = peer.ErrNotScheduling
 		} else {
 			var response *Response
-			if response, err = call(service); err == nil {
+			if response, err = call(callCtx, service); err == nil {
 				return response, nil
 			}
 		}
 		if !mayRepeat(err) {
 			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the call to the scheduler failed, but may have taken effect")
 		}
-		if time.Now().After(deadline) || !e.Election.FollowsClaims() || periodic.Pause(ctx, schedulerLookupPause) != nil {
+		if !time.Now().Before(deadline) || lookup == lookUpWhileFollowing && !e.Election.FollowsClaims() || periodic.Pause(ctx, schedulerLookupPause) != nil {
 			return nil, fault.Wrap(fault.NotReady, err, "no scheduler can be reached")
 		}
 	}
 }
 
-// Submit submits a job to the scheduler and waits for the outcome.
+// Submit submits a job to the scheduler and waits for the outcome. Its error is of kind Unconfirmed, and its outcome
+// OutcomeUnconfirmed, if it isn't known whether a scheduler has accepted the job: only a scheduler whose term is confirmed may
+// reject a job, since the rejection promises that the job never runs.
 func (e *Entry) Submit(ctx context.Context, job *work.Job) (*peer.OutcomeResponse, error) {
-	return e.retryUntilKnown(ctx, func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
-		return s.Submit(ctx, &peer.SubmitRequest{Job: job})
-	})
+	uncertain := false
+	for {
+		response, err := callScheduler(ctx, e, lookUpAnyway, peer.HadNoEffect, limitAttempt(func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
+			return s.Submit(ctx, &peer.SubmitRequest{Job: job})
+		}))
+		switch {
+		case isUnknown(response, err):
+		case err == nil && response.Kind == scheduler.OutcomeDone:
+			return response, nil
+		case uncertain:
+			// An attempt without a response may still arrive and be accepted.
+			return nil, fault.Wrap(fault.Unconfirmed, err, "an attempt had no response, and the next one wasn't accepted")
+		case err != nil:
+			return nil, fault.Wrap(fault.Unconfirmed, err, "no scheduler was reached in time")
+		case response.Kind == scheduler.OutcomeUnavailable:
+			// A scheduler of an earlier version answers so without proof.
+			response.Kind = scheduler.OutcomeUnconfirmed
+			return response, nil
+		default:
+			return response, nil
+		}
+		uncertain = true
+		if periodic.Pause(ctx, attemptPause) != nil {
+			return nil, fault.Wrap(fault.OutcomeUnknown, err, "the outcome isn't known")
+		}
+	}
 }
 
-// Cancel cancels a job on behalf of a customer and waits for the outcome.
+// Cancel cancels a job on behalf of a customer and waits for the outcome. It is repeated until its outcome is known or ctx ends.
+// If a repeated call is rejected, an earlier one may still arrive; then the outcome remains unknown. A cancellation of a job that
+// isn't known holds for what arrives later.
 func (e *Entry) Cancel(ctx context.Context, id, customer string) (*peer.OutcomeResponse, error) {
-	return e.retryUntilKnown(ctx, func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
-		return s.Cancel(ctx, &peer.CancelRequest{Job: id, Customer: customer})
-	})
-}
-
-// retryUntilKnown repeats a submission or cancellation until its outcome is known or ctx ends. Repeating it
-// is safe, since jobs are identified by their IDs. If a repeated call is rejected, an earlier one may still
-// arrive; then the outcome remains unknown. A cancellation of a job that isn't known holds for what arrives later.
-func (e *Entry) retryUntilKnown(ctx context.Context, call func(context.Context, peer.Service) (*peer.OutcomeResponse, error)) (*peer.OutcomeResponse, error) {
 	uncertain := false
 	for {
-		response, err := callScheduler(ctx, e, peer.HadNoEffect, func(s peer.Service) (*peer.OutcomeResponse, error) {
-			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-			defer cancel()
-			return call(attemptCtx, s)
-		})
-		unknown := fault.KindOf(err) == fault.OutcomeUnknown || err == nil && response.Kind == scheduler.OutcomeUnknown
-		if !unknown && !uncertain || err == nil && (response.Kind == scheduler.OutcomeDone || response.Kind == scheduler.OutcomeNotFound) {
+		response, err := callScheduler(ctx, e, lookUpWhileFollowing, peer.HadNoEffect, limitAttempt(func(ctx context.Context, s peer.Service) (*peer.OutcomeResponse, error) {
+			return s.Cancel(ctx, &peer.CancelRequest{Job: id, Customer: customer})
+		}))
+		if !isUnknown(response, err) && !uncertain || err == nil && (response.Kind == scheduler.OutcomeDone || response.Kind == scheduler.OutcomeNotFound) {
 			return response, err
 		}
 		uncertain = true
@@ -281,6 +311,21 @@
 	}
 }
 
+// isUnknown reports whether a call may have taken effect without a durable outcome. Repeating it is safe, since jobs are
+// identified by their IDs.
+func isUnknown(response *peer.OutcomeResponse, err error) bool {
+	return fault.KindOf(err) == fault.OutcomeUnknown || err == nil && response.Kind == scheduler.OutcomeUnknown
+}
+
+// limitAttempt returns call with the time limit attemptTimeout.
+func limitAttempt[Response any](call func(context.Context, peer.Service) (*Response, error)) func(context.Context, peer.Service) (*Response, error) {
+	return func(ctx context.Context, s peer.Service) (*Response, error) {
+		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		return call(attemptCtx, s)
+	}
+}
+
 // State returns the state of a job.
 func (e *Entry) State(ctx context.Context, id string) (*peer.StateResponse, error) {
 	return read(ctx, e, func(ctx context.Context, s peer.Service) (*peer.StateResponse, error) {
@@ -300,7 +345,7 @@
 func read[Response any](ctx context.Context, e *Entry, call func(context.Context, peer.Service) (*Response, error)) (*Response, error) {
 	for {
 		timedOut := false
-		response, err := callScheduler(ctx, e, func(err error) bool { return !peer.IsUnconfirmed(err) }, func(s peer.Service) (*Response, error) {
+		response, err := callScheduler(ctx, e, lookUpWhileFollowing, func(err error) bool { return !peer.IsUnconfirmed(err) }, func(ctx context.Context, s peer.Service) (*Response, error) {
 			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
 			response, err := call(attemptCtx, s)
--- a/internal/entry/peer/call.go
+++ b/internal/entry/peer/call.go
@@ -23,12 +23,32 @@
 // errNotSent is the error of a call that certainly wasn't sent.
 var errNotSent = errors.New("the call wasn't sent")
 
+// connectDeadlineKey is the key of the context value that ConnectBefore sets.
+type connectDeadlineKey struct{}
+
+// ConnectBefore returns a context in which calls end unsent at the deadline if they have no connection by then. It doesn't limit
+// calls that are sent before.
+func ConnectBefore(ctx context.Context, deadline time.Time) context.Context {
+	return context.WithValue(ctx, connectDeadlineKey{}, deadline)
+}
+
 // callUnary calls the process of c. An error wraps errNotSent if no connection was open before the call ended. After a
 // call without a response its idle connections are closed, which may be dead as well, and the process is suspect if the
 // call timed out.
 func callUnary[Request, Response any](ctx context.Context, c *Client, client *connect.Client[Request, Response], request *Request) (*Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	if deadline, limited := ctx.Value(connectDeadlineKey{}).(time.Time); limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		unsent := time.AfterFunc(time.Until(deadline), func() {
+			if !connected.Load() {
+				cancel()
+			}
+		})
+		defer unsent.Stop()
+	}
 	slow := time.AfterFunc(suspectDelay, func() { c.suspect.Store(true) })
 	response, err := client.CallUnary(ctx, connect.NewRequest(request))
 	slow.Stop()
@@ -68,8 +88,13 @@
 	return callUnary(ctx, c, client, request)
 }
 
-// probe returns an error if the process of c doesn't respond within probeTimeout, or before ctx ends.
+// probe returns an error if the process of c doesn't respond within probeTimeout, or before ctx or the time to connect ends.
 func (c *Client) probe(ctx context.Context) error {
+	if deadline, limited := ctx.Value(connectDeadlineKey{}).(time.Time); limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
 	results := c.probes.DoChan("", func() (any, error) {
 		probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
--- a/internal/entry/peer/peer_test.go
+++ b/internal/entry/peer/peer_test.go
@@ -48,6 +48,41 @@
 	assert.Assert(t, HadNoEffect(<-result))
 }
 
+// Guards against a search for the scheduler that lasts beyond its limit while a connection is opened to a host that doesn't
+// respond, and against a call that is cut off by that limit although it was sent.
+func TestCallsAreLimitedUntilTheyHaveAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const address, limit = "10.0.0.1:1", dialTimeout / 4
+		network, clients := nettest.NewNetwork(), NewClients()
+		listener := network.Listen(address)
+		server := &http.Server{Handler: NewHandler(&recordingService{})}
+		go func() { _ = server.Serve(listener) }()
+		defer time.Sleep(time.Minute) // Until idle connections are closed.
+		defer network.Close()
+		var blocked atomic.Bool
+		clients.At(address).http.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+			if blocked.Load() {
+				time.Sleep(dialTimeout)
+				return nil, context.DeadlineExceeded
+			}
+			return network.Dial(ctx, address)
+		}
+		submit := func() error {
+			_, err := clients.At(address).Submit(ConnectBefore(t.Context(), time.Now().Add(limit)), &SubmitRequest{Job: &work.Job{ID: "j"}})
+			return err
+		}
+		begin := time.Now()
+		listener.Freeze(2 * limit)
+		assert.NilError(t, submit())
+		assert.Equal(t, time.Since(begin), 2*limit, "the call that was sent didn't wait for its response")
+		clients.At(address).http.CloseIdleConnections()
+		blocked.Store(true)
+		begin = time.Now()
+		assert.Assert(t, HadNoEffect(submit()))
+		assert.Equal(t, time.Since(begin), limit)
+	})
+}
+
 // silentService accepts its first job. It then gives no more responses.
 type silentService struct {
 	Service
