--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -120,7 +120,7 @@
 	p.relay = &relay.Server{Workers: services.Workers, NewDirectory: services.Directory, NewestTerm: func() int64 { return p.elector.Current().Term }, Clock: boottime.Now, Logger: logger}
 	config := session.Config{
 		Log: services.Log, LogLimits: journal.Limits{Record: settings.Platform.RecordBytes, Call: settings.Platform.CallBytes}, Workers: services.Workers, Hosts: services.Hosts, NewDirectory: services.Directory, Status: services.WaveStatus, Advice: services.Advice,
-		Clock: boottime.Now, WallClock: time.Now, Logger: logger, Metrics: scheduler.NewMetrics(registry),
+		Clock: boottime.Now, WallClock: time.Now, Logger: logger, Metrics: scheduler.NewMetrics(registry), JournalMetrics: journal.NewMetrics(registry),
 		Options: scheduler.Options{
 			MaxLease:          platform.Millis(settings.Bounds.HoldMaxMs),
 			Lease:             time.Duration(leaseFraction * float64(platform.Millis(settings.Bounds.HoldMaxMs))),
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -85,6 +85,8 @@
 	WallClock func() time.Time
 	Logger    *logrus.Entry
 	Metrics   *scheduler.Metrics
+	// JournalMetrics are those of the writer of the scheduler's state. They may be nil.
+	JournalMetrics *journal.Metrics
 	// ConfigureCore passes the newest configuration and waves to the core.
 	ConfigureCore func(core *scheduler.Core)
 	// AttachCore is called when the core has loaded its state and can serve requests, and DetachCore when the
@@ -128,6 +130,7 @@
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.LogLimits, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
+	s.writer.Metrics = config.JournalMetrics
 	if config.Status != nil {
 		topic := config.Status.Topic()
 		s.statusWriter = journal.New(config.Log, topic, term, config.LogLimits, config.Clock, logger.WithField("topic", topic))
