--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -85,6 +85,8 @@
 	WallClock func() time.Time
 	Logger    *logrus.Entry
 	Metrics   *scheduler.Metrics
+	// JournalMetrics are those of the writer of the scheduler's state. They may be nil.
+	JournalMetrics *journal.Metrics
 	// ConfigureCore passes the newest configuration and waves to the core.
 	ConfigureCore func(core *scheduler.Core)
 	// AttachCore is called when the core has loaded its state and can serve requests, and DetachCore when the
@@ -128,6 +130,7 @@
 	s := &session{Config: config, term: term, renewalLoops: map[string]bool{}, startWindows: map[string]*startWindow{}, startedAt: config.Clock(),
 		writer: journal.New(config.Log, scheduler.Topic, term, config.LogLimits, config.Clock, logger),
 		core:   scheduler.New(term, config.Options, config.Clock, config.WallClock, logger, config.Metrics)}
+	s.writer.Metrics = config.JournalMetrics
 	if config.Status != nil {
 		topic := config.Status.Topic()
 		s.statusWriter = journal.New(config.Log, topic, term, config.LogLimits, config.Clock, logger.WithField("topic", topic))
@@ -205,7 +208,7 @@
 var errFenced = errors.New("fenced: a worker or host has seen a higher fencing token")
 
 // watchFence ends the term once a higher fencing token was seen. Unlike commitBatches, it does so even while an
-// append is in progress. It also tells the core how late its checks begin, and has it reject what waits behind an append
+// append is in progress. It also tells the core how late its checks begin, and has it answer what waits behind an append
 // that takes too long.
 func (s *session) watchFence(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -215,7 +218,7 @@
 		checkedAt := s.Clock()
 		_ = periodic.Pause(ctx, fenceCheckInterval)
 		s.core.ObserveDelay(s.Clock() - checkedAt - fenceCheckInterval)
-		s.core.RejectWaitingRequests()
+		s.core.ExpireWaitingRequests()
 	}
 	return ctx.Err()
 }
