Find a partitioned availability zone as a whole

Each worker of a partitioned zone got starts until a call of its own had had no response, up to 1.4 s after the partition, and idle ones that hadn't been called could get starts as soon as the zone was back, before they had reported. With zones.placement set to home, a zone is lost once three of its workers have left calls unanswered and none has responded for 300 ms, while another zone responds. Its workers are marked: each gets no starts until it has reported itself, and counts as no capacity for admission control; pool sizes and moves don't use the zone's hosts until one responds. A worker that reports after that isn't paused or last in order because of the calls that the partition cut off. Without the rule nothing changes.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -158,7 +158,7 @@
 func (c *Core) standbyCores() float64 {
 	milli := int64(0)
 	for _, host := range c.fleet.hosts {
-		if c.inStandby(host) {
+		if c.inStandby(host) && !c.inLostZone(host) {
 			milli += host.Capacity.CPUMilli
 		}
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -190,6 +190,8 @@
 	jobsHeldSince time.Duration
 	// nextSuspectsObservation is when the suspects are counted again.
 	nextSuspectsObservation time.Duration
+	// zones finds availability zones that are lost.
+	zones zoneWatch
 	// supply caches what admission needs to know of the pools.
 	supply supplyCache
 	// offeredJobs maps job IDs to the time at which they were first submitted to this term. Retries of
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -57,6 +57,9 @@
 	now := c.clock()
 	w, i := c.workers[order.Worker.ID], c.findItem(order.Item)
 	kind := infra.KindOf(err)
+	if w != nil {
+		c.noteZoneOutcome(w, kind)
+	}
 	if i == nil || w == nil || i.worker != w || i.run != order.Run {
 		if kind == infra.Unknown && w != nil {
 			w.addLateStart(lateStart{item: order.Item, run: order.Run, until: now + maxCallDelay}, now)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -126,7 +126,7 @@
 
 // available reports whether the worker may get new work if it isn't paused.
 func (w *worker) available() bool {
-	return w.listed && w.hasReported && !w.leaves() && !w.vacating && w.failedRenewals == 0
+	return w.listed && w.hasReported && !w.leaves() && !w.vacating && !w.inLostZone && w.failedRenewals == 0
 }
 
 // leaves reports whether the worker has ended, drains, or is on a host that is about to go down or to move.
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -151,7 +151,7 @@
 	defer c.mu.Unlock()
 	w := c.workers[order.Worker.ID]
 	i := c.findItem(order.Item)
-	if w == nil || w.leaves() || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
+	if w == nil || w.leaves() || w.inLostZone || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
 		return 0
 	}
 	now := c.clock()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -32,12 +32,14 @@
 		return
 	}
 	if infra.KindOf(err) == infra.RelayFailed {
+		c.noteZoneUnanswered(w)
 		// The worker may have got the renewal, and isn't blamed for the missing response.
 		w.loseAck(c.clock())
 		w.sentAck, w.renewalInterrupted = 0, true
 		return
 	}
 	w.failedRenewals++
+	c.noteZoneOutcome(w, infra.KindOf(err))
 	if infra.KindOf(err) == infra.Unknown {
 		w.loseAck(c.clock())
 		c.noteUnanswered(w)
@@ -81,6 +83,7 @@
 		return
 	}
 	now := c.clock()
+	c.noteZoneReport(w, now)
 	if report.StartUnixMs > 0 && w.startedUnixMs > 0 && report.StartUnixMs != w.startedUnixMs {
 		c.resetRestartedWorker(w, report.StartUnixMs, &report, sentAt)
 	}
--- a/internal/scheduler/responsiveness.go
+++ b/internal/scheduler/responsiveness.go
@@ -43,6 +43,7 @@
 func (c *Core) noteUnanswered(w *worker) {
 	if c.delay <= maxTimelyDelay {
 		w.unansweredAt = c.clock()
+		c.noteZoneUnanswered(w)
 	}
 }
 
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -157,9 +157,9 @@
 	return c.config.Pools[host.Pool].Standby && host.State == infra.HostUp
 }
 
-// movable reports whether no order to the host is in progress, and no earlier term ordered it recently.
+// movable reports whether no order to the host is in progress, no earlier term ordered it recently, and orders reach it.
 func (c *Core) movable(id string, now time.Duration) bool {
-	return c.fleet.moves[id] == nil && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
+	return c.fleet.moves[id] == nil && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id] && !c.inLostZone(c.fleet.hosts[id])
 }
 
 // maintenanceInFlight reports whether an order to take the host down for maintenance is in flight.
@@ -208,7 +208,7 @@
 		}
 		load := byName[pool]
 		// A host that is down for maintenance, or soon will be, doesn't count: it runs nothing until it is back.
-		unavailable := host.State == infra.HostDown || host.State == infra.HostMaintenance || c.drainingForWave(id)
+		unavailable := host.State == infra.HostDown || host.State == infra.HostMaintenance || c.drainingForWave(id) || c.inLostZone(host)
 		if load == nil || unavailable {
 			continue
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -100,6 +100,8 @@
 	lastStragglerPause time.Duration
 	// consecutiveFailures is the number of failed runs since the last successful one.
 	consecutiveFailures int
+	// inLostZone is set from when the worker's zone is found to be lost until the worker reports.
+	inLostZone bool
 	// cordoned workers get no new work because their host is about to go down or to move.
 	cordoned bool
 	// vacating workers get no new work because their host is needed in another pool.
--- a/internal/scheduler/workercheck.go
+++ b/internal/scheduler/workercheck.go
@@ -9,6 +9,7 @@
 // checkWorkers checks the runs of all workers for unconfirmed starts and stops and for stragglers, and stops lasting
 // work on draining workers. It passes over the workers, and over the runs that may need an order, in the order of their IDs.
 func (c *Core) checkWorkers(now time.Duration) {
+	c.checkZones(now)
 	var unanswered unansweredRuns
 	for _, w := range c.sortedWorkers() {
 		c.stopLateStarts(w, now)
