--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -157,10 +157,11 @@
 	return c.config.Pools[host.Pool].Standby && host.State == infra.HostUp
 }
 
-// movable reports whether the host is in no evacuated zone, no order to it is in progress, and no earlier term ordered it
-// recently.
+// movable reports whether the host is in no evacuated zone and orders reach it, no order to it is in progress, and no earlier
+// term ordered it recently.
 func (c *Core) movable(id string, now time.Duration) bool {
-	return c.fleet.moves[id] == nil && !c.evacuations.covers(c.fleet.hosts[id].Zone) && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
+	host := c.fleet.hosts[id]
+	return c.fleet.moves[id] == nil && !c.evacuations.covers(host.Zone) && !c.inLostZone(host) && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
 }
 
 // maintenanceInFlight reports whether an order to take the host down for maintenance is in flight.
@@ -209,7 +210,7 @@
 		}
 		load := byName[pool]
 		// A host that is down for maintenance, or soon will be, doesn't count: it runs nothing until it is back.
-		unavailable := host.State == infra.HostDown || host.State == infra.HostMaintenance || c.drainingForWave(id)
+		unavailable := host.State == infra.HostDown || host.State == infra.HostMaintenance || c.drainingForWave(id) || c.inLostZone(host)
 		if load == nil || unavailable || c.isEvacuatedHost(id, host, load) {
 			continue
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -103,6 +103,8 @@
 	lastStragglerPause time.Duration
 	// consecutiveFailures is the number of failed runs since the last successful one.
 	consecutiveFailures int
+	// inLostZone is set from when the worker's zone is found to be lost until the worker reports.
+	inLostZone bool
 	// cordoned workers get no new work because their host is about to go down or to move.
 	cordoned bool
 	// evacuated workers get no new work because operators requested the evacuation of their availability zone.
