Order and admit jobs by cost behind policy.Overload.ByCost

Cause: see the package overload; without the rule nothing changes. Admission counts only the work that the order places before a job. The replay reports workers in a fixed order, so that its results can be repeated.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericyoke/internal/overload"
 	"turmericyoke/internal/work"
 )
 
@@ -125,6 +126,8 @@
 	// the completed job is still of use.
 	predictedWait, maxWait time.Duration
 	retryAfter             time.Duration
+	// sizeClass is that of the job.
+	sizeClass overload.SizeClass
 }
 
 // admit decides whether a job is accepted that was first submitted at offeredAt.
@@ -146,6 +149,9 @@
 	path := c.criticalPath(def, func(int) bool { return false })
 	runTime := path + time.Duration(len(def.Steps))*stepOverhead
 	maxWait := latenessCutoff*relativeDeadline(def, path) - runTime - (now - offeredAt)
+	if c.options.Policy.Overload.ByCost() {
+		return c.admitByCost(def, path, maxWait, offeredAt, now)
+	}
 	predictedWait := supply.waitAt(c.overuseLevel(def, now), cores)
 	if predictedWait <= maxWait {
 		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -129,6 +129,9 @@
 	nextOccurrenceCheck time.Duration
 	// waiting holds the jobs that may have work items to place, by pool.
 	waiting map[string]*waitingJobs
+	// reorder sets the keys of the ready jobs of a pool that don't last; nil for the order by slack. cost is its state.
+	reorder func(waiting *waitingJobs, now time.Duration)
+	cost    costOrder
 	// placeable is the result of placeableJobs.
 	placeable []placeableJob
 	workers   map[string]*worker
@@ -208,12 +211,16 @@
 // New returns a Core for the given term. It may serve requests once an append of the term is confirmed that begins after
 // this call.
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
-	return &Core{
+	c := &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), confirmedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
 		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, tombstones: newTombstones(), supply: supplyCache{expiresAt: -1},
 	}
+	if options.Policy.Overload.ByCost() {
+		c.reorder = c.rankByCost
+	}
+	return c
 }
 
 // Wakeups returns a channel that receives a value when Collect may have something to do.
--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -30,6 +30,7 @@
 			delete(c.offeredJobs, id)
 		}
 	}
+	c.cost.shares.Forget(c.shareOf, now)
 	c.dropExpiredTombstones(now)
 	for id, j := range c.jobs {
 		if _, active := c.activeJobs[j]; active || !j.finished() {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -37,6 +37,8 @@
 	// slack is the time left before the remaining critical path must start. For late jobs it is the
 	// core-seconds of the job instead, so that the smallest jobs go first.
 	slack time.Duration
+	// positioned is set once the order by cost has set the keys.
+	positioned bool
 	// leastNeed is that of the job.
 	leastNeed work.Resources
 }
@@ -121,12 +123,17 @@
 		kept++
 		if r.ready = j.durable && !wallTime.Before(j.firstDue); r.ready {
 			r.leastNeed = j.leastNeed
-			c.updateKeys(r, now)
+			if c.reorder == nil || r.lasting {
+				c.updateKeys(r, now)
+			}
 			waiting.ready++
 		}
 	}
 	clear(waiting.ranked[kept:])
 	waiting.ranked = waiting.ranked[:kept]
+	if c.reorder != nil {
+		c.reorder(waiting, now)
+	}
 	sortRanked(waiting.ranked)
 }
 
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -119,8 +120,8 @@
 	}
 	r.core.SetConfig(r.config)
 	r.core.UpdateWorkers(update)
-	for _, w := range r.workers {
-		r.report(w)
+	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
+		r.report(r.workers[id])
 	}
 	return r
 }
@@ -159,7 +160,7 @@
 
 // endRuns ends the runs that are due, and sends the reports of their workers.
 func (r *replay) endRuns() {
-	touched := map[*replayWorker]bool{}
+	touched := map[string]*replayWorker{}
 	for len(r.ends) > 0 && r.ends[0].at <= r.now {
 		end := heap.Pop(&r.ends).(replayEnd)
 		w := end.worker
@@ -171,10 +172,10 @@
 			}
 		}
 		w.ended = append(w.ended, infra.EndedRun{Sequence: w.endings, Item: end.run.Item, Run: end.run.Run, Cause: infra.EndDone})
-		touched[w] = true
+		touched[w.entry.ID] = w
 	}
-	for w := range touched {
-		r.report(w)
+	for _, id := range slices.Sorted(maps.Keys(touched)) {
+		r.report(touched[id])
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -276,6 +276,7 @@
 		return
 	}
 	j.completed, j.endedAt = true, now
+	c.noteServed(j, now)
 	c.metrics.jobCompleted(now - j.acceptedAt)
 	c.logger.WithFields(logrus.Fields{"event": "job_completed", "job": j.def.ID, "queue": j.def.Queue.Name, "customer": j.def.Customer,
 		"took_ms": (now - j.acceptedAt).Milliseconds()}).Info("job completed")
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"turmericyoke/internal/overload"
 	"turmericyoke/internal/work"
 )
 
@@ -225,6 +226,10 @@
 	endedAt   time.Duration
 	// overuseLevel is the customer's overuse level at submission.
 	overuseLevel int
+	// beyondShare is set if the customer sent the job beyond its share. It is known only in the term that accepted the job.
+	beyondShare bool
+	// sizeClass is the class of the job by its size; 0 if the order by cost doesn't count it.
+	sizeClass overload.SizeClass
 	// placedCount is the number of items that run or may run.
 	placedCount int
 	// keptOpenSteps is what openSteps returns; it is out of date if openStepsChanged is set.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -60,7 +60,8 @@
 		return
 	}
 	def.Accepted = c.wallClock()
-	if decision := c.admit(def, offeredAt, now); !decision.accepted {
+	decision := c.admit(def, offeredAt, now)
+	if !decision.accepted {
 		c.metrics.jobRejected(decision.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": decision.reason,
 			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).Info("job rejected")
@@ -71,6 +72,7 @@
 	c.applyAdvicePolicy(j)
 	j.acceptedAt, j.offeredAt = now, offeredAt
 	j.overuseLevel = c.overuseLevel(def, now)
+	j.beyondShare, j.sizeClass = c.takeShare(def, now), decision.sizeClass
 	supply, cores := c.supplyOf(def.Queue.Pool, now)
 	j.booked = c.bookWork(def, cores, now)
 	if def.Recurrence.Times == 0 {
