Explain which jobs give way under overload, and to whom

Cause: an operator can't tell why a job waited or was rejected. Change: job_accepted and job_rejected carry the job's group, the jobs ahead and the last one of them; job_delayed says so once for an accepted job that gives way. scheduler_offers_total and scheduler_jobs_delayed_total count by group and cause. Run: go test ./internal/overload and, of ./internal/scheduler, the tests of order, admission, ranking and explanations: ok.

--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -29,7 +29,6 @@
 // Offer is a submitted job.
 type Offer struct {
 	Job
-	ID string
 	// Room is the longest wait after which the completed job is still of use.
 	Room time.Duration
 	// UntilShare is the time until its customer may send a job within its share.
--- a/internal/overload/backlog.go
+++ b/internal/overload/backlog.go
@@ -19,7 +19,10 @@
 }
 
 // workUpTo is the work of a group up to the job with the key.
-type workUpTo struct{ key, work float64 }
+type workUpTo struct {
+	key, work float64
+	job       string
+}
 
 // Set computes the backlog of a pool whose jobs have the positions.
 func (b *Backlog) Set(s *Snapshot, positions []Position) {
@@ -28,7 +31,7 @@
 		b.ends[group] = b.ends[group][:0]
 	}
 	for n, position := range positions {
-		b.ends[position.Group] = append(b.ends[position.Group], workUpTo{position.Key, s.Jobs[n].Work})
+		b.ends[position.Group] = append(b.ends[position.Group], workUpTo{position.Key, s.Jobs[n].Work, s.Jobs[n].ID})
 		if position.Group == Late && s.Jobs[n].Slack >= 0 {
 			b.lowestDropped = min(b.lowestDropped, position.Key)
 		}
@@ -65,3 +68,19 @@
 	}
 	return ahead
 }
+
+// GivesWayTo returns the number of waiting jobs that get capacity before a job in the position, and the ID of the last one of
+// them; empty if there is none.
+func (b *Backlog) GivesWayTo(position Position) (jobs int, last string) {
+	for group := range position.Group {
+		if list := b.ends[group]; len(list) > 0 {
+			jobs, last = jobs+len(list), list[len(list)-1].job
+		}
+	}
+	list := b.ends[position.Group]
+	n, _ := slices.BinarySearchFunc(list, position.Key, func(w workUpTo, key float64) int { return cmp.Compare(w.key, key) })
+	if n > 0 {
+		jobs, last = jobs+n, list[n-1].job
+	}
+	return jobs, last
+}
--- a/internal/overload/order.go
+++ b/internal/overload/order.go
@@ -45,6 +45,8 @@
 
 // Job is a waiting job that doesn't last. Times are relative to the snapshot.
 type Job struct {
+	// ID names the job in explanations.
+	ID string
 	// Priority is that of the queue; 0 is the most urgent.
 	Priority int
 	// Due is the time left until the deadline, Slack the time left before the remaining critical path must start, and
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -71,7 +71,10 @@
 func TestAdmission(t *testing.T) {
 	s := Snapshot{Cores: 1, Jobs: []Job{job(60*time.Second, 10), job(-9*time.Second, 100)}}
 	var b Backlog
+	s.Jobs[0].ID, s.Jobs[1].ID = "first", "useless"
 	b.Set(&s, new(Planner).Order(&s))
+	jobs, last := b.GivesWayTo(Position{Group: Late})
+	assert.Assert(t, jobs == 1 && last == "first", "gives way to %d jobs, the last one %q", jobs, last)
 	for _, test := range []struct {
 		name        string
 		work        float64
@@ -79,8 +82,8 @@
 		beyondShare bool
 		cause       string
 	}{{"smaller", 1, 2 * time.Second, false, ""}, {"late", 20, 11 * time.Second, false, ""}, {"too late", 20, 2 * time.Second, false, CauseOverload}, {"beyond share", 1, time.Hour, true, CauseBeyondShare}} {
-		offer := Offer{Job: job(time.Minute, test.work), ID: test.name, Room: test.room, UntilShare: 3 * time.Second}
-		offer.BeyondShare = test.beyondShare
+		offer := Offer{Job: job(time.Minute, test.work), Room: test.room, UntilShare: 3 * time.Second}
+		offer.ID, offer.BeyondShare = test.name, test.beyondShare
 		verdict := b.Admit(&offer)
 		assert.Equal(t, verdict.Cause, test.cause, test.name)
 		assert.Equal(t, verdict.RetryAfter > 0, test.cause != "", test.name)
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"turmericyoke/internal/overload"
 	"turmericyoke/internal/work"
 )
@@ -126,6 +128,8 @@
 	// the completed job is still of use.
 	predictedWait, maxWait time.Duration
 	retryAfter             time.Duration
+	// explanation holds log fields that say what the job gives way to; nil without the order by cost.
+	explanation logrus.Fields
 	// sizeClass is that of the job.
 	sizeClass overload.SizeClass
 }
--- a/internal/scheduler/costorder.go
+++ b/internal/scheduler/costorder.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"turmericyoke/internal/overload"
 	"turmericyoke/internal/work"
 )
@@ -79,19 +81,32 @@
 		}
 	}
 	positions := order.planner.Order(&order.snapshot)
+	order.backlog.Set(&order.snapshot, positions)
 	for n, r := range order.members {
 		r.setPosition(positions[n])
+		c.explainDelay(r.job, positions[n], &order.backlog, now)
 	}
-	order.backlog.Set(&order.snapshot, positions)
 	clear(order.members)
 }
 
+// explainDelay logs once for each job why it gives way to others.
+func (c *Core) explainDelay(j *job, position overload.Position, backlog *overload.Backlog, now time.Duration) {
+	if position.Group == overload.OnTime || j.delayExplained {
+		return
+	}
+	j.delayExplained = true
+	c.metrics.jobDelayed(position.Group.String())
+	jobs, last := backlog.GivesWayTo(position)
+	c.logger.WithFields(logrus.Fields{"event": "job_delayed", "job": j.def.ID, "queue": j.def.Queue.Name, "customer": j.def.Customer, "cause": position.Group.String(),
+		"jobs_ahead": jobs, "gives_way_to": last, "age_ms": (now - j.acceptedAt).Milliseconds()}).Info("job gives way to others")
+}
+
 // waitingJob returns what the order by cost needs to know of the job.
 func (c *Core) waitingJob(j *job, now time.Duration) overload.Job {
 	predicted, kind := c.predict(j), j.def.Queue.Name
 	waiting, _ := c.remainingWork(j, now)
 	due := j.offeredAt + predicted.relativeDeadline - now
-	return overload.Job{Priority: j.def.Queue.Priority, Due: due, Slack: due - predicted.remainingPath,
+	return overload.Job{ID: j.def.ID, Priority: j.def.Queue.Priority, Due: due, Slack: due - predicted.remainingPath,
 		Grace: (latenessCutoff - 1) * predicted.relativeDeadline, Work: waiting, Size: predicted.coreSeconds,
 		Typical: c.cost.sizes.Typical(kind, predicted.coreSeconds), Credit: c.cost.sizes.Credit(kind, j.sizeClass), BeyondShare: j.beyondShare}
 }
@@ -124,11 +139,14 @@
 	}
 	deadline := relativeDeadline(def, path)
 	due, share := offeredAt+deadline-now, c.shareOf(def.Customer)
-	offer := overload.Offer{ID: def.ID, Room: maxWait, UntilShare: c.cost.shares.UntilNext(def.Customer, share, now)}
-	offer.Job = overload.Job{Priority: def.Queue.Priority, Due: due, Slack: due - path, Grace: (latenessCutoff - 1) * deadline,
+	offer := overload.Offer{Room: maxWait, UntilShare: c.cost.shares.UntilNext(def.Customer, share, now)}
+	offer.Job = overload.Job{ID: def.ID, Priority: def.Queue.Priority, Due: due, Slack: due - path, Grace: (latenessCutoff - 1) * deadline,
 		Work: size, Size: size, Typical: sizes.Typical(kind, size), Credit: sizes.Credit(kind, class), BeyondShare: c.cost.shares.Available(def.Customer, share, now) < 1}
 	verdict := order.backlog.Admit(&offer)
-	return admission{accepted: verdict.Cause == "", reason: verdict.Cause, predictedWait: verdict.Wait, maxWait: maxWait, retryAfter: verdict.RetryAfter, sizeClass: class}
+	c.metrics.placedInOrder(verdict.Position.Group.String())
+	jobs, last := order.backlog.GivesWayTo(verdict.Position)
+	explanation := logrus.Fields{"group": verdict.Position.Group.String(), "jobs_ahead": jobs, "gives_way_to": last, "wait_ms": verdict.Wait.Milliseconds()}
+	return admission{explanation: explanation, accepted: verdict.Cause == "", reason: verdict.Cause, predictedWait: verdict.Wait, maxWait: maxWait, retryAfter: verdict.RetryAfter, sizeClass: class}
 }
 
 // noteServed counts a completed job whose completion is of use.
--- a/internal/scheduler/costorder_test.go
+++ b/internal/scheduler/costorder_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
+	"turmericyoke/internal/overload"
 	"turmericyoke/internal/policy"
 )
 
@@ -81,3 +84,31 @@
 		})
 	}
 }
+
+// Guards against rejected and delayed jobs of which no line says why and whom they gave way to: five times the capacity for
+// five seconds.
+func TestDecisionsUnderOverloadAreExplained(t *testing.T) {
+	r := newOverloadReplay(1, 5)
+	r.byCost()
+	logger, lines := test.NewNullLogger()
+	r.core.logger = logrus.NewEntry(logger)
+	for end := r.now + 5*time.Second; r.now < end; r.now += overloadTick {
+		r.offer()
+		r.returnRejected()
+		r.endRuns()
+		r.commit()
+	}
+	causes := map[any]int{}
+	for _, line := range lines.AllEntries() {
+		switch line.Data["event"] {
+		case "job_rejected":
+			causes[line.Data["reason"]]++
+		case "job_delayed":
+			causes[line.Data["cause"]]++
+		default:
+			continue
+		}
+		assert.Assert(t, line.Data["gives_way_to"] != "" || line.Data["jobs_ahead"] == 0, "%v", line.Data)
+	}
+	assert.Assert(t, causes[overload.CauseBeyondShare] > 0 && causes[overload.CauseOverload] > 0 && causes["late"] > 0, "%v", causes)
+}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -11,12 +11,15 @@
 
 // Metrics holds the scheduler's metrics. A nil Metrics records nothing.
 type Metrics struct {
-	jobs       *prometheus.CounterVec
-	starts     *prometheus.CounterVec
-	ends       *prometheus.CounterVec
-	crashes    *prometheus.CounterVec
-	examined   prometheus.Counter
-	completion prometheus.Histogram
+	jobs *prometheus.CounterVec
+	// offers counts the submissions by the group that the order by cost places them in, and delays the jobs that give way to
+	// others by cause.
+	offers, delays *prometheus.CounterVec
+	starts         *prometheus.CounterVec
+	ends           *prometheus.CounterVec
+	crashes        *prometheus.CounterVec
+	examined       prometheus.Counter
+	completion     prometheus.Histogram
 	// adviceCalls counts the requests to the advice service, advisedWorkers the workers in its answers, and adviceWaits is
 	// the number of work items that wait for it although there is room.
 	adviceCalls, advisedWorkers *prometheus.CounterVec
@@ -40,6 +43,8 @@
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		jobs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_total", Help: "Jobs by decision."}, []string{"decision"}),
+		offers:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_offers_total", Help: "Submissions by their group in the order by cost."}, []string{"group"}),
+		delays:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_jobs_delayed_total", Help: "Jobs that give way to others in the order by cost, by cause."}, []string{"cause"}),
 		starts:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_starts_total", Help: "Starts of work items by outcome."}, []string{"outcome"}),
 		ends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_ends_total", Help: "Ends of runs by cause."}, []string{"cause"}),
 		crashes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "scheduler_run_crashes_total", Help: "Crashes of workers that were counted against a work item."}, []string{"on_trial"}),
@@ -59,7 +64,7 @@
 		trials:             prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_trials", Help: "Trials in progress."}),
 		suspectAge:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "scheduler_suspects_oldest_seconds", Help: "How long the oldest waiting suspect has waited."}),
 	}
-	registry.MustRegister(m.jobs, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits,
+	registry.MustRegister(m.jobs, m.offers, m.delays, m.starts, m.ends, m.crashes, m.examined, m.completion, m.suspects, m.trials, m.suspectAge, m.adviceCalls, m.advisedWorkers, m.adviceWaits,
 		m.rejectedRecords, m.omittedCheckpoints, m.stateBytes, m.delayedOccurrences, m.fullStartQueues)
 	return m
 }
@@ -76,6 +81,20 @@
 	}
 }
 
+// placedInOrder counts a submission by its group in the order by cost.
+func (m *Metrics) placedInOrder(group string) {
+	if m != nil {
+		m.offers.WithLabelValues(group).Inc()
+	}
+}
+
+// jobDelayed counts a job that gives way to others.
+func (m *Metrics) jobDelayed(cause string) {
+	if m != nil {
+		m.delays.WithLabelValues(cause).Inc()
+	}
+}
+
 func (m *Metrics) jobCompleted(took time.Duration) {
 	if m != nil {
 		m.jobs.WithLabelValues("completed").Inc()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -228,6 +228,8 @@
 	overuseLevel int
 	// beyondShare is set if the customer sent the job beyond its share. It is known only in the term that accepted the job.
 	beyondShare bool
+	// delayExplained is set once it was logged that the job gives way to others.
+	delayExplained bool
 	// sizeClass is the class of the job by its size; 0 if the order by cost doesn't count it.
 	sizeClass overload.SizeClass
 	// placedCount is the number of items that run or may run.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -64,7 +64,7 @@
 	if !decision.accepted {
 		c.metrics.jobRejected(decision.reason)
 		c.logger.WithFields(logrus.Fields{"event": "job_rejected", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "reason": decision.reason,
-			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).Info("job rejected")
+			"wait_ms": decision.predictedWait.Milliseconds(), "room_ms": decision.maxWait.Milliseconds(), "retry_after_ms": decision.retryAfter.Milliseconds()}).WithFields(decision.explanation).Info("job rejected")
 		c.rejectOnceConfirmed(def.ID, Outcome{Kind: OutcomeRejected, RetryAfter: decision.retryAfter, Reason: decision.reason}, timeLeft, waiter)
 		return
 	}
@@ -84,7 +84,7 @@
 	c.createOccurrences(j)
 	j.submitters = append(j.submitters, waiter)
 	c.metrics.jobAccepted()
-	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.overuseLevel}).Info("job accepted")
+	c.logger.WithFields(logrus.Fields{"event": "job_accepted", "job": def.ID, "queue": def.Queue.Name, "customer": def.Customer, "steps": len(def.Steps), "ahead": j.overuseLevel}).WithFields(decision.explanation).Info("job accepted")
 	c.markDirty(j)
 }
 
