--- a/internal/scheduler/overload_replay_test.go
+++ b/internal/scheduler/overload_replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -76,6 +77,12 @@
 	}
 	r.core.SetConfig(&config)
 	r.config = &config
+	var update infra.WorkerUpdate
+	for n, id := range slices.Sorted(maps.Keys(r.workers)) {
+		r.workers[id].entry.Labels = []string{[...]string{"a", "b", "c"}[n%3], "rack"}
+		update.Entries = append(update.Entries, r.workers[id].entry)
+	}
+	r.core.UpdateWorkers(update)
 	return r
 }
 
