--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"turmericyoke/internal/overload"
 	"turmericyoke/internal/work"
 )
 
@@ -130,6 +133,10 @@
 	predictedWait, maxWait time.Duration
 	retryAfter             time.Duration
 	forecast               forecast
+	// explanation holds log fields that say what the job gives way to; nil without the order by cost.
+	explanation logrus.Fields
+	// sizeClass is that of the job.
+	sizeClass overload.SizeClass
 }
 
 // admit decides whether a job is accepted that was first submitted at offeredAt.
@@ -154,6 +161,9 @@
 	path := c.criticalPath(def, func(int) bool { return false })
 	runTime := path + time.Duration(len(def.Steps))*stepOverhead
 	maxWait := latenessCutoff*relativeDeadline(def, path) - runTime - (now - offeredAt)
+	if c.options.Policy.Overload.ByCost() {
+		return c.admitByCost(def, path, maxWait, offeredAt, now)
+	}
 	predictedWait := c.predictWait(supply, cores, def, path, offeredAt, now)
 	requiredWait := max(predictedWait, supply.forecast.backlogWait(supply, c.overuseLevel(def, now)))
 	if requiredWait <= maxWait {
