--- a/internal/scheduler/overload_replay_test.go
+++ b/internal/scheduler/overload_replay_test.go
@@ -92,7 +92,7 @@
 }
 
 // orderBy sorts the waiting jobs by a key only.
-func (r *overloadReplay) orderBy(key func(p prediction, j *job) time.Duration) {
+func (r *overloadReplay) orderBy(key func(p jobPrediction, j *job) time.Duration) {
 	r.core.reorder = func(waiting *waitingJobs, _ time.Duration) {
 		for n := range waiting.ranked {
 			ranked := &waiting.ranked[n]
