--- a/internal/scheduler/overload_replay_test.go
+++ b/internal/scheduler/overload_replay_test.go
@@ -103,11 +103,11 @@
 
 // leastSlack and smallest are the orders with which the order by cost is compared.
 func (r *overloadReplay) leastSlack() {
-	r.orderBy(func(p prediction, j *job) time.Duration { return j.offeredAt + p.relativeDeadline - p.remainingPath })
+	r.orderBy(func(p jobPrediction, j *job) time.Duration { return j.offeredAt + p.relativeDeadline - p.remainingPath })
 }
 
 func (r *overloadReplay) smallest() {
-	r.orderBy(func(p prediction, _ *job) time.Duration { return time.Duration(p.coreSeconds * float64(time.Second)) })
+	r.orderBy(func(p jobPrediction, _ *job) time.Duration { return time.Duration(p.coreSeconds * float64(time.Second)) })
 }
 
 // offer creates the jobs that are due within the tick.
