--- a/internal/scheduler/overload_replay_test.go
+++ b/internal/scheduler/overload_replay_test.go
@@ -107,7 +107,9 @@
 }
 
 func (r *overloadReplay) smallest() {
-	r.orderBy(func(p jobPrediction, _ *job) time.Duration { return time.Duration(p.coreSeconds * float64(time.Second)) })
+	r.orderBy(func(p jobPrediction, _ *job) time.Duration {
+		return time.Duration(p.coreSeconds * float64(time.Second))
+	})
 }
 
 // offer creates the jobs that are due within the tick.
