--- a/internal/scheduler/runtimes_test.go
+++ b/internal/scheduler/runtimes_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
+	"turmericyoke/internal/infra"
 	"turmericyoke/internal/policy"
 	"turmericyoke/internal/work"
 )
@@ -198,11 +199,9 @@
 	tc := newKindCore(1)
 	id := tc.addWorker(0, 8)
 	w := tc.workers[id]
-	w.entry.WarmupLeft = 10 * time.Second
-	for range predictionTicks {
-		tc.now += predictionTick
-		tc.advanceRunTimes(tc.now)
-	}
+	entry := w.entry
+	entry.WarmupLeft = 10 * time.Second
+	tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
 	j := newJob(&work.Job{Queue: tc.config.Queues[0], Steps: []work.Step{{Count: 1, Estimate: time.Second}}})
 	i := j.steps[0].items[0]
 	i.worker = w
