Check hosts of evacuated and lost zones in one place, and compute a job's critical path once

Found in a review of the whole change: three callers repeated the check for both kinds of zones, and each accepted job had its critical path computed twice, also with the default rules.

--- a/internal/scheduler/accuracy.go
+++ b/internal/scheduler/accuracy.go
@@ -40,13 +40,12 @@
 	from, to time.Duration
 }
 
-// forecastFor returns the forecast of a job for which wait is predicted.
-func (c *Core) forecastFor(def *work.Job, wait time.Duration) forecast {
+// forecastFor returns the forecast of a job for which wait is predicted, and whose critical path is path.
+func (c *Core) forecastFor(def *work.Job, path, wait time.Duration) forecast {
 	overhead := time.Duration(len(def.Steps)) * stepOverhead
 	f := forecast{made: true, wait: wait}
 	if c.runTimes == nil {
-		path := float64(c.criticalPath(def, func(int) bool { return false }))
-		f.from, f.to = wait+time.Duration(minRunTimeRatio*path), wait+time.Duration(maxRunTimeRatio*path)+overhead
+		f.from, f.to = wait+time.Duration(minRunTimeRatio*float64(path)), wait+time.Duration(maxRunTimeRatio*float64(path))+overhead
 		return f
 	}
 	quantilePath := func(q float64) time.Duration {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -167,7 +167,7 @@
 	predictedWait := c.predictWait(supply, cores, def, path, offeredAt, now)
 	requiredWait := max(predictedWait, supply.forecast.backlogWait(supply, c.overuseLevel(def, now)))
 	if requiredWait <= maxWait {
-		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait, forecast: c.forecastFor(def, predictedWait)}
+		return admission{accepted: true, predictedWait: predictedWait, maxWait: maxWait, forecast: c.forecastFor(def, path, predictedWait)}
 	}
 	return admission{reason: "overload", predictedWait: requiredWait, maxWait: maxWait, retryAfter: max(minRetryAfter, requiredWait-maxWait)}
 }
@@ -177,7 +177,7 @@
 func (c *Core) standbyCores() float64 {
 	milli := int64(0)
 	for _, host := range c.fleet.hosts {
-		if c.inStandby(host) && !c.evacuations.covers(host.Zone) && !c.inLostZone(host) {
+		if c.inStandby(host) && !c.inUnusableZone(host) {
 			milli += host.Capacity.CPUMilli
 		}
 	}
--- a/internal/scheduler/costorder.go
+++ b/internal/scheduler/costorder.go
@@ -146,7 +146,7 @@
 	c.metrics.placedInOrder(verdict.Position.Group.String())
 	jobs, last := order.backlog.GivesWayTo(verdict.Position)
 	explanation := logrus.Fields{"group": verdict.Position.Group.String(), "jobs_ahead": jobs, "gives_way_to": last, "wait_ms": verdict.Wait.Milliseconds()}
-	return admission{explanation: explanation, accepted: verdict.Cause == "", reason: verdict.Cause, predictedWait: verdict.Wait, maxWait: maxWait, retryAfter: verdict.RetryAfter, sizeClass: class, forecast: c.forecastFor(def, verdict.Wait)}
+	return admission{explanation: explanation, accepted: verdict.Cause == "", reason: verdict.Cause, predictedWait: verdict.Wait, maxWait: maxWait, retryAfter: verdict.RetryAfter, sizeClass: class, forecast: c.forecastFor(def, path, verdict.Wait)}
 }
 
 // noteServed counts a completed job whose completion is of use.
--- a/internal/scheduler/predictedwait.go
+++ b/internal/scheduler/predictedwait.go
@@ -243,7 +243,7 @@
 		cores := float64(host.Capacity.CPUMilli) / 1000
 		pool, in := host.Pool, c.options.HostMoveTime
 		switch m := c.fleet.moves[id]; {
-		case host.State == infra.HostDown || host.State == infra.HostMaintenance, c.evacuations.covers(host.Zone), c.inLostZone(host):
+		case host.State == infra.HostDown || host.State == infra.HostMaintenance, c.inUnusableZone(host):
 			continue
 		case m != nil && (host.Pool != m.pool || host.State != infra.HostUp):
 			pool = m.pool
--- a/internal/scheduler/sizes.go
+++ b/internal/scheduler/sizes.go
@@ -161,7 +161,7 @@
 // term ordered it recently.
 func (c *Core) movable(id string, now time.Duration) bool {
 	host := c.fleet.hosts[id]
-	return c.fleet.moves[id] == nil && !c.evacuations.covers(host.Zone) && !c.inLostZone(host) && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
+	return c.fleet.moves[id] == nil && !c.inUnusableZone(host) && !c.maintenanceInFlight(id) && now >= c.fleet.heldBackUntil[id]
 }
 
 // maintenanceInFlight reports whether an order to take the host down for maintenance is in flight.
--- a/internal/scheduler/zoneloss.go
+++ b/internal/scheduler/zoneloss.go
@@ -114,3 +114,8 @@
 
 // inLostZone reports whether the host is in a lost zone. It is of no use then, and no order reaches it.
 func (c *Core) inLostZone(host infra.Host) bool { return c.zones.isLost(host.Zone) }
+
+// inUnusableZone reports whether the host is in a lost or an evacuated zone, so that no pool can count on it.
+func (c *Core) inUnusableZone(host infra.Host) bool {
+	return c.evacuations.covers(host.Zone) || c.inLostZone(host)
+}
