--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -25,6 +25,7 @@
 // cases are the cases by name.
 var cases = map[string]testCase{
 	"late-start": {workers: 2 * rackSize, run: lateStart},
+	"takeover":   {workers: 2 * rackSize, run: lateStartAcrossTerms},
 	"restart":    {workers: rackSize, run: restartPause},
 	"dark":       {workers: 2 * rackSize, run: darkStart},
 }
@@ -86,24 +87,34 @@
 	longJob   = "5c0e7a21d94b36f8"
 )
 
+// keepStarts makes the link to the first worker that is ordered to start the work item keep these orders, and passes the
+// worker's ID to kept.
+func (l *lab) keepStarts(task string, kept chan<- string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	chosen := ""
+	for _, m := range l.machines {
+		m.link.lateFor = func(path string, order orderBody) time.Duration {
+			if path != "/run-start" || order.Task != task || chosen != "" && chosen != m.worker {
+				return 0
+			}
+			if chosen == "" {
+				chosen = m.worker
+				kept <- m.worker
+			}
+			return lateTime
+		}
+	}
+}
+
 // lateStart: a worker leaves the orders to start one work item unanswered, and they are carried out seconds later. The worker
 // confirms the stop of that run, and the work item starts on another worker. Then the first worker crashes and starts
 // again under its ID, and the late order reaches it.
 func lateStart(l *lab, trouble bool) ([]string, error) {
 	task := longJob + ".0.0.0"
-	chosen := ""
+	kept := make(chan string, 1)
 	if trouble {
-		l.mu.Lock()
-		for _, m := range l.machines {
-			m.link.lateFor = func(path string, order orderBody) time.Duration {
-				if path != "/run-start" || order.Task != task || chosen != "" && chosen != m.worker {
-					return 0
-				}
-				chosen = m.worker
-				return lateTime
-			}
-		}
-		l.mu.Unlock()
+		l.keepStarts(task, kept)
 	}
 	// Other work, so that fewer than half of the orders are late.
 	for n := range 10 {
@@ -125,13 +136,11 @@
 	if !begun {
 		return nil, fmt.Errorf("the work item doesn't start on another worker")
 	}
-	l.mu.Lock()
-	first := l.machineOf(chosen)
-	l.mu.Unlock()
-	if first == nil || run.worker == chosen {
+	first := l.machineOf(<-kept)
+	if run.worker == first.worker {
 		return nil, fmt.Errorf("the late order isn't late: run %d on %s", run.run, run.worker)
 	}
-	l.note("the work item runs on %s as run %d; %s crashes, and starts again under its ID", run.worker, run.run, chosen)
+	l.note("the work item runs on %s as run %d; %s crashes, and starts again under its ID", run.worker, run.run, first.worker)
 	l.killWorker(first)
 	time.Sleep(downTime)
 	if err := l.startWorker(first); err != nil {
@@ -238,3 +247,57 @@
 	}
 	return l.idleBreaches(tasks, lostAt.Add(-lostAfterRun), lostAt), nil
 }
+
+// lateStartAcrossTerms: as lateStart, but the scheduling process is killed while the start has no response.
+func lateStartAcrossTerms(l *lab, trouble bool) ([]string, error) {
+	const killDelay, restartDelay = 300 * time.Millisecond, 3500 * time.Millisecond
+	task := longJob + ".0.0.0"
+	for n := range 10 {
+		if !l.submit(fmt.Sprintf("%016x", 0xabc0+n), jobBody(2, 300)) {
+			return nil, fmt.Errorf("job %d isn't accepted", n)
+		}
+	}
+	kept := make(chan string, 1)
+	if trouble {
+		l.keepStarts(task, kept)
+	}
+	if !l.submit(longJob, jobBody(1, 30000)) {
+		return nil, fmt.Errorf("the job isn't accepted")
+	}
+	if !trouble {
+		if _, begun := l.awaitSpan(watchTime, func(s *span) bool { return s.task == task }); !begun {
+			return nil, fmt.Errorf("the job doesn't begin")
+		}
+		time.Sleep(watchTime)
+		return l.overlaps(), nil
+	}
+	first := l.machineOf(<-kept)
+	leader := l.leader()
+	if leader == nil {
+		return nil, fmt.Errorf("no process schedules")
+	}
+	time.Sleep(killDelay)
+	l.note("%s, which schedules, is killed", leader.name)
+	l.killNode(leader)
+	go func() {
+		time.Sleep(restartDelay)
+		if err := l.launch(leader); err != nil {
+			l.note("%s can't be started again: %v", leader.name, err)
+		}
+	}()
+	run, begun := l.awaitSpan(watchTime, func(s *span) bool { return s.task == task })
+	if !begun || run.worker == first.worker {
+		return nil, fmt.Errorf("the work item doesn't start on another worker")
+	}
+	l.note("the work item runs on %s as run %d; %s crashes, and starts again under its ID", run.worker, run.run, first.worker)
+	l.killWorker(first)
+	time.Sleep(downTime)
+	if err := l.startWorker(first); err != nil {
+		return nil, err
+	}
+	time.Sleep(watchTime)
+	l.mu.Lock()
+	l.note("%d of %d orders were late", l.lateOrders, l.orders)
+	l.mu.Unlock()
+	return l.overlaps(), nil
+}
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -221,6 +222,36 @@
 	l.note("worker %s is killed", m.worker)
 }
 
+// killNode kills an entry process.
+func (l *lab) killNode(n *node) {
+	_ = n.command.Process.Kill()
+	<-n.ended
+}
+
+// leader returns the entry process whose log has the latest term; nil if none has.
+func (l *lab) leader() *node {
+	var leader *node
+	latest := 0
+	for _, n := range l.nodes {
+		text, err := os.ReadFile(filepath.Join(l.dir, n.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if !strings.Contains(line, "event=term_open") {
+				continue
+			}
+			for _, word := range strings.Fields(line) {
+				value, isTerm := strings.CutPrefix(word, "term=")
+				if term, err := strconv.Atoi(value); isTerm && err == nil && term > latest {
+					leader, latest = n, term
+				}
+			}
+		}
+	}
+	return leader
+}
+
 // handleEvent records what workers tell.
 func (l *lab) handleEvent(w http.ResponseWriter, r *http.Request) {
 	var e event
