--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. trouble tells whether the disruption is to take place.
 var cases = map[string]func(l *lab, trouble bool) error{
 	"foreign-entry": foreignEntry,
+	"empty-step":    emptyStep,
 	"torn-records":  tornRecords,
 }
 
