Review case 13: a work item starts again while a late start of it runs (TWICE)

A new term takes a start without an answer, which the log holds, as refused by the minion, although the minion may have started again since. It then sees the late run in the minion's list, has it stopped, and starts the work item elsewhere at once.

--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -80,6 +80,8 @@
 	entries []*entry
 	dir     string
 	log     *os.File
+	// leaves reports whether a minion leaves a start without an answer; nil if none does.
+	leaves func(m *minion, call *minionCall) bool
 
 	mu   sync.Mutex
 	jobs map[string][]step
@@ -485,3 +487,21 @@
 	}
 	return n
 }
+
+// onDuty returns the process that schedules, by its claim in the store. l.store.mu must be held.
+func (l *lab) onDuty() *entry {
+	var claim struct {
+		Name string `json:"name"`
+	}
+	for _, r := range l.store.topic("keyed.duty").newest() {
+		if r.key == "scheduler" {
+			_ = json.Unmarshal(r.value, &claim) // Without a name, no process is found.
+		}
+	}
+	for _, e := range l.entries {
+		if e.name == claim.Name {
+			return e
+		}
+	}
+	return nil
+}
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -20,6 +20,7 @@
 	"foreign-entry": foreignEntry,
 	"empty-step":    emptyStep,
 	"torn-records":  tornRecords,
+	"late-start":    lateStart,
 }
 
 func main() {
--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -65,6 +65,10 @@
 	lastEnd  int64
 	// changed is closed, and replaced, at each end.
 	changed chan struct{}
+	// dark is set while the minion is down.
+	dark bool
+	// late is a start that has no answer, and that the minion carries out as soon as it is up again.
+	late *minionCall
 }
 
 func newMinion(l *lab, number int) (*minion, error) {
@@ -98,7 +102,7 @@
 				m.finish(r, "lapsed")
 			}
 		}
-		if now.After(next) {
+		if now.After(next) && !m.dark {
 			next = now.Add(heartbeat)
 			m.sequence++
 			m.lab.store.put("keyed.servers", m.id, m.entry())
@@ -145,6 +149,39 @@
 	})
 }
 
+// leave reports whether the minion leaves the start without an answer, and carries it out late. m.mu must be held.
+func (m *minion) leave(call *minionCall) bool {
+	if m.lab.leaves == nil || !m.lab.leaves(m, call) {
+		return false
+	}
+	m.lab.note("%s leaves the start of %s run %d without an answer", m.id, call.Task, call.Run)
+	m.late = call
+	return true
+}
+
+// crash ends the minion. After the time it starts again under its ID at its address, and knows nothing of before.
+func (m *minion) crash(downTime time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lab.note("%s crashes", m.id)
+	for _, r := range m.running {
+		m.finish(r, "crashed")
+	}
+	m.dark = true
+	time.AfterFunc(downTime, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.lab.note("%s starts again", m.id)
+		m.dark, m.born, m.sequence, m.fence, m.until, m.lastEnd = false, time.Now(), 0, 0, time.Time{}, 0
+		m.running, m.highest, m.ended = map[string]*run{}, map[string]int64{}, nil
+		if m.late != nil {
+			m.fence = m.late.Token
+			status, reason := m.start(m.late)
+			m.lab.note("%s carries the start of %s run %d out late: %d %s", m.id, m.late.Task, m.late.Run, status, reason)
+		}
+	})
+}
+
 // minionCall is the body of a call of an entry process.
 type minionCall struct {
 	Task       string `json:"task"`
@@ -169,6 +206,11 @@
 		return
 	}
 	m.mu.Lock()
+	if m.dark || r.URL.Path == "/run-start" && m.leave(&call) {
+		m.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	defer m.mu.Unlock()
 	status, reason := http.StatusOK, ""
 	if call.Token < m.fence {
@@ -279,6 +321,9 @@
 		timer.Stop()
 		m.mu.Lock()
 	}
+	if m.dark {
+		panic(http.ErrAbortHandler)
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, known := range m.running {
 		running = append(running, []any{known.task, known.number, known.checkpoint, atWork, m.lab.stepOf(known.task).CPU})
--- a/review/lab-3/torn.go
+++ b/review/lab-3/torn.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -57,21 +56,3 @@
 		}
 	}
 }
-
-// onDuty returns the process that schedules, by its claim in the store. l.store.mu must be held.
-func (l *lab) onDuty() *entry {
-	var claim struct {
-		Name string `json:"name"`
-	}
-	for _, r := range l.store.topic("keyed.duty").newest() {
-		if r.key == "scheduler" {
-			_ = json.Unmarshal(r.value, &claim) // Without a name, no process is found.
-		}
-	}
-	for _, e := range l.entries {
-		if e.name == claim.Name {
-			return e
-		}
-	}
-	return nil
-}
