Review case 13: a failure is counted twice, and the job fails too early (LOST)

A new term counts the end of a run of an earlier term, removes its minion, which is unlisted, before it has acknowledged the end, and counts it again when the minion is listed once more.

--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -82,6 +82,8 @@
 	log     *os.File
 	// leaves reports whether a minion leaves a start without an answer; nil if none does.
 	leaves func(m *minion, call *minionCall) bool
+	// fails reports whether a run that starts will fail; nil if none does.
+	fails func(m *minion, call *minionCall) bool
 
 	mu   sync.Mutex
 	jobs map[string][]step
@@ -164,6 +166,46 @@
 	}
 }
 
+// outcome returns how a run that starts will end.
+func (l *lab) outcome(m *minion, call *minionCall) string {
+	if l.fails != nil && l.fails(m, call) {
+		return "failed"
+	}
+	return "done"
+}
+
+// minionOf returns the minion that runs the work item, or nil if none does.
+func (l *lab) minionOf(task string) *minion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.minions {
+		if _, runs := l.active[task][m.id]; runs {
+			return m
+		}
+	}
+	return nil
+}
+
+// killDuty kills the process that schedules.
+func (l *lab) killDuty() {
+	l.store.mu.Lock()
+	duty := l.onDuty()
+	l.store.mu.Unlock()
+	if duty != nil {
+		l.signal(duty, syscall.SIGKILL)
+	}
+}
+
+// shown returns the state of the job at any of the processes.
+func (l *lab) shown(id string) string {
+	for _, e := range l.entries {
+		if _, state := l.call(e, http.MethodGet, id, nil); state != "" {
+			return state
+		}
+	}
+	return ""
+}
+
 // noteEnd records the end of a run.
 func (l *lab) noteEnd(m *minion, r *run, how string) {
 	l.note("%s ends %s run %d: %s", m.id, r.task, r.number, how)
--- a/review/lab-3/late.go
+++ b/review/lab-3/late.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"syscall"
 	"time"
 )
 
@@ -44,21 +43,10 @@
 		time.Sleep(time.Second)
 		late.crash(4400 * time.Millisecond)
 		time.Sleep(500 * time.Millisecond)
-		l.store.mu.Lock()
-		duty := l.onDuty()
-		l.store.mu.Unlock()
-		l.signal(duty, syscall.SIGKILL)
+		l.killDuty()
 	}
 	return l.await("the job is shown as completed, or a rule was broken", 60*time.Second, func() bool {
 		time.Sleep(400 * time.Millisecond)
-		if l.isBroken() {
-			return true
-		}
-		for _, e := range l.entries {
-			if _, state := l.call(e, http.MethodGet, id, nil); state == "completed" {
-				return true
-			}
-		}
-		return false
+		return l.isBroken() || l.shown(id) == "completed"
 	})
 }
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -21,6 +21,7 @@
 	"empty-step":    emptyStep,
 	"torn-records":  tornRecords,
 	"late-start":    lateStart,
+	"failed-twice":  failedTwice,
 }
 
 func main() {
--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -12,14 +12,16 @@
 
 // Figures of the minions.
 const (
-	heartbeat  = 1500 * time.Millisecond
-	holdMax    = 6 * time.Second
-	stopTime   = 200 * time.Millisecond
-	maxWait    = 2 * time.Second
-	minionCPU  = 64000
-	minionMem  = 131072
-	atWork     = 100
-	checkPause = 20 * time.Millisecond
+	heartbeat = 1500 * time.Millisecond
+	// silentIntervals is the number of intervals of silence after which the store removes an entry.
+	silentIntervals = 3
+	holdMax         = 6 * time.Second
+	stopTime        = 200 * time.Millisecond
+	maxWait         = 2 * time.Second
+	minionCPU       = 64000
+	minionMem       = 131072
+	atWork          = 100
+	checkPause      = 20 * time.Millisecond
 	// checkpointTime is the site's checkpointS.
 	checkpointTime  = 2 * time.Second
 	checkpointBytes = 3000
@@ -67,6 +69,10 @@
 	changed chan struct{}
 	// dark is set while the minion is down.
 	dark bool
+	// cut is set while no call reaches the minion, and it reaches nobody.
+	cut bool
+	// dueAt is when the minion last wrote its entry or would have done so, and wroteAt when it did; zero once it was removed.
+	dueAt, wroteAt time.Time
 	// late is a start that has no answer, and that the minion carries out as soon as it is up again.
 	late *minionCall
 }
@@ -102,15 +108,65 @@
 				m.finish(r, "lapsed")
 			}
 		}
-		if now.After(next) && !m.dark {
+		if now.After(next) {
 			next = now.Add(heartbeat)
-			m.sequence++
-			m.lab.store.put("keyed.servers", m.id, m.entry())
+			m.beat(now)
 		}
 		m.mu.Unlock()
 	}
 }
 
+// beat writes the entry of the minion. The store removes that of one which is silent for three intervals. m.mu must be held.
+func (m *minion) beat(now time.Time) {
+	m.dueAt = now
+	switch {
+	case !m.dark && !m.cut:
+		m.sequence++
+		m.lab.store.put("keyed.servers", m.id, m.entry())
+		m.wroteAt = now
+	case m.cut && !m.wroteAt.IsZero() && now.Sub(m.wroteAt) > silentIntervals*heartbeat-checkPause:
+		m.lab.note("the entry of %s is removed", m.id)
+		m.lab.store.drop("keyed.servers", m.id)
+		m.wroteAt = time.Time{}
+	}
+}
+
+// cutOff partitions the minion from all machines and the store. It runs on. The cut ends after the time and at most one more
+// interval, right after the minion would have written its entry.
+func (m *minion) cutOff(length time.Duration) {
+	m.setCut(true)
+	go func() {
+		time.Sleep(length)
+		for m.sinceBeat() > 3*checkPause {
+			time.Sleep(checkPause)
+		}
+		m.setCut(false)
+	}()
+}
+
+func (m *minion) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lab.note("%s is cut off: %t", m.id, cut)
+	m.cut = cut
+}
+
+// sinceBeat returns the time since the minion last wrote its entry, or would have done so.
+func (m *minion) sinceBeat() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.dueAt)
+}
+
+// fail ends a run of the work item as failed.
+func (m *minion) fail(task string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.running[task]; r != nil {
+		m.finish(r, "failed")
+	}
+}
+
 // finish ends a run. m.mu must be held.
 func (m *minion) finish(r *run, how string) {
 	if m.running[r.task] != r {
@@ -206,7 +262,7 @@
 		return
 	}
 	m.mu.Lock()
-	if m.dark || r.URL.Path == "/run-start" && m.leave(&call) {
+	if m.dark || m.cut || r.URL.Path == "/run-start" && m.leave(&call) {
 		m.mu.Unlock()
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -279,7 +335,7 @@
 	m.running[call.Task], m.highest[call.Task] = begun, call.Run
 	m.lab.noteStart(m, begun, call)
 	if !asked.LongRunning {
-		m.finishAfter(begun, asked.workOf(call.Task), "done")
+		m.finishAfter(begun, asked.workOf(call.Task), m.lab.outcome(m, call))
 	}
 	if asked.Checkpointing {
 		m.saveAfter(begun, 1)
@@ -321,7 +377,7 @@
 		timer.Stop()
 		m.mu.Lock()
 	}
-	if m.dark {
+	if m.dark || m.cut {
 		panic(http.ErrAbortHandler)
 	}
 	running, ended := [][]any{}, [][]any{}
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -94,6 +94,13 @@
 	s.add(name, []record{{key: key, value: text}})
 }
 
+// drop removes a record of a minion.
+func (s *store) drop(name, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(name, []record{{key: key}})
+}
+
 // newest returns the newest record of each key, sorted by key. s.mu must be held.
 func (t *topic) newest() []record {
 	byKey := map[string]record{}
