--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -242,7 +242,11 @@
 	}
 	rows := []map[string]any{}
 	for _, m := range l.minions {
-		rows = append(rows, map[string]any{"machine": m.machine, "pool": poolName, "state": "up", "zone": m.zone, "id": m.id, "labels": m.labels,
+		state, id := "up", m.id
+		if m.isDark() {
+			state, id = "down", ""
+		}
+		rows = append(rows, map[string]any{"machine": m.machine, "pool": poolName, "state": state, "zone": m.zone, "id": id, "labels": m.labels,
 			"capacity": map[string]int64{"cpu": minionCPU, "memMb": minionMem}})
 	}
 	reply(w, http.StatusOK, map[string]any{"machines": rows})
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -22,6 +22,7 @@
 	"torn-records":  tornRecords,
 	"late-start":    lateStart,
 	"failed-twice":  failedTwice,
+	"lost-record":   lostRecord,
 }
 
 func main() {
--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -144,6 +144,12 @@
 	}()
 }
 
+func (m *minion) isDark() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dark
+}
+
 func (m *minion) setCut(cut bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -54,6 +54,8 @@
 	topics     map[string]*topic
 	members    map[string]member
 	generation int64
+	// busy is set while the store is down, and answers 503.
+	busy bool
 	// onAppend is called with each append that took effect; nil if nothing follows them.
 	onAppend func(topic string, records []record)
 }
@@ -134,6 +136,10 @@
 
 // ServeHTTP answers the calls of entry processes.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isBusy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/log-append":
 		s.append(w, r)
@@ -150,6 +156,19 @@
 	}
 }
 
+func (s *store) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+// setBusy sets whether the store is down.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
 // decodeRecords decodes the records of an append.
 func decodeRecords(body []byte) ([]record, bool) {
 	var records []record
@@ -183,6 +202,10 @@
 	name := r.URL.Query().Get("topic")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.busy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	t := s.topic(name)
 	end := int64(len(t.records))
 	if r.URL.Query().Has("at") && queryNumber(r, "at") != end {
