--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -164,15 +164,6 @@
 	return time.Since(m.dueAt)
 }
 
-// fail ends a run of the work item as failed.
-func (m *minion) fail(task string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if r := m.running[task]; r != nil {
-		m.finish(r, "failed")
-	}
-}
-
 // finish ends a run. m.mu must be held.
 func (m *minion) finish(r *run, how string) {
 	if m.running[r.task] != r {
