Review case 12: a job of the site's shape

The job had 24 occurrences of 150 work items in one step, more than the site describes. It has 8 of five steps of 30 now, which is inside the site's figures but for the time between them.

--- a/review/lab-3/torn.go
+++ b/review/lab-3/torn.go
@@ -14,12 +14,16 @@
 	if err := l.open(3, 6); err != nil {
 		return err
 	}
-	const id, occurrences, perOccurrence = "5c0e7a21d94b36f8", 24, 150
+	const id, occurrences, steps, width = "5c0e7a21d94b36f8", 8, 5, 30
 	due := recurrence{first: time.Now().Add(2 * time.Second), interval: time.Second, times: occurrences}
 	if trouble {
 		l.killWriterBetween(id)
 	}
-	if err := l.submitRecurring(id, due, step{Count: perOccurrence, CPU: 250, MemMb: 64, EstimateMs: 6000, Checkpointing: true, work: 4 * time.Second, spread: 4 * time.Second}); err != nil {
+	var defs []step
+	for range steps {
+		defs = append(defs, step{Count: width, CPU: 250, MemMb: 64, EstimateMs: 6000, Checkpointing: true, work: 4 * time.Second, spread: 4 * time.Second})
+	}
+	if err := l.submitRecurring(id, due, defs...); err != nil {
 		return err
 	}
 	return l.await("the job is shown as completed, or a rule was broken", 90*time.Second, func() bool {
