Count the failure of an earlier term's run once for a worker that is listed again

The first run failed on a worker that was cut off during a takeover. The new term counted the failure by the worker's report and dropped the worker at once: it had no items, no lease and no entry. A second later the entry was back, and the same end, which nobody had acknowledged, counted again.

Cause: that an end was applied is kept with the worker's entry. isUnrecordedRun takes each run of an earlier term above a mark for one that isn't accounted for, whether this term has counted it or not. Ruled out: a crash that counts as well; the log has run_failed twice for the same run.

The item now keeps the runs of earlier terms whose ends were counted. Such a worker's ends aren't checked against the time at which they happened in the simulated fleet, since no scheduler knows of them while it is cut off; no other test has failing runs on cut-off workers.

--- a/internal/scheduler/expiry.go
+++ b/internal/scheduler/expiry.go
@@ -104,7 +104,7 @@
 	for _, i := range released {
 		c.logLostRun(i, now)
 		c.countDeferredCrash(i)
-		i.unresolvedRuns = append(i.unresolvedRuns, unresolvedRun{worker: w.entry.ID, run: i.run})
+		i.formerRuns = append(i.formerRuns, formerRun{worker: w.entry.ID, run: i.run})
 		if !w.ended && !i.survived && (i.startSent || i.inherited) {
 			w.lapsedItems = append(w.lapsedItems, i)
 		}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -173,10 +173,11 @@
 	}
 }
 
-// isUnrecordedRun reports whether an earlier term started the run, and the records that this term loaded
-// don't account for its end. Its start may be missing from the records as well.
+// isUnrecordedRun reports whether an earlier term started the run, and neither the records that this term loaded nor the
+// ends that it has counted account for its end. Its start may be missing from the records as well. Ends of several such runs
+// may be reported in any order.
 func (c *Core) isUnrecordedRun(i *item, run int64) bool {
-	return i.step.job.inherited && run > i.lastAccountedRun && run <= (c.term-1)*runsPerTerm
+	return i.step.job.inherited && run > i.lastAccountedRun && run <= (c.term-1)*runsPerTerm && !i.hasCountedRun(run)
 }
 
 // applyEnd applies one entry of a worker's list of run ends, unless it was applied before. If the item is
@@ -199,9 +200,13 @@
 	current := i.worker == w && i.run == end.Run
 	// A success always counts. Any other end counts only if it is that of the current run, of an unresolved
 	// run, or of an unrecorded run of an earlier term.
-	if !current && !i.removeUnresolvedRun(w.entry.ID, end.Run) && end.Cause != infra.EndDone && !c.isUnrecordedRun(i, end.Run) {
+	unresolved, unrecorded := i.removeUnresolvedRun(w.entry.ID, end.Run), c.isUnrecordedRun(i, end.Run)
+	if !current && !unresolved && end.Cause != infra.EndDone && !unrecorded {
 		return
 	}
+	if unrecorded {
+		i.formerRuns = append(i.formerRuns, formerRun{worker: w.entry.ID, run: end.Run, counted: true})
+	}
 	// The item's record holds the last run whose end is accounted for, so that a later term doesn't count
 	// this end again.
 	i.run = max(i.run, end.Run)
@@ -226,18 +231,20 @@
 
 // hasUnresolvedRun reports whether an unresolved run of the item is one on the worker.
 func (i *item) hasUnresolvedRun(worker string) bool {
-	return slices.ContainsFunc(i.unresolvedRuns, func(r unresolvedRun) bool { return r.worker == worker })
+	return slices.ContainsFunc(i.formerRuns, func(r formerRun) bool { return !r.counted && r.worker == worker })
+}
+
+// hasCountedRun reports whether this term has counted the end of the run, which an earlier term started.
+func (i *item) hasCountedRun(run int64) bool {
+	return slices.ContainsFunc(i.formerRuns, func(r formerRun) bool { return r.counted && r.run == run })
 }
 
-// removeUnresolvedRun removes the run from the item's unresolved runs, and reports whether it was there.
+// removeUnresolvedRun removes the run from the item's unresolved runs, and reports whether it was there. It may be there more
+// than once: an unrecorded run is placed again when a report lists it after its worker's lease has lapsed.
 func (i *item) removeUnresolvedRun(worker string, run int64) bool {
-	for index, unresolved := range i.unresolvedRuns {
-		if unresolved.worker == worker && unresolved.run == run {
-			i.unresolvedRuns = append(i.unresolvedRuns[:index], i.unresolvedRuns[index+1:]...)
-			return true
-		}
-	}
-	return false
+	count := len(i.formerRuns)
+	i.formerRuns = slices.DeleteFunc(i.formerRuns, func(r formerRun) bool { return !r.counted && r.worker == worker && r.run == run })
+	return len(i.formerRuns) < count
 }
 
 // completeItem handles the success of a run. The success of one member of a gang completes all members.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -56,9 +56,9 @@
 	// last failed.
 	avoidedWorker *worker
 	failedAt      time.Duration
-	// unresolvedRuns are earlier runs that were released before their end was known. Workers may still report
-	// their ends.
-	unresolvedRuns []unresolvedRun
+	// formerRuns are runs that were released before their end was known, of which workers may still report the ends, and
+	// runs of earlier terms whose ends this term has counted.
+	formerRuns []formerRun
 
 	// inherited is set while the placement is one of an earlier term and no report has listed the run.
 	inherited bool
@@ -104,10 +104,13 @@
 	paceOrderedAt time.Duration
 }
 
-// unresolvedRun identifies a run that was released from its worker before its end was known.
-type unresolvedRun struct {
+// formerRun identifies a run that isn't placed any more.
+type formerRun struct {
 	worker string
 	run    int64
+	// counted is set if the end of the run has been counted. A worker that was dropped reports the ends that it wasn't told
+	// are seen once more when it is listed again.
+	counted bool
 }
 
 // resetProgress drops what reports have told of the item's run.
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -479,3 +479,31 @@
 	assert.NilError(t, err)
 	assert.Assert(t, decoded.Recurrence.First.Equal(def.Recurrence.First.Truncate(time.Second)))
 }
+
+// Guards against a failure that a term counts again for a worker that was dropped before the end was acknowledged to it, and is
+// listed again (incident 0024): a job fails before its item has used up its attempts.
+func TestFailureCountsOnceForAWorkerThatIsListedAgain(t *testing.T) {
+	first := newLoggedTerm(1, map[string][]byte{}, time.Hour)
+	first.listWorkers("worker-a")
+	first.reportNothing("worker-a")
+	first.submit("job", "big", work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: time.Second})
+	started := first.jobs["job"].itemAt(0, 0, 0)
+	run := started.run
+	first.ApplyStartResult(first.startOf(started), nil, false)
+	first.markItemDirty(started)
+	first.commit()
+	second := newLoggedTerm(2, first.log, first.now+time.Second)
+	i := second.jobs["job"].itemAt(0, 0, 0)
+	// The worker is cut off until its lease has lapsed and its entry has expired. Its report shows the end once it can be
+	// reached, and again after it has written its entry.
+	second.now = second.inheritedLeaseEnd() + time.Second
+	report := infra.WorkerReport{ClockMs: 9000, StartUnixMs: earlierProcess, Ended: []infra.EndedRun{{Sequence: 1, Item: i.id(), Run: run, Cause: infra.EndFailed}}}
+	second.ApplyReport("worker-a", report, second.now)
+	assert.Equal(t, i.failures, 1)
+	second.now += workerCheckInterval
+	second.commit()
+	assert.Assert(t, second.workers["worker-a"] == nil, "the worker wasn't dropped")
+	second.listWorkers("worker-a")
+	second.ApplyReport("worker-a", report, second.now)
+	assert.Equal(t, i.failures, 1)
+}
