Hold an item while any worker lists a run of it, and verify late starts of earlier terms by the first report

A worker left a start unanswered, confirmed its stop, and crashed; the scheduling process was killed; the next process under the worker's ID carried the start out. The new term saw the run in the worker's list, ordered its stop, and started the item elsewhere in the same cycle.

Cause: the late start was restored from the record as refused, which holds for the process that the earlier term knew. And a listed run that isn't the item's own was stopped without waiting for its end. Ruled out: a late start that the record lacks.

A restored late start is now unverified until the worker reports: a process that has seen the token of this term refuses starts of earlier ones. A run that a worker lists keeps its item from starting anywhere until it isn't listed, the worker has ended or the lease has lapsed.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -152,8 +152,11 @@
 
 	// lateStarts holds the late starts of each item that has any.
 	lateStarts map[work.ItemID][]*lateStart
-	// heldItems holds the items of which a late start may be carried out.
+	// heldItems holds the items of which a late start may be carried out, or that a worker runs although they aren't placed on
+	// it.
 	heldItems map[*item]struct{}
+	// strayWorkers holds the workers whose last report listed such runs, and perhaps others.
+	strayWorkers map[*worker]struct{}
 	// suspects holds the suspects, and perhaps items that were suspects.
 	suspects map[*item]struct{}
 	// jobsOnHoldByPool is the number of jobs in each pool of which suspects wait for a trial.
@@ -222,7 +225,7 @@
 func New(term int64, options Options, clock boottime.Clock, wallClock func() time.Time, logger *logrus.Entry, metrics *Metrics) *Core {
 	c := &Core{
 		clock: clock, wallClock: wallClock, term: term, startedAt: clock(), confirmedAt: clock(), startedUnixMs: wallClock().UnixMilli(), options: options, logger: logger, metrics: metrics,
-		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, lateStarts: map[work.ItemID][]*lateStart{}, heldItems: map[*item]struct{}{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
+		jobs: map[string]*job{}, activeJobs: map[*job]struct{}{}, startQueues: map[string]*startQueue{}, recurring: map[*job]struct{}{}, waiting: map[string]*waitingJobs{}, workers: map[string]*worker{}, workerLists: workerLists{byPool: map[string][]*worker{}}, workersToAck: map[*worker]struct{}{}, customerUsage: map[string]work.Resources{}, lateStarts: map[work.ItemID][]*lateStart{}, heldItems: map[*item]struct{}{}, strayWorkers: map[*worker]struct{}{}, suspects: map[*item]struct{}{}, jobsOnHoldByPool: map[string]int{},
 		dirtyJobs: map[*job]struct{}{}, statsByPool: map[string]*poolStats{}, wake: make(chan struct{}, 1), adviceWake: make(chan struct{}, 1), fleet: newFleetState(),
 		peakTracker: newPeakTracker(), offeredJobs: map[string]time.Duration{}, tombstones: newTombstones(), supply: supplyCache{expiresAt: -1}, evacuations: zoneEvacuations{}, runTimes: newRunTimeModel(&options),
 	}
--- a/internal/scheduler/latestart.go
+++ b/internal/scheduler/latestart.go
@@ -28,6 +28,9 @@
 	stopOrderedAt, stopConfirmedAt time.Duration
 	// refused is set once the present process is known to refuse the start, and not to run what it started.
 	refused bool
+	// unverified is set for a start of an earlier term until a report or a restart of the worker tells whether its present
+	// process refuses it. The item waits until then, and a run of it elsewhere goes on, as the earlier term had decided.
+	unverified bool
 	// holdLogged is set once it was logged that the item waits.
 	holdLogged bool
 }
@@ -163,6 +166,7 @@
 // none until it is certain again that the late start is refused.
 func (c *Core) holdLateItems(now time.Duration) {
 	clear(c.heldItems)
+	c.holdStrayItems(now)
 	if len(c.lateStarts) == 0 {
 		return
 	}
@@ -173,15 +177,15 @@
 		uncertain := c.mayHaveRestarted(w)
 		for _, s := range w.lateStarts {
 			if now < s.until && (uncertain || !s.refused) {
-				c.holdLateItem(w, s, now)
+				c.holdLateItem(w, s, uncertain || !s.unverified, now)
 			}
 		}
 	}
 }
 
-// holdLateItem holds the item of a late start that the worker may carry out. Copies of a speculative item may run at the
-// same time.
-func (c *Core) holdLateItem(w *worker, s *lateStart, now time.Duration) {
+// holdLateItem holds the item of a late start that the worker may carry out, and stops its run elsewhere if stop is set. Copies
+// of a speculative item may run at the same time.
+func (c *Core) holdLateItem(w *worker, s *lateStart, stop bool, now time.Duration) {
 	i := c.findItem(s.item)
 	if i == nil || i.worker == w || i.step.def.Speculative || i.step.job.finished() {
 		return
@@ -197,7 +201,7 @@
 			s.holdLogged = true
 			logger("item_held").Info("work item waits: a worker may have restarted, and would then carry out an earlier start of it")
 		}
-	case i.state != itemPlaced || i.stopping:
+	case i.state != itemPlaced || i.stopping || !stop:
 	case i.step.def.Lasting && i.available && !c.mayStop(i):
 		// The stop would break the availability budget for certain, and the late start may never be carried out.
 	default:
@@ -248,14 +252,16 @@
 	}
 }
 
-// settleStoppedLateStarts notes which late starts the worker's present process refuses, by a report that was requested at
-// sentAt: those whose stops it had confirmed and that it doesn't list.
-func (w *worker) settleStoppedLateStarts(report *infra.WorkerReport, sentAt time.Duration) {
+// settleUnlistedLateStarts notes which late starts the worker's present process refuses, by a report that was requested at
+// sentAt and doesn't list runs of their items: those whose stops it had confirmed, and those of earlier terms, since it has
+// seen the token of this term.
+func (c *Core) settleUnlistedLateStarts(w *worker, report *infra.WorkerReport, sentAt time.Duration) {
 	for _, s := range w.lateStarts {
-		if s.refused || s.stopConfirmedAt == 0 || s.stopConfirmedAt >= sentAt {
+		stopped := s.stopConfirmedAt > 0 && s.stopConfirmedAt < sentAt
+		if s.refused || !stopped && !c.isOfEarlierTerm(s.run) {
 			continue
 		}
-		s.refused = !slices.ContainsFunc(report.Running, func(r infra.ActiveRun) bool { return r.Item == s.item })
+		s.unverified, s.refused = false, !slices.ContainsFunc(report.Running, func(r infra.ActiveRun) bool { return r.Item == s.item })
 	}
 }
 
@@ -264,7 +270,7 @@
 func (w *worker) settleLateStarts(id work.ItemID, run int64) {
 	for _, s := range w.lateStarts {
 		if s.item == id && s.run <= run {
-			s.refused = true
+			s.unverified, s.refused = false, true
 		}
 	}
 }
--- a/internal/scheduler/latestart_record.go
+++ b/internal/scheduler/latestart_record.go
@@ -31,7 +31,8 @@
 }
 
 // restoreLateStart restores a start without a response of an earlier term. That of the recorded run may still be that of
-// the present placement. Any other is taken to be refused by the process that the earlier term knew.
+// the present placement. Whether the worker's present process refuses any other one isn't known before it has reported: what
+// the earlier term knew of may have been another process.
 func (c *Core) restoreLateStart(i *item, record lateStartRecord, now time.Duration) {
 	if record.Worker == "" {
 		// A start is sent to a worker: the record is one of another writer.
@@ -46,7 +47,7 @@
 		i.unansweredUntil = now + left
 		return
 	}
-	c.addLateStart(w, lateStart{item: i.id(), run: record.Run, until: now + left, refused: true})
+	c.addLateStart(w, lateStart{item: i.id(), run: record.Run, until: now + left, unverified: true})
 }
 
 // lateCallTimeLeft returns how long a call of an earlier term may still be carried out, by the time that a record gives for
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -160,7 +160,7 @@
 		return 0
 	}
 	now := c.clock()
-	if !c.mayRelyOnCapacity(w, now) || order.Ticket != "" && now >= order.TicketValidUntil {
+	if !c.mayRelyOnCapacity(w, now) || c.mayRunAsStray(i, now) || order.Ticket != "" && now >= order.TicketValidUntil {
 		return 0
 	}
 	leaseEndMs := c.extendLease(w, now, confirmedAt)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"turmericyoke/internal/infra"
-	"turmericyoke/internal/work"
 )
 
 const (
@@ -103,7 +102,7 @@
 	w.failedRenewals, w.renewalInterrupted, w.lastReportAt, w.reportSentAt, w.hasReported = 0, false, now, sentAt, true
 	w.ended, w.crashCounted, w.mayReturn = false, false, false
 	w.clockMs, w.clockReadAt = report.ClockMs, now
-	w.strayNeed, w.unknownRuns = work.Resources{}, 0
+	w.clearStrayRuns()
 	listed := make(map[*item]bool, len(report.Running)+len(report.Ended))
 	for _, running := range report.Running {
 		c.applyRunning(w, running, listed, now)
@@ -116,7 +115,7 @@
 	}
 	w.lapsedItems = nil
 	if !report.Partial {
-		w.settleStoppedLateStarts(&report, sentAt)
+		c.settleUnlistedLateStarts(w, &report, sentAt)
 		c.releaseAbsent(w, listed, sentAt)
 	}
 	c.stopLateStarts(w, now)
@@ -143,7 +142,8 @@
 	if i == nil || i.worker != w || i.run != running.Run {
 		// The run isn't the item's current one. Either the item was released from this worker, or the job
 		// has finished and its records were deleted. It counts until the worker doesn't list it any more.
-		w.addStrayRun(i)
+		c.addStrayRun(w, i)
+		w.settleLateStarts(running.Item, running.Run)
 		c.pendingOrders = append(c.pendingOrders, stopOrder(w, running.Item, running.Run))
 		c.wakeUp()
 		return
@@ -177,9 +177,12 @@
 // ends that it has counted account for its end. Its start may be missing from the records as well. Ends of several such runs
 // may be reported in any order.
 func (c *Core) isUnrecordedRun(i *item, run int64) bool {
-	return i.step.job.inherited && run > i.lastAccountedRun && run <= (c.term-1)*runsPerTerm && !i.hasCountedRun(run)
+	return i.step.job.inherited && run > i.lastAccountedRun && c.isOfEarlierTerm(run) && !i.hasCountedRun(run)
 }
 
+// isOfEarlierTerm reports whether an earlier term started the run.
+func (c *Core) isOfEarlierTerm(run int64) bool { return run <= (c.term-1)*runsPerTerm }
+
 // applyEnd applies one entry of a worker's list of run ends, unless it was applied before. If the item is
 // placed on the worker with this run, it is added to listed.
 func (c *Core) applyEnd(w *worker, end infra.EndedRun, listed map[*item]bool, now time.Duration) {
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -33,8 +33,9 @@
 		w.leaseEnd = now + c.longestLease()
 	}
 	c.nextWorkerExpiry = 0
+	w.clearStrayRuns()
 	for _, s := range w.lateStarts {
-		s.refused, s.stopOrderedAt, s.stopConfirmedAt = false, 0, 0
+		s.unverified, s.refused, s.stopOrderedAt, s.stopConfirmedAt = false, false, 0, 0
 	}
 	c.stopLateStarts(w, now)
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -46,6 +46,8 @@
 	// worker, and unknownRuns is the number of listed runs of which the item isn't known either.
 	strayNeed   work.Resources
 	unknownRuns int
+	// strayItems are the items of these runs that are known.
+	strayItems []*item
 	// unreportedItems is the number of items that no report has listed since they were placed.
 	unreportedItems int
 	// lastStartJob and lastStartAt are the job and the time of the last start that was ordered.
@@ -150,18 +152,6 @@
 	return w.entry.Capacity.Minus(w.used).Minus(w.strayNeed)
 }
 
-// addStrayRun counts a listed run of an item that isn't placed on the worker; the item is nil if it isn't known.
-func (w *worker) addStrayRun(i *item) {
-	if i == nil {
-		w.unknownRuns++
-		return
-	}
-	w.strayNeed = w.strayNeed.Plus(i.step.reservation())
-}
-
-// hasStrayRuns reports whether the last report listed runs of items that aren't placed on the worker.
-func (w *worker) hasStrayRuns() bool { return w.unknownRuns > 0 || w.strayNeed != (work.Resources{}) }
-
 // hasLasting reports whether a lasting item is placed on the worker.
 func (w *worker) hasLasting() bool { return w.lastingItems > 0 }
 
