Ask the availability budget of lasting items that no report has shown in service yet

Cause: holdLateItem asked the budget only of items that a report had shown as available, but an item is at work before the scheduler has heard so. It now asks for each lasting item whose start may have been sent; one that hasn't been sent is called off as before. Ruled out: a worker that had in fact restarted; the stops have restarts=0, and the same process reports later.

TestLateStartKeepsToTheAvailabilityBudgetBeforeTheFirstReport fails without the fix.

--- a/internal/scheduler/latestart.go
+++ b/internal/scheduler/latestart.go
@@ -202,8 +202,9 @@
 			logger("item_held").Info("work item waits: a worker may have restarted, and would then carry out an earlier start of it")
 		}
 	case i.state != itemPlaced || i.stopping || !stop:
-	case i.step.def.Lasting && i.available && !c.mayStop(i):
-		// The stop would break the availability budget for certain, and the late start may never be carried out.
+	case i.step.def.Lasting && !i.awaitsStart() && !c.mayStop(i):
+		// The stop would break the availability budget for certain, and the late start may never be carried out. The item may be
+		// at work although no report has shown it yet.
 	default:
 		logger("run_stopped_for_late_start").WithFields(logrus.Fields{"run": i.run, "worker": i.worker.entry.ID}).Warn(
 			"stopping the run: another worker may have restarted, and would then carry out an earlier start of the work item")
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -382,6 +382,23 @@
 	}
 }
 
+// Guards against a stop that ends an item in service although no report has shown that yet (incident 0026). A start that hasn't been
+// sent is called off all the same.
+func TestLateStartKeepsToTheAvailabilityBudgetBeforeTheFirstReport(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		tc := newCrashCore(3)
+		tc.submit("lasting", "big", lastingStep(2, 1))
+		items := tc.jobs["lasting"].steps[0].items
+		idle := slices.IndexFunc(tc.sortedWorkers(), func(w *worker) bool { return len(w.items) == 0 })
+		w := tc.sortedWorkers()[idle]
+		tc.addLateStart(w, lateStart{item: items[0].id(), run: items[0].run - 1, until: tc.now + maxCallDelay, refused: true})
+		items[0].startSent = sent
+		w.failedRenewals = maxMissedRenewals
+		tc.commit()
+		assert.Equal(t, items[0].stopping, !sent)
+	}
+}
+
 // Guards against run ends of a restarted worker that are forgotten unseen: an acknowledgement that was sent before the
 // restart, and had no response, covers the first ends of the next process.
 func TestRestartedWorkerWaitsForALateAcknowledgement(t *testing.T) {
