Take a silent worker for restarted only once its next list entry is overdue

Nearly all of these workers lived: ended=false, restarts=0, and the same process reported again.

Cause: silence counted as the end of the process, though such a worker goes on writing its entry in the list. The entry has the clock and the start time of the process, and so tells when it lived, also if it arrives late. A silent worker is now taken for restarted once its next entry is overdue by 0.5 s; one that refuses connections, as after 3 refused renewals before. Ruled out: the list of hosts, which shows no restart in place, and answers to orders, which don't name the process.

TestWorkerThatWritesEntriesHasNotRestarted fails without the fix.

--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -137,6 +137,7 @@
 		Options: scheduler.Options{
 			MaxLease:          platform.Millis(settings.Bounds.HoldMaxMs),
 			Lease:             time.Duration(leaseFraction * float64(platform.Millis(settings.Bounds.HoldMaxMs))),
+			EntryInterval:     platform.Millis(settings.HeartbeatMs),
 			EndedJobRetention: platform.Seconds(settings.Bounds.StatusS + 1),
 			HostMoveTime:      platform.Seconds(settings.Bounds.MoveS),
 			HostOrderDelay:    platform.Millis(settings.Bounds.LeaseMs) + hostOrderMargin,
--- a/internal/infra/infra.go
+++ b/internal/infra/infra.go
@@ -222,6 +222,8 @@
 	// StartUnixMs is the worker's start time in Unix milliseconds. It tells restarts under the same ID apart:
 	// a restarted worker has lost all earlier runs.
 	StartUnixMs int64
+	// ClockMs is the time of the worker's clock when it wrote the entry, in milliseconds; 0 if unknown.
+	ClockMs int64
 }
 
 // WorkerUpdate is a change to the list of workers.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -50,6 +50,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that workers grant: they shorten longer ones.
 	MaxLease time.Duration
+	// EntryInterval is the interval at which workers write their entries in the list of workers; 0 if it is unknown.
+	EntryInterval time.Duration
 	// EndedJobRetention is how long the state of a finished job can be queried.
 	EndedJobRetention time.Duration
 	// HostOrderDelay is how long after an order by an earlier term a new term waits before it orders the
--- a/internal/scheduler/latestart.go
+++ b/internal/scheduler/latestart.go
@@ -35,9 +35,14 @@
 	holdLogged bool
 }
 
-// maxMissedRenewals is the number of failed lease renewals in a row from which on a worker with late starts may have ended.
-// Workers that leave starts unanswered leave renewals unanswered as well, while they run on.
-const maxMissedRenewals = 3
+const (
+	// maxMissedRenewals is the number of failed lease renewals in a row from which on a worker with late starts may have
+	// ended. Workers that leave starts unanswered leave renewals unanswered as well, while they run on.
+	maxMissedRenewals = 3
+	// entryDelay is how much older than Options.EntryInterval the newest entry of a living worker may be when it is read: the
+	// list is read every 150 ms, and a slow store takes a few hundred milliseconds.
+	entryDelay = 500 * time.Millisecond
+)
 
 // StartUnanswered notes that an attempt to send the start had no response.
 func (c *Core) StartUnanswered(order *Order) {
@@ -174,7 +179,7 @@
 		if len(w.lateStarts) == 0 || c.isOutOfReach(w) {
 			continue
 		}
-		uncertain := c.mayHaveRestarted(w)
+		uncertain := c.mayHaveRestarted(w, now)
 		for _, s := range w.lateStarts {
 			if now < s.until && (uncertain || !s.refused) {
 				c.holdLateItem(w, s, uncertain || !s.unverified, now)
@@ -219,11 +224,17 @@
 	return held
 }
 
-// mayHaveRestarted reports whether the process of the worker that this term knows may have ended: it doesn't respond, or
-// its host doesn't list it.
-func (c *Core) mayHaveRestarted(w *worker) bool {
+// mayHaveRestarted reports whether the process of the worker that this term knows may have ended: it doesn't respond and its
+// next entry in the list is overdue, or its host doesn't list it.
+func (c *Core) mayHaveRestarted(w *worker, now time.Duration) bool {
 	unlisted := len(c.fleet.hosts) > 0 && c.fleet.byWorker[w.entry.ID] == ""
-	return w.ended || w.failedRenewals >= maxMissedRenewals || unlisted && (w.host != "" || w.knownByLateStart())
+	return w.ended || w.failedRenewals >= maxMissedRenewals && !c.livesByEntry(w, now) || unlisted && (w.host != "" || w.knownByLateStart())
+}
+
+// livesByEntry reports whether the process of a worker that leaves renewals unanswered lives as far as its entries in the list
+// tell: since its last sign of life, the next entry isn't overdue. A process that refuses connections has ended.
+func (c *Core) livesByEntry(w *worker, now time.Duration) bool {
+	return !w.renewalRefused && w.livedAt > 0 && now-max(w.livedAt, w.lastReportAt) <= c.options.EntryInterval+entryDelay
 }
 
 // stopLateStarts sends stops of late starts to a worker whose present process isn't known to refuse them: it knows nothing
--- a/internal/scheduler/latestart_takeover_test.go
+++ b/internal/scheduler/latestart_takeover_test.go
@@ -260,7 +260,7 @@
 	second.reportNothing(other)
 	second.SetHosts(hostsOf("", other), second.now)
 	assert.Assert(t, !second.mayHaveUnrecordedRuns(second.now))
-	assert.Assert(t, second.mayHaveRestarted(second.workers[late]))
+	assert.Assert(t, second.mayHaveRestarted(second.workers[late], second.now))
 }
 
 // Guards against workers that are kept, and items that wait, because late starts are never dropped.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -38,6 +38,7 @@
 		return
 	}
 	w.failedRenewals++
+	w.renewalRefused = infra.KindOf(err) == infra.Refused
 	c.noteZoneOutcome(w, infra.KindOf(err))
 	if infra.KindOf(err) == infra.Unknown {
 		w.loseAck(c.clock())
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -27,7 +27,7 @@
 	c.keepForNextProcess(w, kept, report)
 	c.awaitLateAck(w, report)
 	w.startedUnixMs, w.appliedEnd, w.durableEnd, w.hasReported, w.ended, w.crashCounted, w.mayReturn = startedUnixMs, 0, 0, false, false, false, false
-	w.clockMs, w.consecutiveFailures, w.restartSeenAt, w.leaseEnd = 0, 0, now, 0
+	w.clockMs, w.livedAt, w.consecutiveFailures, w.restartSeenAt, w.leaseEnd = 0, 0, 0, now, 0
 	if len(kept) > 0 {
 		// An order that was meant for the earlier process has a lease end on its clock, far ahead of the next one's.
 		w.leaseEnd = now + c.longestLease()
--- a/internal/scheduler/restart_sim_test.go
+++ b/internal/scheduler/restart_sim_test.go
@@ -70,7 +70,7 @@
 // startNextProcess starts a process under the worker's ID, which knows nothing of the earlier one.
 func (w *simWorker) startNextProcess() {
 	s, entry := w.sim, w.entry
-	entry.StartUnixMs = s.wall().UnixMilli()
+	entry.StartUnixMs, entry.ClockMs = s.wall().UnixMilli(), 0
 	*w = simWorker{sim: s, host: w.host, up: true, startedAt: s.now, entry: entry, running: map[work.ItemID]*simRun{}, highestRun: map[work.ItemID]int64{}, endTimes: map[int64]time.Duration{}}
 }
 
@@ -154,6 +154,18 @@
 	runWithFaults(t, func(s *sim) { s.delayedStartShare = 0.3 }, returnWorkersAndTakeOver)
 }
 
+// Guards against the same where only the silence of a worker tells that it is down: the next entry in the list is overdue. Its
+// down time is longer by the time after which that is known.
+func TestWorkersReturnWhileStartsAreLateAndListsAreStale(t *testing.T) {
+	runWithFaults(t, func(s *sim) { s.delayedStartShare, s.staleLists = 0.3, true }, func(s *sim, _ int) {
+		if s.rng.IntN(3) > 0 {
+			s.after(s.randomTime(0, 900*time.Millisecond), func() {
+				s.randomWorker().endAndReturn(simOptions().EntryInterval + entryDelay + s.randomTime(minDownTime, maxDownTime))
+			})
+		}
+	})
+}
+
 // Guards against the same where a stop takes time, so that a run that is being stopped goes on for a moment (incident 0025).
 func TestWorkersReturnWhileStartsAreLateAndStopsTakeTime(t *testing.T) {
 	runWithFaults(t, func(s *sim) { s.delayedStartShare, s.stopTime = 0.3, 400*time.Millisecond }, returnWorkersAndTakeOver)
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -399,6 +399,45 @@
 	}
 }
 
+// Guards against work that is thrown away because a worker leaves renewals unanswered while it lives (incident 0026), as its
+// entries in the list show, and against a second run after a restart that they don't show.
+func TestWorkerThatWritesEntriesHasNotRestarted(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// err is the outcome of the renewals. The worker has written an entry at writtenAt on its clock, which is at 1000 at first,
+		// and readAfter is how much later it is read.
+		err       error
+		writtenMs int64
+		readAfter time.Duration
+		born      int64
+		uncertain bool
+	}{
+		{"new entry", errNoResponse, 2400, 1500 * time.Millisecond, earlierProcess, false},
+		{"entry of before the silence", errNoResponse, 900, 2100 * time.Millisecond, earlierProcess, true},
+		{"entry that arrives late", errNoResponse, 1100, 2200 * time.Millisecond, earlierProcess, true},
+		{"no entry", errNoResponse, 0, 1500 * time.Millisecond, earlierProcess, true},
+		{"connection refused", &infra.Error{Kind: infra.Refused, Op: "hold"}, 2400, 1500 * time.Millisecond, earlierProcess, true},
+		{"next process", errNoResponse, 10, 1500 * time.Millisecond, nextProcess, true},
+	} {
+		rc, elsewhere := newLateStartCore(t)
+		rc.report(earlierProcess, false)
+		for range maxMissedRenewals {
+			rc.RenewalFailed(rc.worker.entry.ID, test.err)
+		}
+		rc.now += test.readAfter
+		entry := rc.worker.entry
+		entry.StartUnixMs, entry.ClockMs = test.born, rc.worker.clockMs+test.writtenMs-1000
+		if test.writtenMs == 0 {
+			entry.ClockMs = 0
+		}
+		rc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
+		rc.now += workerCheckInterval
+		orders := rc.commit()
+		stopped := slices.ContainsFunc(orders, func(o Order) bool { return o.Kind == OrderStop && o.Worker.ID == elsewhere.entry.ID })
+		assert.Equal(t, stopped, test.uncertain, test.name)
+	}
+}
+
 // Guards against run ends of a restarted worker that are forgotten unseen: an acknowledgement that was sent before the
 // restart, and had no response, covers the first ends of the next process.
 func TestRestartedWorkerWaitsForALateAcknowledgement(t *testing.T) {
--- a/internal/scheduler/sim_hosts_test.go
+++ b/internal/scheduler/sim_hosts_test.go
@@ -58,7 +58,7 @@
 func (s *sim) listHosts() []infra.Host {
 	var hosts []infra.Host
 	for _, w := range s.workers {
-		if w.up {
+		if w.up || s.staleLists {
 			hosts = append(hosts, infra.Host{ID: w.host, Pool: simPool, State: infra.HostUp, WorkerID: w.entry.ID, Capacity: w.entry.Capacity})
 		} else if w.restartAt > 0 {
 			hosts = append(hosts, infra.Host{ID: w.host, Pool: simPool, State: infra.HostDown})
--- a/internal/scheduler/sim_orders_test.go
+++ b/internal/scheduler/sim_orders_test.go
@@ -9,7 +9,9 @@
 
 // simOrder is an order that is on its way to a worker.
 type simOrder struct {
-	deliverAt  time.Duration
+	deliverAt time.Duration
+	// expiresAt is after when a late order isn't carried out any more.
+	expiresAt  time.Duration
 	order      Order
 	leaseEndMs int64
 	token      int64
@@ -38,7 +40,7 @@
 		sent.unanswered = true
 	case s.rng.Float64() < s.delayedOrderShare || order.Kind == OrderStart && s.delayedStartShare > 0 && s.rng.Float64() < s.delayedStartShare:
 		late := sent
-		late.unanswered, late.deliverAt = true, s.now+time.Duration(2+s.rng.IntN(8))*time.Second
+		late.unanswered, late.deliverAt, late.expiresAt = true, s.now+time.Duration(2+s.rng.IntN(8))*time.Second, s.now+maxCallDelay
 		// No connection to a process that has ended is made, see endProcess.
 		late.lost = !s.workerByID(order.Worker.ID).up
 		s.orders = append(s.orders, late)
@@ -63,10 +65,11 @@
 	due := s.orders
 	s.orders = nil
 	for _, o := range due {
-		// A late start waits for a worker that is down. It is dropped if no scheduler can prevent its effect.
+		// A late start waits for a worker that is down. It is dropped if no scheduler can prevent its effect, and if it would be
+		// later than the platform carries calls out.
 		if w := s.workerByID(o.order.Worker.ID); s.delayedStartShare > 0 && o.unanswered && !o.lost {
 			o.deliverAt = max(o.deliverAt, w.returnsAt+simTickTime)
-			o.lost = o.deliverAt <= s.now && (s.settled(o.order.Item) || w.running[o.order.Item] != nil || s.runsLate(o.order.Item))
+			o.lost = o.deliverAt > o.expiresAt || o.deliverAt <= s.now && (s.settled(o.order.Item) || w.running[o.order.Item] != nil || s.runsLate(o.order.Item))
 		}
 		if o.deliverAt > s.now {
 			remaining = append(remaining, o)
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -112,6 +112,9 @@
 	if !w.up || w.crashIfDue() {
 		return
 	}
+	if w.sim.staleLists && (w.sim.now-w.startedAt)%simOptions().EntryInterval == 0 {
+		w.entry.ClockMs = w.clockMs()
+	}
 	for _, id := range w.sortedRuns() {
 		r := w.running[id]
 		switch {
@@ -279,6 +282,8 @@
 	lostResponseShare, delayedOrderShare, delayedRenewalShare, failedRunShare float64
 	// delayedStartShare is the share of starts alone that are executed seconds late, also by a worker's next process.
 	delayedStartShare float64
+	// staleLists is set if the lists go on showing workers that are down, and entries in the list of workers have clocks.
+	staleLists bool
 	// delayedHostOrderShare is the share of orders to hosts that have no response and are carried out up to maxCallDelay later.
 	delayedHostOrderShare float64
 	// delayedActions are the functions that run at a later time.
@@ -298,7 +303,7 @@
 const simMaxLease = 5250 * time.Millisecond
 
 func simOptions() Options {
-	return Options{Lease: 5 * time.Second, MaxLease: simMaxLease, EndedJobRetention: time.Minute, HostOrderDelay: 4 * time.Second, HostMoveTime: time.Second}
+	return Options{Lease: 5 * time.Second, MaxLease: simMaxLease, EndedJobRetention: time.Minute, HostOrderDelay: 4 * time.Second, HostMoveTime: time.Second, EntryInterval: 1500 * time.Millisecond}
 }
 
 const simPool = "counting"
@@ -455,7 +460,7 @@
 	if s.now%(300*time.Millisecond) == 0 && !s.listDown {
 		update := infra.WorkerUpdate{Full: true}
 		for _, w := range s.workers {
-			if w.up && !w.unlisted {
+			if (w.up || s.staleLists) && !w.unlisted {
 				update.Entries = append(update.Entries, w.entry)
 			}
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -94,6 +94,10 @@
 	unconfirmedPause time.Duration
 	// failedRenewals is the number of lease renewals that failed since the last report.
 	failedRenewals int
+	// renewalRefused is set if no connection could be opened for the last failed renewal, or the worker refused it.
+	renewalRefused bool
+	// livedAt is when the process was certainly alive, by the clock in its last entry of the list; 0 if none tells.
+	livedAt time.Duration
 	// renewalInterrupted is set if a lease renewal since the last report may or may not have reached the worker, which
 	// isn't to blame.
 	renewalInterrupted bool
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -52,6 +52,7 @@
 	if entry.StartUnixMs > 0 && w.startedUnixMs > 0 && entry.StartUnixMs > w.startedUnixMs {
 		c.resetRestartedWorker(w, entry.StartUnixMs, nil, c.clock())
 	}
+	w.observeEntryClock(entry, c.clock())
 	if w.ended {
 		// The process that writes the entry lives.
 		w.ended, w.mayReturn, w.hasReported = false, false, false
@@ -90,6 +91,16 @@
 	w.leavesAt = leavesAt
 }
 
+// observeEntryClock computes from a new entry of the list when the process that wrote it was alive. An entry may arrive late:
+// its clock is compared with that of the last report.
+func (w *worker) observeEntryClock(entry infra.WorkerEntry, now time.Duration) {
+	if entry.ClockMs == 0 || w.clockMs == 0 || entry.StartUnixMs != w.startedUnixMs {
+		return
+	}
+	written := w.clockReadAt + time.Duration(entry.ClockMs-w.clockMs)*time.Millisecond
+	w.livedAt = max(w.livedAt, min(now, written))
+}
+
 // addWorker adds a worker that wasn't known.
 func (c *Core) addWorker(w *worker) {
 	c.setStartQueue(w)
