Send starts once their records are durable

A start was sent while its record was being written, had no response, and its record didn't become durable: the store was down, and the scheduling process was killed. The next term knew of no late start and ran the item elsewhere, while the worker's next process carried the start out.

Cause: Collect handed out starts with the batch of their records, and the session didn't wait for the append. Ruled out: a durable record that the new term doesn't heed; the log has no append after the start. Committed now returns the starts that are still to be sent, and the session sends them before the pause after the append. A start whose item or worker has changed during the append isn't sent, and the item waits again.

Tests that read starts from Collect read them from Committed now. Tests of starts that no record tells of, as earlier releases leave them behind, keep that order by a flag of the simulated fleet; TestLogRefusesTheSchedulerWhileItemsFail plays both.

--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -98,12 +98,11 @@
 	tc := newAdvisedCore(1)
 	tc.submitAdvised(work.Step{Count: 1, Need: work.Resources{CPUMilli: 1000}})
 	tc.answerAdvice("worker-0")
-	batch := tc.Collect()
-	tc.Committed(&batch)
-	assert.DeepEqual(t, startedOn(batch.Orders), []string{"worker-0"})
+	orders := tc.collectOrders()
+	assert.DeepEqual(t, startedOn(orders), []string{"worker-0"})
 	tc.now += testTicketLife
 	tc.ApplyReport("worker-0", infra.WorkerReport{ClockMs: 5000}, tc.now)
-	order := &batch.Orders[0]
+	order := &orders[0]
 	assert.Equal(t, tc.LeaseForStart(order, tc.now), int64(0), "the start was sent with an expired ticket")
 	tc.StartNotSent(order)
 	tc.commit()
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -14,9 +14,11 @@
 // once the append is confirmed.
 type Batch struct {
 	Records []infra.Record
-	Orders  []Order
-	// heldStarts are starts that are sent once the batch is durable, see holdsStart.
-	heldStarts []Order
+	// Orders are sent while the records are being written. They hold no starts.
+	Orders []Order
+	// starts are sent once the batch is durable: the next term has to know of each start that a worker may carry out, and of the
+	// crashes that were counted before it.
+	starts []Order
 	// changedJobs are the jobs whose records the batch contains.
 	changedJobs []*job
 	// tombstones are those that the batch contains, by the IDs of their jobs.
@@ -86,13 +88,13 @@
 		}
 		batch.durableEnds[w] = processEnd{number: w.appliedEnd, process: w.restarts}
 	}
-	batch.Orders, batch.heldStarts, batch.waiters = c.pendingOrders, c.heldStarts, c.waiters
+	batch.Orders, batch.starts, batch.waiters = c.pendingOrders, c.plannedStarts, c.waiters
 	c.answersInAppend, c.nextAnswers = append(c.answersInAppend, c.nextAnswers...), nil
 	if len(batch.Records) > 0 {
 		c.appendStartedAt = now
 	}
 	clear(c.dirtyJobs)
-	c.pendingOrders, c.heldStarts, c.waiters, c.deletions = nil, nil, nil, nil
+	c.pendingOrders, c.plannedStarts, c.waiters, c.deletions = nil, nil, nil, nil
 	return batch
 }
 
@@ -112,9 +114,9 @@
 }
 
 // Committed applies the effects of a batch that is durable but for the rejected records, which the log never accepts: it
-// makes job states visible to callers, marks run ends for acknowledgement to workers, and sends the outcomes to waiters.
-// The caller of Collect sends the orders.
-func (c *Core) Committed(batch *Batch, rejected ...infra.Record) {
+// makes job states visible to callers, marks run ends for acknowledgement to workers, and sends the outcomes to waiters. It
+// returns the starts of the batch that the caller has to send now.
+func (c *Core) Committed(batch *Batch, rejected ...infra.Record) (starts []Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The log confirms nothing if it refuses all records.
@@ -134,7 +136,7 @@
 			j.visibleCompleted, j.visibleFailed, j.visibleCancelled = j.completed, j.failed, j.cancelled
 		}
 	}
-	c.releaseStarts(batch.heldStarts)
+	starts = c.releaseStarts(batch.starts)
 	c.fleet.noteDurable(batch.fleetRecords)
 	for w, end := range batch.durableEnds {
 		// If a record was rejected, the ends wait for the next batch, which records that its job has failed.
@@ -154,6 +156,7 @@
 	if confirmed {
 		c.sendConfirmed()
 	}
+	return starts
 }
 
 // Abandon closes the core when the batch may not have become durable. Callers that wait for this batch
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -139,11 +139,10 @@
 
 // collectStarts collects and commits a batch, grants leases for its starts, and returns their number.
 func (tc *testCore) collectStarts() int {
-	batch := tc.Collect()
-	tc.Committed(&batch)
+	orders := tc.collectOrders()
 	starts := 0
-	for i := range batch.Orders {
-		if batch.Orders[i].Kind == OrderStart && tc.LeaseForStart(&batch.Orders[i], tc.now) > 0 {
+	for i := range orders {
+		if orders[i].Kind == OrderStart && tc.LeaseForStart(&orders[i], tc.now) > 0 {
 			starts++
 		}
 	}
@@ -153,8 +152,7 @@
 // accept submits a job and makes it durable. Its items aren't placed yet.
 func (tc *testCore) accept(id string, steps ...work.Step) {
 	tc.Submit(&work.Job{ID: id, Queue: tc.config.Queues[0], Customer: "big", Steps: steps}, make(chan Outcome, 1))
-	batch := tc.Collect()
-	tc.Committed(&batch)
+	tc.collectOrders()
 }
 
 // needStep returns a step of one item that needs the given number of cores.
@@ -229,13 +227,12 @@
 	step := needStep(3)
 	step.Count = 2
 	tc.accept("job", step)
-	batch := tc.Collect()
-	tc.Committed(&batch)
-	assert.Equal(t, len(batch.Orders), 2)
+	orders := tc.collectOrders()
+	assert.Equal(t, len(orders), 2)
 	tc.setCores(worker, 5)
-	assert.Equal(t, tc.LeaseForStart(&batch.Orders[0], tc.now), int64(0))
-	tc.StartNotSent(&batch.Orders[0])
-	assert.Assert(t, tc.LeaseForStart(&batch.Orders[1], tc.now) > 0, "the other item fits")
+	assert.Equal(t, tc.LeaseForStart(&orders[0], tc.now), int64(0))
+	tc.StartNotSent(&orders[0])
+	assert.Assert(t, tc.LeaseForStart(&orders[1], tc.now) > 0, "the other item fits")
 	assert.Equal(t, tc.collectStarts(), 0)
 	tc.setCores(worker, 6)
 	assert.Equal(t, tc.collectStarts(), 1)
@@ -251,10 +248,9 @@
 		step := needStep(4)
 		step.Count, step.Gang = 2, true
 		tc.accept("job", step)
-		batch := tc.Collect()
-		tc.Committed(&batch)
-		assert.Equal(t, len(batch.Orders), 2)
-		started, other := &batch.Orders[0], &batch.Orders[1]
+		orders := tc.collectOrders()
+		assert.Equal(t, len(orders), 2)
+		started, other := &orders[0], &orders[1]
 		assert.Assert(t, tc.LeaseForStart(started, tc.now) > 0)
 		tc.ApplyStartResult(started, nil, false)
 		if sent {
@@ -264,10 +260,10 @@
 			assert.Equal(t, tc.LeaseForStart(other, tc.now), int64(0))
 			tc.StartNotSent(other)
 		}
-		next := tc.Collect()
-		assert.Equal(t, len(next.Orders), 1, "sent %v", sent)
-		assert.Equal(t, next.Orders[0].Kind, OrderStop)
-		assert.Equal(t, next.Orders[0].Item, started.Item)
+		next := tc.collectOrders()
+		assert.Equal(t, len(next), 1, "sent %v", sent)
+		assert.Equal(t, next[0].Kind, OrderStop)
+		assert.Equal(t, next[0].Item, started.Item)
 	}
 }
 
@@ -308,12 +304,11 @@
 		tc.WorkersListed(tc.now)
 		tc.accept("first", needStep(1))
 		tc.now += maxListAge
-		batch := tc.Collect()
-		tc.Committed(&batch)
-		assert.Equal(t, len(batch.Orders), 1)
+		orders := tc.collectOrders()
+		assert.Equal(t, len(orders), 1)
 		tc.now += time.Millisecond
-		assert.Equal(t, tc.LeaseForStart(&batch.Orders[0], tc.now) > 0, guarded)
-		tc.StartNotSent(&batch.Orders[0])
+		assert.Equal(t, tc.LeaseForStart(&orders[0], tc.now) > 0, guarded)
+		tc.StartNotSent(&orders[0])
 		tc.accept("second", needStep(1))
 		assert.Equal(t, tc.collectStarts() > 0, guarded)
 		for range 5 {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -79,9 +79,9 @@
 	OrderPace
 )
 
-// Order is an order to a worker. The orders of a batch are sent while the batch is still being written
-// to the log, so the record of a start may be lost although the run exists. To find such runs, a new term
-// asks all workers what they run before it starts items of a job from an earlier term.
+// Order is an order to a worker. A start is sent once its record is durable, other orders while the batch is still being
+// written to the log. Earlier releases sent starts at once, so that a run may exist although its record was lost. To find such
+// runs, a new term asks all workers what they run before it starts items of a job from an earlier term.
 type Order struct {
 	Kind   OrderKind
 	Worker infra.WorkerRef
@@ -166,10 +166,8 @@
 
 	// dirtyJobs changed since the last batch.
 	dirtyJobs map[*job]struct{}
-	// pendingOrders are sent with the next batch.
-	pendingOrders []Order
-	// heldStarts are sent once the next batch is durable.
-	heldStarts []Order
+	// pendingOrders are sent with the next batch, and plannedStarts once it is durable.
+	pendingOrders, plannedStarts []Order
 	// waiters get their outcome once the next batch is durable.
 	waiters []jobWaiter
 	// deletions are the records that delete those of jobs that are no longer kept, for the next batch.
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -63,8 +63,8 @@
 		if tc.onBatch != nil {
 			tc.onBatch(&batch)
 		}
-		tc.Committed(&batch)
 		orders = append(orders, batch.Orders...)
+		orders = append(orders, tc.Committed(&batch)...)
 	}
 	for i := range orders {
 		if orders[i].Kind == OrderStart {
@@ -74,6 +74,12 @@
 	return orders
 }
 
+// collectOrders collects and commits a batch, and returns its orders without sending them.
+func (tc *testCore) collectOrders() []Order {
+	batch := tc.Collect()
+	return append(batch.Orders, tc.Committed(&batch)...)
+}
+
 // lastingStep returns a step of lasting items, at most one per host, of which mayMiss may be unavailable.
 func lastingStep(count, mayMiss int) work.Step {
 	return work.Step{Count: count, Need: work.Resources{CPUMilli: 1000}, Lasting: true, MaxPerHost: 1, MayMiss: mayMiss}
@@ -423,9 +429,7 @@
 	tc.Submit(&work.Job{ID: "j", Queue: tc.config.Queues[0], Customer: "small", Steps: []work.Step{smallStep(1)}}, make(chan Outcome, 1))
 	var orders []Order
 	for range 5 {
-		batch := tc.Collect()
-		tc.Committed(&batch)
-		orders = append(orders, batch.Orders...)
+		orders = append(orders, tc.collectOrders()...)
 		tc.now += 10 * time.Millisecond
 	}
 	assert.Equal(t, len(orders), 1)
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -93,29 +93,6 @@
 	return i.crashes.known+i.crashes.possible > 0 && i.crashes.sum() > i.clearedCrashes
 }
 
-// holdsStart reports whether the item's start is sent only once its record is durable, and with it the crashes that were
-// counted: if the term ends, the next one knows both. Starts of other items are sent while their records are written.
-func (i *item) holdsStart() bool { return i.crashes.sum() > 0 || i.needsTrial() }
-
-// releaseStarts sends starts that were held with the next batch, unless their items have been released.
-func (c *Core) releaseStarts(orders []Order) {
-	now := c.clock()
-	for n := range orders {
-		order := &orders[n]
-		i := c.findItem(order.Item)
-		if i == nil || i.worker == nil || i.worker.entry.ID != order.Worker.ID || i.run != order.Run {
-			c.startNotSent(order)
-			continue
-		}
-		i.placedAt = now
-		if i.worker.trial != nil {
-			i.worker.trial.releasedAt = now
-		}
-		c.pendingOrders = append(c.pendingOrders, *order)
-		c.wakeUp()
-	}
-}
-
 // confirmStart notes that the placed item's run has begun, unless that is already known.
 func (i *item) confirmStart(now time.Duration) {
 	i.step.job.begun = true
--- a/internal/scheduler/crash_bounds_test.go
+++ b/internal/scheduler/crash_bounds_test.go
@@ -337,9 +337,7 @@
 	restored := second.jobs["job"].itemAt(0, 0, 0)
 	assert.Equal(t, restored.crashes.known, 1)
 	assert.Equal(t, restored.worker.entry.ID, i.worker.entry.ID)
-	tc.Committed(&batch)
-	next := tc.Collect()
-	assert.Equal(t, countStarts(next.Orders), 1)
+	assert.Equal(t, countStarts(tc.Committed(&batch)), 1)
 }
 
 // definitionOf returns the record of the job's definition.
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -37,17 +37,6 @@
 	tc.SetHosts(hosts, tc.now)
 }
 
-// collectOrders plans, and returns the orders without sending them.
-func (tc *testCore) collectOrders() []Order {
-	var orders []Order
-	for range 2 {
-		batch := tc.Collect()
-		tc.Committed(&batch)
-		orders = append(orders, batch.Orders...)
-	}
-	return orders
-}
-
 // captureLog makes the core log to the returned buffer.
 func (tc *testCore) captureLog() *bytes.Buffer {
 	output := &bytes.Buffer{}
@@ -67,7 +56,7 @@
 	tc := newTestCore(1)
 	tc.addWorkerIn("a", 0, 8)
 	tc.Submit(&work.Job{ID: "job", Queue: tc.config.Queues[0], Steps: []work.Step{shortStep(2, 1)}}, make(chan Outcome, 1))
-	queued := tc.collectOrders()
+	queued := append(tc.collectOrders(), tc.collectOrders()...)
 	assert.Equal(t, len(queued), 2)
 	tc.SetEvacuations([]string{"a"})
 	assert.Equal(t, tc.startQueueOf("a").length, 0)
@@ -124,7 +113,7 @@
 	step := shortStep(2, 1)
 	step.Gang = true
 	tc.Submit(&work.Job{ID: "gang", Queue: tc.config.Queues[0], Steps: []work.Step{step}}, make(chan Outcome, 1))
-	orders := tc.collectOrders()
+	orders := append(tc.collectOrders(), tc.collectOrders()...)
 	assert.Equal(t, len(orders), 2)
 	for n := range orders {
 		if orders[n].Zone == "b" {
@@ -328,7 +317,7 @@
 				}
 				tc.SetEvacuations(set)
 			case 2:
-				queued = append(queued, tc.collectOrders()...)
+				queued = append(queued, append(tc.collectOrders(), tc.collectOrders()...)...)
 			default:
 				for k := range rapid.IntRange(0, len(queued)).Draw(rt, "sent") {
 					order := &queued[k]
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -142,7 +142,13 @@
 // Guards against exceeding the limit of attempts when failures can't be recorded in the log. A new term
 // then learns of the failures from the workers, which may report in any order.
 func TestLogRefusesTheSchedulerWhileItemsFail(t *testing.T) {
-	runWithFaults(t, func(s *sim) { s.failedRunShare = 0.45 }, func(s *sim, second int) {
+	for _, unrecorded := range []bool{true, false} {
+		logRefusesTheSchedulerWhileItemsFail(t, unrecorded)
+	}
+}
+
+func logRefusesTheSchedulerWhileItemsFail(t *testing.T, unrecordedStarts bool) {
+	runWithFaults(t, func(s *sim) { s.failedRunShare, s.unrecordedStarts = 0.45, unrecordedStarts }, func(s *sim, second int) {
 		if second%2 == 0 {
 			s.advance(time.Duration(s.rng.IntN(100)) * simTickTime)
 			s.logDown = true
@@ -281,8 +287,9 @@
 }
 
 // startUnrecorded submits a job with one work item, and takes the log down after the acceptance of the job
-// is recorded and before the start of the item is.
+// is recorded and before the start of the item is. The scheduler is one of an earlier release.
 func (s *sim) startUnrecorded(estimate time.Duration) *work.Job {
+	s.unrecordedStarts = true
 	s.advance(time.Second)
 	job := &work.Job{ID: "0000000000000001", Queue: s.config.Queues[0], Customer: "clips",
 		Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}, Estimate: estimate}}}
--- a/internal/scheduler/latestart_test.go
+++ b/internal/scheduler/latestart_test.go
@@ -26,10 +26,8 @@
 		tc.Submit(&work.Job{ID: "job", Queue: tc.config.Queues[0], Steps: []work.Step{{Count: 1, Need: work.Resources{CPUMilli: 1000}}}}, make(chan Outcome, 1))
 		var order *Order
 		for range 2 {
-			batch := tc.Collect()
-			tc.Committed(&batch)
-			if len(batch.Orders) > 0 {
-				order = &batch.Orders[0]
+			if orders := tc.collectOrders(); len(orders) > 0 {
+				order = &orders[0]
 			}
 		}
 		leave(tc, tc.workers[id])
@@ -71,3 +69,35 @@
 		assert.Equal(t, i.worker.entry.ID, id)
 	}
 }
+
+// Guards against a start that is sent after a long append although its item was released meanwhile, or its worker gets no new work
+// any more, and against an item that isn't placed anew then.
+func TestStartsAreCheckedOnceTheyAreRecorded(t *testing.T) {
+	for name, change := range map[string]func(tc *testCore, i *item){
+		"released": func(tc *testCore, i *item) { tc.release(i) },
+		"stopped":  func(tc *testCore, i *item) { tc.orderStop(i) },
+		"silent":   func(tc *testCore, i *item) { tc.RenewalFailed(i.worker.entry.ID, errNoResponse) },
+		"unlisted": func(tc *testCore, i *item) {
+			tc.UpdateWorkers(infra.WorkerUpdate{Removed: []string{i.worker.entry.ID}})
+		},
+		"job canceled": func(tc *testCore, i *item) { tc.Cancel("job", "big", make(chan Outcome, 1)) },
+		"unchanged":    func(*testCore, *item) {},
+	} {
+		tc := newTestCore(1)
+		tc.addWorker(0, 8)
+		tc.accept("job", needStep(1))
+		batch := tc.Collect()
+		i := tc.jobs["job"].itemAt(0, 0, 0)
+		planned := i.worker
+		assert.Equal(t, len(batch.Orders), 0, name)
+		change(tc, i)
+		starts := tc.Committed(&batch)
+		assert.Equal(t, len(starts) == 1, name == "unchanged", name)
+		if name == "silent" || name == "unlisted" {
+			assert.Equal(t, i.state, itemWaiting, name)
+			other := tc.addWorker(1, 8)
+			assert.Assert(t, other != planned.entry.ID)
+			assert.DeepEqual(t, startedOn(tc.commit()), []string{other})
+		}
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,6 +50,24 @@
 	}
 }
 
+// releaseStarts returns the starts to send of those whose records are durable now. The append may have taken long: starts whose
+// items have been released or stopped, and those to workers that get no new work any more, aren't sent.
+func (c *Core) releaseStarts(orders []Order) []Order {
+	now := c.clock()
+	return slices.DeleteFunc(orders, func(order Order) bool {
+		i := c.findItem(order.Item)
+		if i == nil || i.worker == nil || i.worker.entry.ID != order.Worker.ID || i.run != order.Run || i.stopping || !i.worker.available() {
+			c.startNotSent(&order)
+			return true
+		}
+		i.placedAt = now
+		if i.worker.onTrial(i) {
+			i.worker.trial.releasedAt = now
+		}
+		return false
+	})
+}
+
 // ApplyStartResult applies the result of a start. uncertain is set when an earlier attempt had no response,
 // so that the start may have taken effect even if the last attempt was refused.
 func (c *Core) ApplyStartResult(order *Order, err error, uncertain bool) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -265,11 +265,7 @@
 		answer, _ := i.step.adviceFor(i.worker, now)
 		order.Ticket, order.TicketValidUntil = answer.ticket, answer.validUntil
 	}
-	if i.holdsStart() {
-		c.heldStarts = append(c.heldStarts, order)
-	} else {
-		c.pendingOrders = append(c.pendingOrders, order)
-	}
+	c.plannedStarts = append(c.plannedStarts, order)
 	c.markItemDirty(i)
 }
 
--- a/internal/scheduler/repeated_move_test.go
+++ b/internal/scheduler/repeated_move_test.go
@@ -41,10 +41,9 @@
 			tc.now += simOptions().HostMoveTime
 			worker := tc.addWorker(0, crashTestCores)
 			list(infra.Host{Pool: simPool, State: infra.HostUp, WorkerID: worker})
-			batch := tc.Collect()
-			tc.Committed(&batch)
-			assert.Assert(t, len(batch.Orders) == 1 && tc.LeaseForStart(&batch.Orders[0], tc.now) > 0)
-			tc.reportStarted(batch.Orders, 0)
+			starts := tc.collectOrders()
+			assert.Assert(t, len(starts) == 1 && tc.LeaseForStart(&starts[0], tc.now) > 0)
+			tc.reportStarted(starts, 0)
 			i := tc.jobs["job"].steps[0].items[0]
 			assert.Assert(t, i.worker != nil && i.reported)
 			tc.now += time.Second
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -192,8 +192,9 @@
 	r.core.examinedWorkers = 0
 	batch := r.core.Collect()
 	r.examined += r.core.examinedWorkers
-	for i := range batch.Orders {
-		order := &batch.Orders[i]
+	starts := r.core.Committed(&batch)
+	for i := range starts {
+		order := &starts[i]
 		w := r.workers[order.Worker.ID]
 		if order.Kind != OrderStart || r.core.LeaseForStart(order, r.now) == 0 {
 			continue
@@ -208,7 +209,6 @@
 		heap.Push(&r.ends, replayEnd{at: r.now + runTime, worker: w, run: run})
 		r.core.ApplyStartResult(order, nil, false)
 	}
-	r.core.Committed(&batch)
 	for _, j := range batch.changedJobs {
 		if deadline, open := r.deadlines[j.def.ID]; open && j.completed {
 			delete(r.deadlines, j.def.ID)
--- a/internal/scheduler/sim_gangs_test.go
+++ b/internal/scheduler/sim_gangs_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"testing"
 	"time"
 
@@ -114,11 +113,11 @@
 // ever release it.
 func (s *sim) checkPlacedItems(scheduler *simScheduler) {
 	held := map[work.ItemID]bool{}
-	for _, order := range slices.Concat(scheduler.core.heldStarts, scheduler.core.pendingOrders) {
+	for _, order := range scheduler.core.plannedStarts {
 		held[order.Item] = true
 	}
 	if scheduler.batch != nil {
-		for _, order := range scheduler.batch.heldStarts {
+		for _, order := range scheduler.batch.starts {
 			held[order.Item] = true
 		}
 	}
--- a/internal/scheduler/sim_log_test.go
+++ b/internal/scheduler/sim_log_test.go
@@ -23,7 +23,8 @@
 }
 
 // commitBatch makes the current batch durable two ticks after it was collected, unless the log is down or a
-// later term has fenced the scheduler. It then collects the next batch, and sends its orders immediately.
+// later term has fenced the scheduler, and sends its starts. It then collects the next batch, and sends its other orders
+// immediately.
 func (s *sim) commitBatch(scheduler *simScheduler) {
 	if scheduler.batch != nil {
 		if s.now < scheduler.commitDueAt || s.logDown {
@@ -38,7 +39,11 @@
 			s.store(record)
 		}
 		scheduler.confirmedAt = scheduler.sentAt
-		scheduler.core.Committed(scheduler.batch)
+		for _, order := range scheduler.core.Committed(scheduler.batch) {
+			if !s.unrecordedStarts {
+				s.sendOrder(scheduler, order)
+			}
+		}
 		scheduler.batch = nil
 	}
 	if scheduler.core.Fenced() {
@@ -49,6 +54,11 @@
 	for i := range batch.Orders {
 		s.sendOrder(scheduler, batch.Orders[i])
 	}
+	if s.unrecordedStarts {
+		for i := range batch.starts {
+			s.sendOrder(scheduler, batch.starts[i])
+		}
+	}
 	scheduler.batch, scheduler.sentAt, scheduler.commitDueAt = &batch, s.now, s.now+2*simTickTime
 	s.checkPlacedItems(scheduler)
 }
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -292,6 +292,8 @@
 	stopTime time.Duration
 	listDown bool
 	logDown  bool
+	// unrecordedStarts is set if schedulers send starts while their records are being written, as those of earlier releases do.
+	unrecordedStarts bool
 	// tornAppends makes the first records of a batch durable that is being appended when a new term starts: the writer
 	// divides large batches.
 	tornAppends bool
--- a/internal/scheduler/startqueue_test.go
+++ b/internal/scheduler/startqueue_test.go
@@ -16,9 +16,7 @@
 	worker := tc.addWorker(0, 64)
 	assert.Equal(t, tc.submit("burst", "big", work.Step{Count: 3 * maxQueuedStarts, Need: work.Resources{CPUMilli: 1}, Estimate: time.Second}).Kind, OutcomeDone)
 	orderStarts := func() int {
-		batch := tc.Collect()
-		tc.Committed(&batch)
-		return len(batch.Orders)
+		return len(tc.collectOrders())
 	}
 	// The first ones have been sent.
 	assert.Equal(t, orderStarts(), maxQueuedStarts)
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -112,7 +112,7 @@
 	first.Committed(&batch)
 	records := append([]infra.Record(nil), batch.Records...)
 	batch = first.Collect()
-	first.reportStarted(batch.Orders, 0)
+	first.reportStarted(first.Committed(&batch), 0)
 	records = append(records, batch.Records...)
 
 	second := newTestCore(2)
@@ -340,7 +340,7 @@
 			tc.SetHosts(hostsOf("worker-0", ""), tc.now)
 			tc.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{entry}})
 		}
-		assert.Equal(t, countStarts(tc.Collect().Orders), 1, "listed again: %t", listedAgain)
+		assert.Equal(t, countStarts(tc.collectOrders()), 1, "listed again: %t", listedAgain)
 	}
 }
 
@@ -366,7 +366,7 @@
 		tc.SetHosts(test.before, tc.now)
 		tc.now += 100 * time.Millisecond
 		tc.SetHosts(hostsOf("worker-0", "worker-2"), tc.now)
-		assert.Equal(t, countStarts(tc.Collect().Orders), test.starts, test.name)
+		assert.Equal(t, countStarts(tc.collectOrders()), test.starts, test.name)
 	}
 }
 
@@ -387,7 +387,7 @@
 			StartUnixMs: tc.wallClock().Add(-test.age).UnixMilli()}}})
 		tc.RenewalFailed("gone", &infra.Error{Kind: infra.Refused, Op: "hold"})
 		tc.SetHosts(hostsOf("worker-0"), tc.now)
-		assert.Equal(t, countStarts(tc.Collect().Orders), test.starts, test.name)
+		assert.Equal(t, countStarts(tc.collectOrders()), test.starts, test.name)
 	}
 }
 
@@ -432,7 +432,7 @@
 	second.addWorker(0, 8)
 	second.UpdateWorkers(infra.WorkerUpdate{Entries: []infra.WorkerEntry{first.workers["worker-1"].entry}})
 	second.SetHosts(hostsOf("worker-0", "worker-1"), second.now)
-	assert.Equal(t, countStarts(second.Collect().Orders), 0)
+	assert.Equal(t, countStarts(second.collectOrders()), 0)
 	end := infra.EndedRun{Sequence: 1, Item: i.id(), Run: i.run, Cause: infra.EndDone}
 	second.ApplyReport("worker-1", infra.WorkerReport{ClockMs: 3000, Ended: []infra.EndedRun{end}}, second.now)
 	second.commit()
--- a/internal/scheduler/zoneloss_test.go
+++ b/internal/scheduler/zoneloss_test.go
@@ -114,18 +114,17 @@
 	tc.addWorkerInZone("a3")
 	id := tc.idWithHome("a")
 	tc.accept(id, items(4))
-	batch := tc.Collect()
+	starts := tc.collectOrders()
 	assert.DeepEqual(t, tc.zonesOf(id), map[string]int{"a": 4})
-	sent := &batch.Orders[0]
+	sent := &starts[0]
 	assert.Assert(t, tc.LeaseForStart(sent, tc.now) > 0)
 	tc.loseZone()
 	assert.Equal(t, tc.candidates(), "")
 	hosts, cores, standby = tc.capacity()
 	assert.Assert(t, hosts == 6 && cores == 48 && standby == 0, "%d %v %d", hosts, cores, standby)
-	for n := range batch.Orders {
-		assert.Equal(t, tc.LeaseForStart(&batch.Orders[n], tc.now), int64(0), "the start wasn't sent, or has to be sent again")
+	for n := range starts {
+		assert.Equal(t, tc.LeaseForStart(&starts[n], tc.now), int64(0), "the start wasn't sent, or has to be sent again")
 	}
-	tc.Committed(&batch)
 	tc.commit()
 	placed := tc.zonesOf(id)
 	assert.Equal(t, placed["a"], 1, "the start that was sent may have been carried out")
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -223,8 +223,8 @@
 	return ctx.Err()
 }
 
-// commitBatches collects batches from the core, sends their orders, appends their records to the log, and
-// reports the durable batches to the core.
+// commitBatches collects batches from the core, sends their orders, appends their records to the log, reports the durable
+// batches to the core, and sends their starts.
 func (s *session) commitBatches(ctx context.Context) error {
 	timer := time.NewTimer(idlePlanInterval)
 	defer timer.Stop()
@@ -258,8 +258,9 @@
 			return err
 		}
 		committedAt := time.Now()
-		s.core.Committed(&batch, rejected...)
+		starts := s.core.Committed(&batch, rejected...)
 		s.stages.commit.Since(committedAt)
+		s.sendOrders(ctx, starts)
 		switch {
 		case confirmsOnly:
 			_ = periodic.Pause(ctx, confirmationPause)
