Bound the clocks of odd entries in the list of workers

The difference between the clock of an entry and that of the last report is limited to the time that has passed, so that an entry with any number as its clock doesn't overflow the time at which its process lived. Comments of two tests and of the package follow the change of starts.

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -147,6 +147,7 @@
 	}
 }
 
+// logRefusesTheSchedulerWhileItemsFail takes the log down and replaces the scheduler, in turn.
 func logRefusesTheSchedulerWhileItemsFail(t *testing.T, unrecordedStarts bool) {
 	runWithFaults(t, func(s *sim) { s.failedRunShare, s.unrecordedStarts = 0.45, unrecordedStarts }, func(s *sim, second int) {
 		if second%2 == 0 {
--- a/internal/scheduler/latestart_test.go
+++ b/internal/scheduler/latestart_test.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// Guards against a start that is sent after a long append although its item was released meanwhile, or its worker gets no new work
-// any more, and against an item that isn't placed anew then.
+// Guards against a start that is sent after a long append (incident 0027) although its item was released meanwhile, or its worker
+// gets no new work any more, and against an item that isn't placed anew then.
 func TestStartsAreCheckedOnceTheyAreRecorded(t *testing.T) {
 	for name, change := range map[string]func(tc *testCore, i *item){
 		"released": func(tc *testCore, i *item) { tc.release(i) },
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -1,8 +1,8 @@
 // Package scheduler decides which workers run the work items of accepted jobs. Core is the state of one
 // term. Requests of callers, reports of workers and timers change it. Collect plans on it and returns
 // the changes as a batch. Acceptances and cancellations are reported to callers, and run ends are
-// acknowledged to workers, only once the batch is durable; so are starts sent to workers, and other orders while
-// it is being written. Core does no I/O itself.
+// acknowledged to workers, only once the batch is durable. Starts are sent to workers then as well, and other orders
+// while the batch is being written. Core does no I/O itself.
 package scheduler
 
 import (
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -97,8 +97,9 @@
 	if entry.ClockMs == 0 || w.clockMs == 0 || entry.StartUnixMs != w.startedUnixMs {
 		return
 	}
-	written := w.clockReadAt + time.Duration(entry.ClockMs-w.clockMs)*time.Millisecond
-	w.livedAt = max(w.livedAt, min(now, written))
+	// The clock of an odd entry may be any number.
+	elapsedMs := max(-w.clockReadAt.Milliseconds(), min(entry.ClockMs-w.clockMs, (now-w.clockReadAt).Milliseconds()))
+	w.livedAt = max(w.livedAt, w.clockReadAt+time.Duration(elapsedMs)*time.Millisecond)
 }
 
 // addWorker adds a worker that wasn't known.
