--- a/internal/scheduler/latestart.go
+++ b/internal/scheduler/latestart.go
@@ -167,8 +167,8 @@
 	})
 }
 
-// holdLateItems finds the items of which a late start may be carried out. It stops their runs on other workers; plan starts
-// none until it is certain again that the late start is refused.
+// holdLateItems finds the items that plan must not start: those of which a late start may be carried out, whose runs on other
+// workers it stops, until it is certain again that the start is refused; and those of which a stray run may be active.
 func (c *Core) holdLateItems(now time.Duration) {
 	clear(c.heldItems)
 	c.holdStrayItems(now)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -108,8 +108,8 @@
 type formerRun struct {
 	worker string
 	run    int64
-	// counted is set if the end of the run has been counted. A worker that was dropped reports the ends that it wasn't told
-	// are seen once more when it is listed again.
+	// counted is set if the end of the run has been counted. A worker that was dropped and is listed again reports its
+	// unacknowledged ends once more.
 	counted bool
 }
 
--- a/internal/scheduler/strayrun.go
+++ b/internal/scheduler/strayrun.go
@@ -25,7 +25,7 @@
 	w.leaseEnd = max(w.leaseEnd, c.clock()+c.longestLease())
 	c.strayWorkers[w] = struct{}{}
 	if i.state == itemWaiting && !i.step.job.finished() {
-		c.logger.WithFields(logrus.Fields{"event": "item_held", "item": i.id().String(), "stray_worker": w.entry.ID}).Info("work item waits: a worker runs it that it isn't placed on, and is told to stop the run")
+		c.logger.WithFields(logrus.Fields{"event": "item_held", "item": i.id().String(), "stray_worker": w.entry.ID}).Info("work item waits for the end of a run that a worker lists although the item isn't placed there")
 	}
 }
 
