Share the check whether a start is still to be sent

releaseStarts and LeaseForStart both looked for the item of a start and compared its worker, run and stop. itemToStart does so for both. Behaviour is unchanged: an item is placed only on the worker that the term knows under the ID. The tests of the scheduler and the session pass.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -50,13 +50,23 @@
 	}
 }
 
+// itemToStart returns the item of a start if it is still placed on the order's worker with that run and isn't to be stopped; nil
+// otherwise.
+func (c *Core) itemToStart(order *Order) *item {
+	i := c.findItem(order.Item)
+	if i == nil || i.worker == nil || i.worker != c.workers[order.Worker.ID] || i.run != order.Run || i.stopping {
+		return nil
+	}
+	return i
+}
+
 // releaseStarts returns the starts to send of those whose records are durable now. The append may have taken long: starts whose
 // items have been released or stopped, and those to workers that get no new work any more, aren't sent.
 func (c *Core) releaseStarts(orders []Order) []Order {
 	now := c.clock()
 	return slices.DeleteFunc(orders, func(order Order) bool {
-		i := c.findItem(order.Item)
-		if i == nil || i.worker == nil || i.worker.entry.ID != order.Worker.ID || i.run != order.Run || i.stopping || !i.worker.available() {
+		i := c.itemToStart(&order)
+		if i == nil || !i.worker.available() {
 			c.startNotSent(&order)
 			return true
 		}
--- a/internal/scheduler/renewal.go
+++ b/internal/scheduler/renewal.go
@@ -154,12 +154,14 @@
 func (c *Core) LeaseForStart(order *Order, confirmedAt time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.workers[order.Worker.ID]
-	i := c.findItem(order.Item)
-	if w == nil || w.leaves() || w.inLostZone || i == nil || i.worker != w || i.run != order.Run || i.stopping || !w.withinCapacity() {
+	i := c.itemToStart(order)
+	if i == nil {
+		return 0
+	}
+	w, now := i.worker, c.clock()
+	if w.leaves() || w.inLostZone || !w.withinCapacity() {
 		return 0
 	}
-	now := c.clock()
 	if !c.mayRelyOnCapacity(w, now) || c.mayRunAsStray(i, now) || order.Ticket != "" && now >= order.TicketValidUntil {
 		return 0
 	}
